--- a/bamboostream/src/Contracts/engine.cpp
+++ b/bamboostream/src/Contracts/engine.cpp
@@ -66,7 +66,7 @@
 engine_client::engine_client(boost::asio::any_io_executor executor, backend_id engine)
     : executor_(std::move(executor)), engine_(std::move(engine)) {}
 
-boost::asio::awaitable<std::unique_ptr<http_stream>>
+boost::asio::awaitable<std::shared_ptr<http_stream>>
 engine_client::start(const generation_request& request, milliseconds timeout, engine_failure& why) {
     http_failure reason;
     http_request message = make_request("POST", "/v1/completions", start_body(request));
@@ -85,7 +85,7 @@
     co_return stream;
 }
 
-boost::asio::awaitable<std::unique_ptr<http_stream>> engine_client::resume(generation_id generation,
+boost::asio::awaitable<std::shared_ptr<http_stream>> engine_client::resume(generation_id generation,
                                                                            std::uint64_t from,
                                                                            milliseconds timeout,
                                                                            engine_failure& why) {
--- a/bamboostream/src/Contracts/engine.h
+++ b/bamboostream/src/Contracts/engine.h
@@ -76,10 +76,10 @@
     engine_client(boost::asio::any_io_executor executor, backend_id engine);
 
     /// Starts a generation; the result is its event stream.
-    boost::asio::awaitable<std::unique_ptr<http_stream>>
+    boost::asio::awaitable<std::shared_ptr<http_stream>>
     start(const generation_request& request, milliseconds timeout, engine_failure& why);
     /// Takes a generation's events up again from number `from`.
-    boost::asio::awaitable<std::unique_ptr<http_stream>>
+    boost::asio::awaitable<std::shared_ptr<http_stream>>
     resume(generation_id generation, std::uint64_t from, milliseconds timeout, engine_failure& why);
     /// Ends a generation. Best effort: an engine that can't be reached is told nothing.
     boost::asio::awaitable<void> cancel(generation_id generation, milliseconds timeout);
--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -49,6 +49,18 @@
 inline constexpr event_kind request_refused{410, event_level::debug, "request_refused", "A request was refused as not run, with a time to come back."};
 inline constexpr event_kind bad_request{411, event_level::debug, "bad_request", "A request was malformed or not allowed."};
 inline constexpr event_kind peer_frame_bad{420, event_level::warning, "peer_frame_bad", "A connection from a peer carried a malformed frame and was closed."};
+inline constexpr event_kind request_ended{430, event_level::debug, "request_ended", "A forwarded request got its whole answer from a backend server."};
+inline constexpr event_kind request_failed{431, event_level::info, "request_failed", "A forwarded request ended without a usable answer; the outcome says what its caller was told."};
+inline constexpr event_kind attempt_failed{432, event_level::info, "attempt_failed", "A send to a backend server brought no usable answer."};
+inline constexpr event_kind caller_left{433, event_level::info, "caller_left", "A caller closed its connection before its answer was complete; the work for it was ended."};
+inline constexpr event_kind generation_moved{440, event_level::info, "generation_moved", "A generation goes on at another engine because its engine leaves."};
+inline constexpr event_kind move_failed{441, event_level::info, "move_failed", "A generation could not be moved."};
+inline constexpr event_kind evacuation_started{442, event_level::info, "evacuation_started", "This instance moves the generations of a leaving engine."};
+inline constexpr event_kind record_rejected{330, event_level::warning, "record_rejected", "A record of the platform's store could not be read; what was known before stays."};
+inline constexpr event_kind store_unavailable{331, event_level::warning, "store_unavailable", "A topic of the platform's store can't be read; peers are asked instead."};
+inline constexpr event_kind store_available{332, event_level::info, "store_available", "A topic of the platform's store can be read again."};
+inline constexpr event_kind reloaded{105, event_level::info, "reloaded", "The settings file was read again."};
+inline constexpr event_kind settings_bad{106, event_level::error, "settings_bad", "The settings can't be used; each mistake is named."};
 inline constexpr event_kind order_sent{500, event_level::info, "order_sent", "A placement order was sent to a backend server."};
 inline constexpr event_kind order_refused{501, event_level::warning, "order_refused", "A backend server refused a placement order."};
 inline constexpr event_kind lease_won{510, event_level::info, "lease_won", "This instance holds the lease of a pool's placement."};
--- a/bamboostream/src/Core/event_log.h
+++ b/bamboostream/src/Core/event_log.h
@@ -9,12 +9,15 @@
 
 namespace bamboostream {
 
-/// How log lines are written on standard error.
+/// How log lines are written on standard output.
 enum class log_format : std::uint8_t { text, json };
 
 /// Sets the format and the lowest level written. Called once at the start of a program.
 void configure_log(log_format format, event_level lowest);
 
+/// Lines that were dropped because nobody read standard output.
+std::uint64_t dropped_log_lines();
+
 namespace internal {
 bool log_enabled(event_level level);
 void write_log_line(const event_kind& kind, std::string_view detail);
--- /dev/null
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -0,0 +1,118 @@
+#include "bamboostream/src/Evacuation/evacuation_service.h"
+
+#include "bamboostream/src/Control/periodic.h"
+#include "bamboostream/src/Core/event_log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace bamboostream {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Engines are gone some 2 s after the notice, at times later; by then nothing is left to move.
+constexpr seconds longest_evacuation{10};
+/// Between two looks for generations that have begun since: a queued prompt begins within this.
+constexpr milliseconds look_again{100};
+/// Looks without a find after which the engine counts as empty.
+constexpr int most_empty_looks = 15;
+/// A copy of 6,000 tokens between failure domains takes some 0.7 s; one that takes longer is stuck
+/// behind others, and the engine would be gone before it is done.
+constexpr milliseconds copy_timeout{1'500};
+/// The rest takes milliseconds unless another copy is before it.
+constexpr milliseconds last_timeout{800};
+
+} // namespace
+
+void evacuation_service::on_leaving(const registered_backend& backend) {
+    const service_rule* service =
+        state_.routes ? state_.routes->find_service(backend.service) : nullptr;
+    const bool moves = service != nullptr && service->engine && service->engine->moves;
+    if (!moves || !peers_.drives(backend.id) || !driven_.insert(backend.id).second) {
+        return;
+    }
+    asio::co_spawn(context_, drive(backend), asio::detached);
+}
+
+asio::awaitable<std::vector<move_candidate>> evacuation_service::gather(const backend_id& backend) {
+    std::vector<move_candidate> out = co_await peers_.gather(backend);
+    for (const movable_generation& generation : state_.streams.claim_movable(backend)) {
+        out.push_back({generation, {}});
+    }
+    co_return order_moves(std::move(out));
+}
+
+asio::awaitable<void> evacuation_service::drive(registered_backend source) {
+    log_event(events::evacuation_started, "backend={} address={}", source.id.text(),
+              source.address);
+    const time_point until = monotonic_now() + longest_evacuation;
+    int empty_looks = 0;
+    bool alive = true;
+    while (alive && monotonic_now() < until && empty_looks < most_empty_looks) {
+        const std::vector<move_candidate> found = co_await gather(source.id);
+        empty_looks = found.empty() ? empty_looks + 1 : 0;
+        for (const move_candidate& candidate : found) {
+            alive = alive && co_await move_one(source, candidate);
+        }
+        co_await pause_for(look_again);
+    }
+}
+
+std::vector<move_target> evacuation_service::targets(const service_id& service) const {
+    std::vector<move_target> out;
+    const service_rule* rule = state_.routes->find_service(service);
+    if (rule == nullptr || !rule->engine) {
+        return out;
+    }
+    const time_point now = monotonic_now();
+    for (const registered_backend* backend : state_.registry.usable(service)) {
+        out.push_back({*backend, state_.loads.total(backend->id, now), rule->engine->memory_tokens,
+                       rule->engine->slots});
+    }
+    return out;
+}
+
+asio::awaitable<bool> evacuation_service::move_one(const registered_backend& source,
+                                                   const move_candidate& candidate) {
+    std::vector<move_target> open = targets(source.service);
+    const std::string& id = candidate.generation.id;
+    while (const auto index = choose_target(candidate.generation, source.failure_domain, open)) {
+        const registered_backend target = open[*index].backend;
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(*index));
+        move_failure why;
+        auto copy =
+            co_await mover_.move(source.address, id, target.address, false, copy_timeout, why);
+        if (copy) {
+            copy =
+                co_await mover_.move(source.address, id, target.address, true, last_timeout, why);
+        }
+        if (copy && copy->stopped) {
+            const std::string& goes_on_at = copy->copied ? target.address : source.address;
+            const backend_id& goes_on_with = copy->copied ? target.id : source.id;
+            finish_move(candidate, {goes_on_with, goes_on_at, {source.address, copy->handle}});
+            co_return true;
+        }
+        log_event(events::move_failed, "request={} source={} target={} reason={}", id,
+                  source.id.text(), target.id.text(), why.text);
+        if (why.code != move_error::refused) {
+            co_return why.code != move_error::unreachable;
+        }
+    }
+    co_return true;
+}
+
+void evacuation_service::finish_move(const move_candidate& candidate, const move_notice& notice) {
+    log_event(events::generation_moved, "request={} target={} instance={} memory_tokens={}",
+              candidate.generation.id, notice.target.text(),
+              candidate.instance.empty() ? "here" : candidate.instance,
+              candidate.generation.memory_tokens);
+    if (candidate.instance.empty()) {
+        state_.streams.notify(candidate.generation.id, notice);
+    } else {
+        peers_.tell(candidate.instance, candidate.generation.id, notice);
+    }
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "bamboostream/src/Evacuation/move_plan.h"
+#include "bamboostream/src/Forwarding/forwarding_state.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bamboostream {
+
+/// What evacuation needs from the other instances.
+class evacuation_peers {
+public:
+    virtual ~evacuation_peers() = default;
+    /// True when this instance moves the generations of that engine; one instance does, so that the
+    /// copies on the engine's link follow each other in one order and without gaps.
+    virtual bool drives(const backend_id& backend) const = 0;
+    /// Generations at the engine that other instances pass on.
+    virtual boost::asio::awaitable<std::vector<move_candidate>> gather(backend_id backend) = 0;
+    /// Tells the instance that passes a generation on where it goes on.
+    virtual void tell(const std::string& instance, const std::string& generation,
+                      const move_notice& notice) = 0;
+};
+
+/// Carries generations over from engines that leave. Lives on one thread.
+class evacuation_service {
+public:
+    evacuation_service(boost::asio::io_context& context, forwarding_state& state,
+                       generation_mover& mover, evacuation_peers& peers)
+        : context_(context), state_(state), mover_(mover), peers_(peers) {}
+
+    /// An engine is known to leave or has lost its entry; its generations are moved while it lives.
+    void on_leaving(const registered_backend& backend);
+
+private:
+    boost::asio::awaitable<void> drive(registered_backend source);
+    boost::asio::awaitable<std::vector<move_candidate>> gather(const backend_id& backend);
+    /// False when the source is gone.
+    boost::asio::awaitable<bool> move_one(const registered_backend& source,
+                                          const move_candidate& candidate);
+    std::vector<move_target> targets(const service_id& service) const;
+    void finish_move(const move_candidate& candidate, const move_notice& notice);
+
+    boost::asio::io_context& context_;
+    forwarding_state& state_;
+    generation_mover& mover_;
+    evacuation_peers& peers_;
+    std::set<backend_id> driven_;
+};
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Evacuation/move_plan.cpp
@@ -0,0 +1,56 @@
+#include "bamboostream/src/Evacuation/move_plan.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace bamboostream {
+
+namespace {
+
+/// A step of a busy engine takes some 10 ms a token: 30 tokens end within 0.3 s, well inside the
+/// shortest notice of 1.5 s, and moving them would only stand in the way of others.
+constexpr std::int64_t tokens_that_end_soon = 30;
+/// Share of a full engine that the doubled time of a move between failure domains is worth.
+constexpr double far_cost = 0.25;
+/// A target keeps this share of its memory free: what runs there grows until it ends.
+constexpr double most_full = 0.95;
+
+} // namespace
+
+std::vector<move_candidate> order_moves(std::vector<move_candidate> candidates) {
+    const auto rank = [](const move_candidate& c) {
+        return std::make_tuple(c.generation.tokens_left <= tokens_that_end_soon,
+                               c.generation.memory_tokens, std::string_view(c.generation.id));
+    };
+    std::sort(
+        candidates.begin(), candidates.end(),
+        [&rank](const move_candidate& a, const move_candidate& b) { return rank(a) < rank(b); });
+    return candidates;
+}
+
+std::optional<std::size_t> choose_target(const movable_generation& generation,
+                                         const failure_domain_id& source_domain,
+                                         std::span<const move_target> targets) {
+    std::optional<std::size_t> best;
+    double best_cost = std::numeric_limits<double>::max();
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        const move_target& t = targets[i];
+        const std::int64_t after =
+            t.work.memory_tokens + generation.memory_tokens + generation.tokens_left;
+        const double full = t.memory_tokens > 0
+                                ? static_cast<double>(after) / static_cast<double>(t.memory_tokens)
+                                : 0.0;
+        if (full > most_full || t.work.requests >= t.slots) {
+            continue;
+        }
+        const double cost = full + (t.backend.failure_domain == source_domain ? 0.0 : far_cost);
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = i;
+        }
+    }
+    return best;
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Evacuation/move_plan.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "bamboostream/src/Forwarding/active_streams.h"
+#include "bamboostream/src/Membership/backend_registry.h"
+#include "bamboostream/src/Routing/load_book.h"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace bamboostream {
+
+/// A generation at a leaving engine and the instance that passes its stream on.
+struct move_candidate {
+    movable_generation generation;
+    /// Empty for this instance itself.
+    std::string instance;
+
+    bool operator==(const move_candidate&) const = default;
+};
+
+/// An engine that a generation may move to.
+struct move_target {
+    registered_backend backend;
+    backend_work work;
+    std::int64_t memory_tokens = 0;
+    int slots = 0;
+};
+
+/// The order in which generations leave an engine. Copies share the engine's link and go one after
+/// the other; whoever is not done when the engine goes is cut. Small copies first saves the most
+/// generations in the time there is; one that ends by itself within the notice goes last.
+std::vector<move_candidate> order_moves(std::vector<move_candidate> candidates);
+
+/// The target on which the generation hurts least and is hurt least; nothing when none has room.
+/// A move between failure domains takes twice as long, which counts as load on the target.
+std::optional<std::size_t> choose_target(const movable_generation& generation,
+                                         const failure_domain_id& source_domain,
+                                         std::span<const move_target> targets);
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Forwarding/active_streams.cpp
@@ -0,0 +1,42 @@
+#include "bamboostream/src/Forwarding/active_streams.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboostream {
+
+void active_streams::add(std::shared_ptr<active_stream> stream) {
+    const std::string id = stream->id;
+    streams_[id] = std::move(stream);
+}
+
+void active_streams::remove(const std::string& id) {
+    streams_.erase(id);
+}
+
+std::vector<movable_generation> active_streams::claim_movable(const backend_id& backend) {
+    std::vector<movable_generation> out;
+    for (const auto& [id, stream] : streams_) {
+        if (stream->backend != backend || !stream->movable || stream->output_tokens == 0 ||
+            stream->moved) {
+            continue;
+        }
+        stream->move_expected = true;
+        out.push_back(
+            {id, stream->prompt_tokens + stream->output_tokens,
+             std::max<std::int64_t>(0, stream->expected_output_tokens - stream->output_tokens)});
+    }
+    return out;
+}
+
+bool active_streams::notify(const std::string& id, move_notice notice) {
+    const auto found = streams_.find(id);
+    if (found == streams_.end()) {
+        return false;
+    }
+    found->second->moved = std::move(notice);
+    found->second->noticed.cancel();
+    return true;
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Forwarding/attempt_policy.cpp
@@ -0,0 +1,33 @@
+#include "bamboostream/src/Forwarding/attempt_policy.h"
+
+namespace bamboostream {
+
+void attempt_history::note(attempt_end end) {
+    if (end == attempt_end::not_sent) {
+        ++failed_connects;
+        return;
+    }
+    ++sends;
+    may_have_run = may_have_run || end != attempt_end::not_run;
+}
+
+bool may_try_again(repeat_rule repeats, int most_attempts, const attempt_history& history,
+                   attempt_end last) {
+    if (history.sends >= most_attempts || history.failed_connects >= most_failed_connects) {
+        return false;
+    }
+    const bool nothing_ran = last == attempt_end::not_sent || last == attempt_end::not_run;
+    return repeats != repeat_rule::once || (nothing_ran && !history.may_have_run);
+}
+
+final_answer choose_final_answer(const attempt_history& history, attempt_end last) {
+    if (last == attempt_end::failed) {
+        return final_answer::backend_failure;
+    }
+    if (!history.may_have_run) {
+        return final_answer::not_run;
+    }
+    return last == attempt_end::silent ? final_answer::timed_out : final_answer::unknown;
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "bamboostream/src/Forwarding/attempt_policy.h"
+#include "bamboostream/src/Forwarding/event_splitter.h"
+#include "bamboostream/src/Forwarding/forwarding_state.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboostream {
+
+/// One caller's request from its head to its final answer: finds its route, sends it to a backend
+/// server, passes the answer on, and sends it elsewhere while that is safe.
+///
+/// Example: `forwarded_call call(state, exchange, monotonic_now()); co_await call.run();`
+/// See also `may_try_again` and `choose_final_answer`, which decide; this class carries it out.
+class forwarded_call {
+public:
+    forwarded_call(forwarding_state& state, http_exchange& exchange, time_point arrival);
+    ~forwarded_call();
+    forwarded_call(const forwarded_call&) = delete;
+    forwarded_call& operator=(const forwarded_call&) = delete;
+
+    boost::asio::awaitable<void> run();
+
+private:
+    /// Why a request is turned away before it is sent anywhere.
+    struct rejection {
+        int status = 0;
+        std::string_view code;
+        bool not_run = false;
+    };
+    /// A backend server's failure, kept until it is known that no other answer will come.
+    struct kept_answer {
+        int status = 0;
+        std::vector<http_field> fields;
+        std::string body;
+    };
+    /// A server and, when the generation was moved there, its copy.
+    struct destination {
+        registered_backend backend;
+        std::optional<generation_copy> copy;
+    };
+
+    std::optional<rejection> prepare();
+    std::optional<rejection> find_workspace();
+    boost::asio::awaitable<void> reject(rejection why);
+    std::optional<destination> choose();
+    backend_work expected_work() const;
+    /// Sends once; nothing when the caller has got its whole answer.
+    boost::asio::awaitable<std::optional<attempt_end>> attempt(const destination& to);
+    boost::asio::awaitable<bool> open_channel(const registered_backend& backend);
+    time_point attempt_limit() const;
+    boost::asio::awaitable<std::optional<attempt_end>> take_answer(const destination& to);
+    boost::asio::awaitable<std::optional<attempt_end>> take_body(const destination& to,
+                                                                 answer_facts facts);
+    boost::asio::awaitable<std::optional<attempt_end>> relay(const destination& to,
+                                                             answer_facts facts);
+    boost::asio::awaitable<bool> pass_on(std::string_view events, int status);
+    boost::asio::awaitable<bool> await_move();
+    boost::asio::awaitable<std::optional<attempt_end>> follow_moves(attempt_end end);
+    attempt_end fail(const destination& to, attempt_end end, std::string_view reason);
+    bool try_again(attempt_end end);
+    boost::asio::awaitable<void> finish(attempt_end end);
+    void give_back(const destination& to);
+    bool is_movable() const;
+
+    forwarding_state& state_;
+    http_exchange& exchange_;
+    time_point arrival_;
+    time_point deadline_;
+    std::shared_ptr<const route_table> routes_;
+    forward_request request_;
+    const route_rule* route_ = nullptr;
+    const service_rule* service_ = nullptr;
+    std::optional<workspace_id> workspace_;
+    attempt_history history_;
+    std::vector<backend_id> avoid_;
+    std::shared_ptr<http_channel> channel_;
+    event_splitter splitter_;
+    std::shared_ptr<active_stream> stream_;
+    std::optional<kept_answer> failure_;
+    /// The work that this request has entered into the load book, and where.
+    backend_id entered_at_;
+    backend_work entered_;
+    bool begun_ = false;
+    bool left_ = false;
+
+    void enter_work(const backend_id& id);
+    void update_work(const backend_work& work);
+    void leave_work();
+};
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "bamboostream/src/Forwarding/active_streams.h"
+#include "bamboostream/src/Forwarding/backend_contract.h"
+#include "bamboostream/src/Http/http_channel_pool.h"
+#include "bamboostream/src/Membership/backend_registry.h"
+#include "bamboostream/src/Routing/backend_picker.h"
+#include "bamboostream/src/Routing/load_book.h"
+#include "bamboostream/src/Routing/route_table.h"
+#include "bamboostream/src/Routing/window_budget.h"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace bamboostream {
+
+/// How forwarded requests ended, for metrics.
+enum class forward_result : std::uint8_t {
+    answered,
+    backend_failed,
+    not_run,
+    unknown,
+    timed_out,
+    broken_off,
+    caller_left,
+    rejected,
+    count_,
+};
+
+/// The name of a result in metrics and logs.
+std::string_view to_string(forward_result result);
+
+/// Counters of one instance.
+struct forward_counters {
+    std::array<std::uint64_t, static_cast<std::size_t>(forward_result::count_)> results{};
+    std::uint64_t sends = 0;
+    std::uint64_t new_connections = 0;
+    std::uint64_t moved = 0;
+    std::uint64_t open = 0;
+
+    void count(forward_result result) { ++results[static_cast<std::size_t>(result)]; }
+};
+
+/// What all forwarded requests of an instance share. Lives on one thread.
+struct forwarding_state {
+    forwarding_state(const request_codec& request_codec_used, failure_domain_id here_,
+                     window_budget_rules budget_rules, std::uint64_t seed)
+        : codec(request_codec_used), here(std::move(here_)), budget(budget_rules), picker(seed),
+          random(seed + 1) {}
+
+    const request_codec& codec;
+    failure_domain_id here;
+    /// Null until the first configuration has been read.
+    std::shared_ptr<const route_table> routes;
+    backend_registry registry;
+    load_book loads;
+    window_budget budget;
+    backend_picker picker;
+    http_channel_pool channels;
+    active_streams streams;
+    std::mt19937_64 random;
+    forward_counters counters;
+    /// Live instances, this one included; shares of common budgets are counted by it.
+    std::size_t live_instances = 1;
+    /// A graceful shutdown has begun: connections close after their answer.
+    bool leaving = false;
+    /// Called after a change of the registry that forwarding itself has found.
+    std::function<void()> on_registry_change;
+};
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/deployment_state.cpp
@@ -0,0 +1,91 @@
+#include "bamboostream/src/Gateway/deployment_state.h"
+
+#include "bamboostream/src/Core/event_log.h"
+
+namespace bamboostream {
+
+void deployment_state::take_configuration(std::string_view text, std::string_view origin) {
+    if (text == document_) {
+        return;
+    }
+    std::string why;
+    auto configuration = codec_.read_configuration(text, why);
+    if (!configuration) {
+        log_event(events::record_rejected, "topic=operator_documents origin={} reason={}", origin,
+                  why);
+        return;
+    }
+    if (configuration->version <= version_) {
+        return;
+    }
+    version_ = configuration->version;
+    document_ = text;
+    forwarding_.routes = std::make_shared<const route_table>(std::move(*configuration));
+    log_event(events::configuration_in_force, "version={} origin={} routes={}", version_, origin,
+              forwarding_.routes->configuration().routes.size());
+    if (configuration_listener_) {
+        configuration_listener_(forwarding_.routes->configuration());
+    }
+}
+
+void deployment_state::take_records(record_topic topic, const std::vector<keyed_record>& records,
+                                    bool all, time_point now) {
+    if (topic == record_topic::backend_entries) {
+        take_entries(records, all, now);
+        return;
+    }
+    for (const keyed_record& record : records) {
+        if (record.key == codec_.configuration_key() && !record.value.empty()) {
+            take_configuration(record.value, "store");
+        }
+    }
+}
+
+void deployment_state::take_entries(const std::vector<keyed_record>& records, bool all,
+                                    time_point now) {
+    std::vector<registered_backend> entries;
+    for (const keyed_record& record : records) {
+        if (record.value.empty()) {
+            forwarding_.registry.remove(backend_id(record.key), now);
+            continue;
+        }
+        std::string why;
+        auto entry = codec_.read_backend(record.key, record.value, now, why);
+        if (!entry) {
+            log_event(events::record_rejected, "topic=backend_entries key={} reason={}", record.key,
+                      why);
+            continue;
+        }
+        if (all) {
+            entries.push_back(std::move(*entry));
+        } else {
+            forwarding_.registry.learn(*entry, now);
+        }
+    }
+    if (all) {
+        forwarding_.registry.learn_all(entries, now);
+    }
+    report_changes();
+}
+
+void deployment_state::take_peer_backends(const std::vector<registered_backend>& entries,
+                                          time_point now) {
+    forwarding_.registry.learn_from_peer(entries, now);
+    report_changes();
+}
+
+void deployment_state::report_changes() {
+    for (const registry_change& change : forwarding_.registry.take_changes()) {
+        const registered_backend& backend = change.backend;
+        const event_kind& kind = change.event == registry_event::joined    ? events::backend_joined
+                                 : change.event == registry_event::leaving ? events::backend_leaving
+                                                                           : events::backend_down;
+        log_event(kind, "backend={} address={} service={} failure_domain={}", backend.id.text(),
+                  backend.address, backend.service.text(), backend.failure_domain.text());
+        if (backend_listener_) {
+            backend_listener_(change);
+        }
+    }
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/deployment_state.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "bamboostream/src/Forwarding/forwarding_state.h"
+#include "bamboostream/src/Gateway/deployment_contract.h"
+
+#include <functional>
+#include <string>
+
+namespace bamboostream {
+
+/// What an instance believes of the operator's configuration and the backend servers, from the
+/// store and from other instances. Lives on one thread.
+class deployment_state {
+public:
+    deployment_state(forwarding_state& forwarding, const record_codec& codec)
+        : forwarding_(forwarding), codec_(codec) {}
+
+    void on_new_configuration(std::function<void(const routing_configuration&)> listener) {
+        configuration_listener_ = std::move(listener);
+    }
+    void on_backend_change(std::function<void(const registry_change&)> listener) {
+        backend_listener_ = std::move(listener);
+    }
+
+    /// Takes a configuration document, from the store or a peer, unless a newer one is in force: a
+    /// store that has lost its newest records, or a peer that lags, must not bring an old one back.
+    void take_configuration(std::string_view text, std::string_view origin);
+    /// Takes records of a topic; `all` says that they are the newest of every key.
+    void take_records(record_topic topic, const std::vector<keyed_record>& records, bool all,
+                      time_point now);
+    void take_peer_backends(const std::vector<registered_backend>& entries, time_point now);
+    /// Logs and passes on what has changed in the registry.
+    void report_changes();
+
+    std::int64_t version() const { return version_; }
+    const std::string& document() const { return document_; }
+    /// Whether callers can be served.
+    bool ready() const { return version_ > 0 && !forwarding_.registry.empty(); }
+
+private:
+    void take_entries(const std::vector<keyed_record>& records, bool all, time_point now);
+
+    forwarding_state& forwarding_;
+    const record_codec& codec_;
+    std::int64_t version_ = 0;
+    std::string document_;
+    std::function<void(const routing_configuration&)> configuration_listener_;
+    std::function<void(const registry_change&)> backend_listener_;
+};
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -0,0 +1,272 @@
+#include "bamboostream/src/Gateway/gateway.h"
+
+#include "bamboostream/src/Control/frames.h"
+#include "bamboostream/src/Control/periodic.h"
+#include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/settings.h"
+#include "bamboostream/src/Forwarding/forwarded_call.h"
+#include "bamboostream/src/Gateway/gateway_metrics.h"
+#include "bamboostream/src/Gateway/peer_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+namespace bamboostream {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds housekeeping_period{500};
+constexpr milliseconds drain_check{20};
+/// Left of the grace when the process ends by itself, so that it isn't killed in a write.
+constexpr milliseconds grace_margin{350};
+/// Callers keep directory answers up to three times as long as told.
+constexpr int longest_kept = 3;
+/// A caller gets addresses of its own failure domain while there are so many of them: fewer would
+/// be a single point of failure for as long as callers keep the answer.
+constexpr std::size_t least_near = 2;
+constexpr std::size_t most_addresses = 64;
+
+/// Machines are found by the seeds of the settings and by gossip from there.
+class seed_list final : public instance_list {
+public:
+    explicit seed_list(std::vector<std::string> seeds) { list_.instances = std::move(seeds); }
+    asio::awaitable<std::optional<machine_list>> read(list_failure&) override { co_return list_; }
+
+private:
+    machine_list list_;
+};
+
+} // namespace
+
+struct gateway::parts {
+    parts(asio::io_context& context_used, gateway_settings settings_given,
+          gateway_contracts contracts_given)
+        : context(context_used), settings(std::move(settings_given)), contracts(contracts_given),
+          seed(stable_hash(random_id())),
+          forwarding(contracts.requests, failure_domain_id(settings.failure_domain),
+                     settings.budget, seed),
+          state(forwarding, contracts.records),
+          store(context, contracts.store, state, forwarding.registry),
+          links(context, [this](std::unique_ptr<wire::FrameT> frame) {
+              return peers->handle(std::move(frame));
+          }) {}
+
+    asio::io_context& context;
+    gateway_settings settings;
+    gateway_contracts contracts;
+    std::uint64_t seed;
+    forwarding_state forwarding;
+    deployment_state state;
+    store_follower store;
+    link_hub links;
+    std::unique_ptr<membership_service> membership;
+    std::unique_ptr<peer_exchange> peers;
+    std::unique_ptr<evacuation_service> evacuation;
+    std::vector<std::unique_ptr<http_server>> servers;
+    http_server* callers = nullptr;
+
+    bool start();
+    bool serve(const std::string& address, http_handler handler);
+    void build(const std::string& peer_address);
+    void take_configuration(const routing_configuration& configuration);
+    void begin_drain();
+    asio::awaitable<void> drain();
+    asio::awaitable<void> housekeeping();
+    asio::awaitable<void> handle_caller(http_exchange& exchange);
+    asio::awaitable<void> handle_directory(http_exchange& exchange);
+    asio::awaitable<void> handle_ready(http_exchange& exchange);
+    asio::awaitable<void> handle_metrics(http_exchange& exchange);
+    std::vector<std::string> addresses_for(std::string_view near);
+};
+
+gateway::gateway(asio::io_context& context, gateway_settings settings, gateway_contracts contracts)
+    : parts_(std::make_unique<parts>(context, std::move(settings), contracts)) {}
+
+gateway::~gateway() = default;
+
+bool gateway::parts::serve(const std::string& address, http_handler handler) {
+    servers.push_back(std::make_unique<http_server>(std::vector<asio::io_context*>{&context},
+                                                    http_limits{}, std::move(handler)));
+    std::string why;
+    if (!servers.back()->listen(address, why)) {
+        log_event(events::listen_failed, "address={} reason={}", address, why);
+        return false;
+    }
+    return true;
+}
+
+void gateway::parts::build(const std::string& peer_address) {
+    member_facts self;
+    self.id = {peer_address, wall_now()};
+    self.caller_address = settings.caller_listen;
+    self.failure_domain = failure_domain_id(settings.failure_domain);
+    links.set_identity(self.id);
+    membership = std::make_unique<membership_service>(context, links,
+                                                      std::make_unique<seed_list>(settings.seeds),
+                                                      self, membership_service::timing{}, seed);
+    peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, state, store);
+    evacuation = std::make_unique<evacuation_service>(context, forwarding, contracts.mover, *peers);
+    state.on_new_configuration([this](const routing_configuration& c) { take_configuration(c); });
+    state.on_backend_change([this](const registry_change& change) {
+        if (change.event != registry_event::joined) {
+            evacuation->on_leaving(change.backend);
+        }
+        if (change.event == registry_event::gone) {
+            forwarding.channels.drop(change.backend.address);
+        }
+    });
+    forwarding.on_registry_change = [this] { state.report_changes(); };
+}
+
+void gateway::parts::take_configuration(const routing_configuration& configuration) {
+    callers->set_limits(configuration.caller_limits);
+    membership->members().update_self(0, configuration.version);
+}
+
+bool gateway::parts::start() {
+    std::string why;
+    const auto peer_address = links.listen(settings.peer_listen, why);
+    if (!peer_address) {
+        log_event(events::listen_failed, "address={} reason={}", settings.peer_listen, why);
+        return false;
+    }
+    build(*peer_address);
+    const auto bind = [this](auto method) {
+        return [this, method](http_exchange& exchange) { return (this->*method)(exchange); };
+    };
+    if (!serve(settings.caller_listen, bind(&parts::handle_caller))) {
+        return false;
+    }
+    callers = servers.back().get();
+    if (!serve(settings.directory_listen, bind(&parts::handle_directory)) ||
+        !serve(settings.ready_listen, bind(&parts::handle_ready)) ||
+        (!settings.metrics_listen.empty() &&
+         !serve(settings.metrics_listen, bind(&parts::handle_metrics)))) {
+        return false;
+    }
+    membership->start();
+    store.start();
+    peers->start();
+    asio::co_spawn(context, housekeeping(), asio::detached);
+    log_event(events::started, "callers={} peers={} failure_domain={} seeds={}",
+              settings.caller_listen, *peer_address, settings.failure_domain,
+              settings.seeds.size());
+    return true;
+}
+
+asio::awaitable<void> gateway::parts::housekeeping() {
+    bool was_ready = false;
+    while (true) {
+        forwarding.channels.expire(monotonic_now());
+        if (!was_ready && state.ready()) {
+            was_ready = true;
+            log_event(events::ready, "configuration_version={} backends={}", state.version(),
+                      forwarding.registry.all().size());
+        }
+        co_await pause_for(housekeeping_period);
+    }
+}
+
+std::vector<std::string> gateway::parts::addresses_for(std::string_view near) {
+    std::vector<std::string> near_ones;
+    std::vector<std::string> all;
+    for (const member_facts& facts : membership->members().usable()) {
+        if (facts.configuration_version == 0) {
+            continue;
+        }
+        all.push_back(facts.caller_address);
+        if (facts.failure_domain.text() == near) {
+            near_ones.push_back(facts.caller_address);
+        }
+    }
+    std::vector<std::string>& chosen = near_ones.size() >= least_near ? near_ones : all;
+    std::shuffle(chosen.begin(), chosen.end(), forwarding.random);
+    chosen.resize(std::min(chosen.size(), most_addresses));
+    return chosen;
+}
+
+asio::awaitable<void> gateway::parts::handle_directory(http_exchange& exchange) {
+    std::string near;
+    if (!contracts.directory.asks_for_addresses(exchange.request(), near)) {
+        co_await exchange.respond_json(404, R"({"error":{"code":"not_found"}})");
+        co_return;
+    }
+    const std::vector<std::string> addresses = addresses_for(near);
+    if (addresses.empty()) {
+        co_await exchange.respond_json(503, R"({"error":{"code":"not_ready"}})");
+        co_return;
+    }
+    co_await exchange.respond_json(
+        200, contracts.directory.write_addresses(addresses, settings.directory_validity));
+}
+
+asio::awaitable<void> gateway::parts::handle_ready(http_exchange& exchange) {
+    const bool known = contracts.directory.asks_whether_ready(exchange.request());
+    const bool ready = state.ready() && !forwarding.leaving;
+    const int status = !known ? 404 : ready ? 200 : 503;
+    co_await exchange.respond_json(status, "{}");
+}
+
+asio::awaitable<void> gateway::parts::handle_metrics(http_exchange& exchange) {
+    co_await exchange.respond(200, "text/plain; version=0.0.4",
+                              exposition(forwarding, state.version()), {});
+}
+
+asio::awaitable<void> gateway::parts::handle_caller(http_exchange& exchange) {
+    forwarded_call call(forwarding, exchange, monotonic_now());
+    co_await call.run();
+}
+
+void gateway::parts::begin_drain() {
+    if (!forwarding.leaving) {
+        asio::co_spawn(context, drain(), asio::detached);
+    }
+}
+
+/// Leaves the directory and turns not ready at once, serves until old directory answers have lapsed
+/// and open requests have ended, and ends before the grace does.
+asio::awaitable<void> gateway::parts::drain() {
+    forwarding.leaving = true;
+    membership->members().begin_leaving();
+    log_event(events::stopping, "open_requests={}", forwarding.counters.open);
+    const time_point began = monotonic_now();
+    const time_point lapsed = began + longest_kept * settings.directory_validity;
+    const time_point end = began + settings.grace - grace_margin;
+    while (monotonic_now() < end && (forwarding.counters.open > 0 || monotonic_now() < lapsed)) {
+        co_await pause_for(drain_check);
+    }
+    log_event(events::stopped, "open_requests={}", forwarding.counters.open);
+    context.stop();
+}
+
+int gateway::run(std::function<void()> reload) {
+    if (!parts_->start()) {
+        return exit_code_unavailable;
+    }
+    asio::io_context& context = parts_->context;
+    asio::signal_set end(context, SIGTERM, SIGINT);
+    end.async_wait([this](auto error, auto) {
+        if (!error) {
+            parts_->begin_drain();
+        }
+    });
+    asio::signal_set hangup(context, SIGHUP);
+    std::function<void()> wait_for_hangup = [&] {
+        hangup.async_wait([&](auto error, auto) {
+            if (!error) {
+                reload();
+                wait_for_hangup();
+            }
+        });
+    };
+    wait_for_hangup();
+    context.run();
+    return exit_code_ok;
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -0,0 +1,286 @@
+#include "bamboostream/src/Gateway/peer_exchange.h"
+
+#include "bamboostream/src/Control/frames.h"
+#include "bamboostream/src/Control/periodic.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace bamboostream {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Work changes by a few requests in this time; telling it more often costs more processor time
+/// than the better choice of a server is worth.
+constexpr milliseconds load_period{200};
+/// How often an instance looks whether it lags behind its peers.
+constexpr milliseconds catch_up_period{300};
+constexpr milliseconds peer_timeout{500};
+/// Generations of an instance that doesn't answer by then are not moved in this round.
+constexpr milliseconds gather_timeout{150};
+
+std::unique_ptr<wire::BackendFactT> to_wire(const registered_backend& backend, time_point now) {
+    auto out = std::make_unique<wire::BackendFactT>();
+    out->id = backend.id.text();
+    out->address = backend.address;
+    out->service = backend.service.text();
+    out->failure_domain = backend.failure_domain.text();
+    out->slots = backend.slots;
+    out->leaving = backend.leaving;
+    const duration slow_for = std::max(duration{}, backend.slow_until - now);
+    out->slow_for_ms = static_cast<std::int32_t>(to_milliseconds(slow_for));
+    return out;
+}
+
+registered_backend from_wire(const wire::BackendFactT& fact, time_point now) {
+    registered_backend out;
+    out.id = backend_id(fact.id);
+    out.address = fact.address;
+    out.service = service_id(fact.service);
+    out.failure_domain = failure_domain_id(fact.failure_domain);
+    out.slots = fact.slots;
+    out.leaving = fact.leaving;
+    out.slow_until = now + milliseconds(fact.slow_for_ms);
+    return out;
+}
+
+std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report) {
+    std::vector<backend_work_entry> out;
+    for (const auto& entry : report.entries) {
+        out.push_back({backend_id(entry->backend),
+                       {entry->requests, entry->memory_tokens, entry->unread_tokens}});
+    }
+    return out;
+}
+
+/// Answers of several peers that are asked at once.
+struct gathered_answers {
+    explicit gathered_answers(asio::io_context& context) : complete(context) {}
+    std::vector<move_candidate> candidates;
+    std::size_t missing = 0;
+    asio::steady_timer complete;
+};
+
+} // namespace
+
+peer_exchange::peer_exchange(asio::io_context& context, link_hub& links,
+                             membership_service& membership, forwarding_state& forwarding,
+                             deployment_state& state, const store_follower& store)
+    : context_(context), links_(links), membership_(membership), forwarding_(forwarding),
+      state_(state), store_(store) {}
+
+void peer_exchange::start() {
+    asio::co_spawn(context_, load_loop(), asio::detached);
+    asio::co_spawn(context_, catch_up_loop(), asio::detached);
+}
+
+std::vector<std::string> peer_exchange::usable_peers() const {
+    std::vector<std::string> out;
+    for (const member_facts& facts : membership_.members().usable()) {
+        if (facts.id.address != membership_.own_address()) {
+            out.push_back(facts.id.address);
+        }
+    }
+    return out;
+}
+
+asio::awaitable<void> peer_exchange::load_loop() {
+    bool told_none = true;
+    while (true) {
+        const std::vector<backend_work_entry> own = forwarding_.loads.own();
+        const std::vector<std::string> peers = usable_peers();
+        forwarding_.live_instances = peers.size() + 1;
+        if (!own.empty() || !told_none) {
+            for (const std::string& peer : peers) {
+                wire::LoadReportT report;
+                for (const backend_work_entry& entry : own) {
+                    auto item = std::make_unique<wire::WorkEntryT>();
+                    item->backend = entry.id.text();
+                    item->requests = entry.work.requests;
+                    item->memory_tokens = entry.work.memory_tokens;
+                    item->unread_tokens = entry.work.unread_tokens;
+                    report.entries.push_back(std::move(item));
+                }
+                links_.send(peer, make_frame(std::move(report)));
+            }
+        }
+        told_none = own.empty();
+        co_await pause_for(load_period);
+    }
+}
+
+std::string peer_exchange::peer_with_newer_configuration() const {
+    std::string best;
+    std::int64_t version = state_.version();
+    for (const member_facts& facts : membership_.members().others()) {
+        if (facts.configuration_version > version && facts.state == liveness::live) {
+            version = facts.configuration_version;
+            best = facts.id.address;
+        }
+    }
+    return best;
+}
+
+asio::awaitable<void> peer_exchange::catch_up_loop() {
+    while (true) {
+        const std::string ahead = peer_with_newer_configuration();
+        if (!ahead.empty()) {
+            co_await ask_configuration(ahead);
+        }
+        const auto failing = store_.failing_since();
+        const std::vector<std::string> peers = usable_peers();
+        if (failing && monotonic_now() - *failing > catch_up_period && !peers.empty()) {
+            std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
+            const std::string peer = peers[any(random_)];
+            co_await ask_backends(peer);
+            co_await ask_configuration(peer);
+        }
+        forwarding_.registry.expire(monotonic_now());
+        state_.report_changes();
+        co_await pause_for(catch_up_period);
+    }
+}
+
+asio::awaitable<void> peer_exchange::ask_configuration(std::string peer) {
+    wire::ConfigurationRequestT request;
+    request.newer_than = state_.version();
+    link_failure why;
+    const auto reply =
+        co_await links_.call(peer, make_frame(std::move(request)), peer_timeout, why);
+    if (reply && reply->message.type == wire::Message::ConfigurationReply) {
+        const wire::ConfigurationReplyT& answer = *reply->message.AsConfigurationReply();
+        if (answer.version > state_.version()) {
+            state_.take_configuration(answer.state, peer);
+        }
+    }
+}
+
+asio::awaitable<void> peer_exchange::ask_backends(std::string peer) {
+    link_failure why;
+    const auto reply =
+        co_await links_.call(peer, make_frame(wire::BackendListRequestT{}), peer_timeout, why);
+    if (!reply || reply->message.type != wire::Message::BackendList) {
+        co_return;
+    }
+    const wire::BackendListT& list = *reply->message.AsBackendList();
+    // Without the store a peer knows no more than this instance, unless this one knows nothing.
+    if (!list.fresh && !forwarding_.registry.empty()) {
+        co_return;
+    }
+    const time_point now = monotonic_now();
+    std::vector<registered_backend> entries;
+    for (const auto& fact : list.entries) {
+        entries.push_back(from_wire(*fact, now));
+    }
+    if (!entries.empty()) {
+        state_.take_peer_backends(entries, now);
+    }
+}
+
+std::unique_ptr<wire::FrameT> peer_exchange::answer_backends() const {
+    wire::BackendListT list;
+    list.fresh = !store_.failing_since();
+    const time_point now = monotonic_now();
+    for (const registered_backend& backend : forwarding_.registry.all()) {
+        list.entries.push_back(to_wire(backend, now));
+    }
+    return make_reply(std::move(list));
+}
+
+std::unique_ptr<wire::FrameT> peer_exchange::answer_configuration(std::int64_t newer_than) const {
+    wire::ConfigurationReplyT answer;
+    answer.version = state_.version();
+    if (state_.version() > newer_than) {
+        answer.state = state_.document();
+    }
+    return make_reply(std::move(answer));
+}
+
+asio::awaitable<std::unique_ptr<wire::FrameT>>
+peer_exchange::handle(std::unique_ptr<wire::FrameT> frame) {
+    switch (frame->message.type) {
+    case wire::Message::Probe:
+        co_return co_await membership_.handle_probe(*frame->message.AsProbe(), frame->sender);
+    case wire::Message::ConfigurationRequest:
+        co_return answer_configuration(frame->message.AsConfigurationRequest()->newer_than);
+    case wire::Message::BackendListRequest:
+        co_return answer_backends();
+    case wire::Message::LoadReport:
+        forwarding_.loads.hear(frame->sender, from_wire(*frame->message.AsLoadReport()),
+                               monotonic_now());
+        co_return nullptr;
+    case wire::Message::MovableRequest: {
+        wire::MovableReplyT reply;
+        const backend_id backend(frame->message.AsMovableRequest()->backend);
+        for (const movable_generation& generation : forwarding_.streams.claim_movable(backend)) {
+            auto item = std::make_unique<wire::MovableGenerationT>();
+            item->id = generation.id;
+            item->memory_tokens = generation.memory_tokens;
+            item->tokens_left = generation.tokens_left;
+            reply.generations.push_back(std::move(item));
+        }
+        co_return make_reply(std::move(reply));
+    }
+    case wire::Message::MoveNotice: {
+        const wire::MoveNoticeT& notice = *frame->message.AsMoveNotice();
+        forwarding_.streams.notify(
+            notice.generation,
+            {backend_id(notice.target), notice.target_address, {notice.holder, notice.handle}});
+        co_return nullptr;
+    }
+    default:
+        co_return nullptr;
+    }
+}
+
+bool peer_exchange::drives(const backend_id& backend) const {
+    const auto owners = membership_.owners(backend.text(), 1);
+    return owners.empty() || owners.front() == membership_.own_address();
+}
+
+asio::awaitable<std::vector<move_candidate>> peer_exchange::gather(backend_id backend) {
+    auto answers = std::make_shared<gathered_answers>(context_);
+    const std::vector<std::string> peers = usable_peers();
+    answers->missing = peers.size();
+    for (const std::string& peer : peers) {
+        wire::MovableRequestT request;
+        request.backend = backend.text();
+        asio::co_spawn(
+            context_,
+            [this, answers, peer, request]() -> asio::awaitable<void> {
+                link_failure why;
+                const auto reply =
+                    co_await links_.call(peer, make_frame(request), gather_timeout, why);
+                if (reply && reply->message.type == wire::Message::MovableReply) {
+                    for (const auto& item : reply->message.AsMovableReply()->generations) {
+                        answers->candidates.push_back(
+                            {{item->id, item->memory_tokens, item->tokens_left}, peer});
+                    }
+                }
+                if (--answers->missing == 0) {
+                    answers->complete.cancel();
+                }
+            },
+            asio::detached);
+    }
+    if (answers->missing > 0) {
+        co_await wait_on(answers->complete, monotonic_now() + gather_timeout);
+    }
+    co_return answers->candidates;
+}
+
+void peer_exchange::tell(const std::string& instance, const std::string& generation,
+                         const move_notice& notice) {
+    wire::MoveNoticeT message;
+    message.generation = generation;
+    message.target = notice.target.text();
+    message.target_address = notice.target_address;
+    message.holder = notice.copy.holder;
+    message.handle = notice.copy.handle;
+    links_.send(instance, make_frame(std::move(message)));
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "bamboostream/src/Control/membership_service.h"
+#include "bamboostream/src/Evacuation/evacuation_service.h"
+#include "bamboostream/src/Gateway/store_follower.h"
+#include "bamboostream/src/Links/link.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bamboostream {
+
+/// What instances of the gateway tell each other: work under way, configuration and backend servers
+/// for whom the store refuses, and generations that move. Lives on one thread.
+class peer_exchange final : public evacuation_peers {
+public:
+    peer_exchange(boost::asio::io_context& context, link_hub& links, membership_service& membership,
+                  forwarding_state& forwarding, deployment_state& state,
+                  const store_follower& store);
+
+    void start();
+    /// Answers a frame of another instance.
+    boost::asio::awaitable<std::unique_ptr<wire::FrameT>>
+    handle(std::unique_ptr<wire::FrameT> frame);
+
+    bool drives(const backend_id& backend) const override;
+    boost::asio::awaitable<std::vector<move_candidate>> gather(backend_id backend) override;
+    void tell(const std::string& instance, const std::string& generation,
+              const move_notice& notice) override;
+
+private:
+    boost::asio::awaitable<void> load_loop();
+    boost::asio::awaitable<void> catch_up_loop();
+    boost::asio::awaitable<void> ask_configuration(std::string peer);
+    boost::asio::awaitable<void> ask_backends(std::string peer);
+    std::vector<std::string> usable_peers() const;
+    /// A peer that has a newer configuration than this instance.
+    std::string peer_with_newer_configuration() const;
+    std::unique_ptr<wire::FrameT> answer_backends() const;
+    std::unique_ptr<wire::FrameT> answer_configuration(std::int64_t newer_than) const;
+
+    boost::asio::io_context& context_;
+    link_hub& links_;
+    membership_service& membership_;
+    forwarding_state& forwarding_;
+    deployment_state& state_;
+    const store_follower& store_;
+    std::mt19937_64 random_{1};
+};
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -0,0 +1,88 @@
+#include "bamboostream/src/Gateway/store_follower.h"
+
+#include "bamboostream/src/Control/periodic.h"
+#include "bamboostream/src/Core/event_log.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace bamboostream {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How long one read waits for a record. A connection that has gone silent shows after this, and a
+/// configuration must be in force two seconds after it was accepted.
+constexpr milliseconds read_wait{1'200};
+/// Between two reads: entries of backend servers come ten a second, and taking a few at once saves
+/// calls. It adds to the time in which a leaving server is noticed, of which there are 1.5 s.
+constexpr milliseconds pause_between_reads{60};
+/// Between two tries while the store is away.
+constexpr milliseconds retry_pause{250};
+
+std::string_view name_of(record_topic topic) {
+    return topic == record_topic::operator_documents ? "operator_documents" : "backend_entries";
+}
+
+} // namespace
+
+void store_follower::start() {
+    asio::co_spawn(context_, follow(documents_), asio::detached);
+    asio::co_spawn(context_, follow(entries_), asio::detached);
+}
+
+std::optional<time_point> store_follower::failing_since() const {
+    if (documents_.failing_since && entries_.failing_since) {
+        return std::min(*documents_.failing_since, *entries_.failing_since);
+    }
+    return documents_.failing_since ? documents_.failing_since : entries_.failing_since;
+}
+
+asio::awaitable<void> store_follower::follow(topic_position& position) {
+    while (true) {
+        const bool answered = co_await advance(position);
+        co_await pause_for(answered ? pause_between_reads : retry_pause);
+    }
+}
+
+asio::awaitable<bool> store_follower::advance(topic_position& position) {
+    store_failure why;
+    const bool all = !position.next;
+    // Not a conditional expression: g++ 12 destroys the result of a co_await in one twice.
+    std::optional<record_page> page;
+    if (all) {
+        page = co_await store_.newest(position.topic, why);
+    } else {
+        page = co_await store_.read(position.topic, *position.next, read_wait, why);
+    }
+    const bool answered = page || why.code == store_error::gap;
+    note_answer(position, answered, why);
+    if (page) {
+        position.next = page->next;
+        state_.take_records(position.topic, page->records, all, monotonic_now());
+    } else if (why.code == store_error::gap) {
+        position.next.reset();
+    }
+    co_return answered;
+}
+
+void store_follower::note_answer(topic_position& position, bool answered,
+                                 const store_failure& why) {
+    const time_point now = monotonic_now();
+    if (position.topic == record_topic::backend_entries) {
+        answered ? registry_.store_answered(now) : registry_.store_failed(now);
+    }
+    if (answered && position.failing_since) {
+        log_event(events::store_available, "topic={} away_ms={:.0f}", name_of(position.topic),
+                  to_milliseconds(now - *position.failing_since));
+        position.failing_since.reset();
+    } else if (!answered && !position.failing_since) {
+        log_event(events::store_unavailable, "topic={} reason={}", name_of(position.topic),
+                  why.text);
+        position.failing_since = now;
+    }
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/store_follower.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "bamboostream/src/Gateway/deployment_state.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <optional>
+
+namespace bamboostream {
+
+/// Follows the topics of the platform's store and keeps the deployment state up to date.
+class store_follower {
+public:
+    store_follower(boost::asio::io_context& context, record_store& store, deployment_state& state,
+                   backend_registry& registry)
+        : context_(context), store_(store), state_(state), registry_(registry) {}
+
+    void start();
+    /// Since when a topic could not be read; nothing while all can be.
+    std::optional<time_point> failing_since() const;
+
+private:
+    struct topic_position {
+        record_topic topic;
+        /// Nothing until the newest records have been read.
+        std::optional<std::int64_t> next;
+        std::optional<time_point> failing_since;
+    };
+    boost::asio::awaitable<void> follow(topic_position& position);
+    /// False when the store didn't answer.
+    boost::asio::awaitable<bool> advance(topic_position& position);
+    void note_answer(topic_position& position, bool answered, const store_failure& why);
+
+    boost::asio::io_context& context_;
+    record_store& store_;
+    deployment_state& state_;
+    backend_registry& registry_;
+    topic_position documents_{record_topic::operator_documents, std::nullopt, std::nullopt};
+    topic_position entries_{record_topic::backend_entries, std::nullopt, std::nullopt};
+};
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Http/http_channel.cpp
@@ -0,0 +1,259 @@
+#include "bamboostream/src/Http/http_channel.h"
+
+#include "bamboostream/src/Http/address.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+namespace bamboostream {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+/// Larger answers are cut off: no backend server of any deployment sends one.
+constexpr std::uint64_t response_body_limit = 64ULL * 1024 * 1024;
+constexpr int first_final_status = 200;
+
+auto token(beast::error_code& ec) {
+    return asio::redirect_error(asio::use_awaitable, ec);
+}
+
+bool is_parse_error(const beast::error_code& ec) {
+    return ec.category() == http::make_error_code(http::error::bad_method).category();
+}
+
+} // namespace
+
+http_channel::http_channel(const asio::any_io_executor& executor)
+    : socket_(executor), watchdog_(executor),
+      buffer_(std::make_unique<std::array<char, 16 * 1024>>()) {}
+
+http_channel::~http_channel() = default;
+
+asio::awaitable<bool> http_channel::connect(std::string address, milliseconds timeout,
+                                            http_failure& why) {
+    const auto endpoint = to_endpoint(address);
+    if (!endpoint) {
+        why.set(http_error::not_connected, "not an ip:port address: " + address);
+        co_return false;
+    }
+    beast::error_code ec;
+    expire_at(monotonic_now() + timeout);
+    co_await socket_.async_connect(*endpoint, token(ec));
+    expire_never();
+    if (ec || !socket_.is_open()) {
+        why.set(http_error::not_connected, timed_out_ ? "connecting timed out" : ec.message());
+        co_return false;
+    }
+    socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    socket_.non_blocking(true, ec);
+    co_return true;
+}
+
+void http_channel::start_parser() {
+    parser_.emplace();
+    parser_->body_limit(response_body_limit);
+    parser_->eager(true);
+    parser_->skip(head_only_);
+}
+
+void http_channel::send(std::string bytes, bool head_only) {
+    head_only_ = head_only;
+    ended_by_close_ = false;
+    any_sent_ = false;
+    out_ = std::move(bytes);
+    start_parser();
+    beast::error_code ec;
+    std::size_t done = socket_.write_some(asio::buffer(out_), ec);
+    if (ec == asio::error::would_block || ec == asio::error::try_again) {
+        ec = {};
+        done = 0;
+    }
+    any_sent_ = done > 0;
+    if (ec) {
+        close();
+        return;
+    }
+    if (done < out_.size()) {
+        writing_ = true;
+        any_sent_ = true;
+        asio::co_spawn(
+            socket_.get_executor(),
+            [self = shared_from_this(), done]() -> asio::awaitable<void> {
+                co_await self->write_rest(done);
+            },
+            asio::detached);
+    }
+}
+
+asio::awaitable<void> http_channel::write_rest(std::size_t done) {
+    beast::error_code ec;
+    co_await asio::async_write(socket_, asio::buffer(out_.data() + done, out_.size() - done),
+                               token(ec));
+    // After an error the request is not whole: `writing_` stays set, so the connection is unfit.
+    writing_ = ec.failed();
+}
+
+asio::awaitable<bool> http_channel::read_head(http_failure& why) {
+    beast::error_code ec;
+    do {
+        if (parser_->is_header_done()) {
+            start_parser();
+            if (kept_ > 0) {
+                parse(kept_, ec);
+            }
+        }
+        while (!ec && !parser_->is_header_done()) {
+            co_await read_once(ec);
+        }
+    } while (!ec && status() < first_final_status);
+    if (ec) {
+        why.set(is_parse_error(ec) ? http_error::malformed : http_error::broken,
+                timed_out_ ? "timed out" : ec.message());
+        close();
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> http_channel::read_once(beast::error_code& ec) {
+    const std::size_t count = co_await socket_.async_read_some(
+        asio::buffer(buffer_->data() + kept_, buffer_->size() - kept_), token(ec));
+    if (ec == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
+        ec = {};
+        parser_->put_eof(ec);
+        ended_by_close_ = true;
+        if (!ec && !parser_->is_done()) {
+            ec = asio::error::eof;
+        }
+        co_return;
+    }
+    if (!ec) {
+        parse(kept_ + count, ec);
+    }
+}
+
+void http_channel::parse(std::size_t available, beast::error_code& ec) {
+    std::size_t used = 0;
+    while (used < available && !parser_->is_done()) {
+        const std::size_t taken =
+            parser_->put(asio::const_buffer(buffer_->data() + used, available - used), ec);
+        used += taken;
+        if (ec == http::error::need_more) {
+            ec = {};
+            break;
+        }
+        if (ec || taken == 0) {
+            break;
+        }
+    }
+    kept_ = available - used;
+    std::copy(buffer_->begin() + static_cast<std::ptrdiff_t>(used),
+              buffer_->begin() + static_cast<std::ptrdiff_t>(available), buffer_->begin());
+    if (!ec && kept_ == buffer_->size()) {
+        ec = http::error::header_limit;
+    }
+}
+
+int http_channel::status() const {
+    return static_cast<int>(parser_->get().result_int());
+}
+
+std::string_view http_channel::field(std::string_view name) const {
+    const auto found = parser_->get().find(beast::string_view(name.data(), name.size()));
+    return found == parser_->get().end()
+               ? std::string_view{}
+               : std::string_view(found->value().data(), found->value().size());
+}
+
+std::vector<http_field> http_channel::fields() const {
+    std::vector<http_field> out;
+    for (const auto& field : parser_->get()) {
+        out.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    return out;
+}
+
+asio::awaitable<bool> http_channel::read(std::string& into) {
+    beast::error_code ec;
+    while (parser_->get().body().empty() && !parser_->is_done() && !ec) {
+        co_await read_once(ec);
+    }
+    into += parser_->get().body();
+    const bool any = !parser_->get().body().empty();
+    parser_->get().body().clear();
+    if (ec) {
+        close();
+    }
+    co_return any;
+}
+
+bool http_channel::complete() const {
+    return parser_ && parser_->is_done();
+}
+
+void http_channel::expire_at(time_point when) {
+    watchdog_.expires_at(when);
+    watchdog_.async_wait([weak = weak_from_this()](const beast::error_code& ec) {
+        const auto self = weak.lock();
+        if (!ec && self) {
+            self->timed_out_ = true;
+            self->close();
+        }
+    });
+}
+
+void http_channel::expire_never() {
+    watchdog_.cancel();
+}
+
+void http_channel::close() {
+    beast::error_code ec;
+    watchdog_.cancel();
+    socket_.close(ec);
+}
+
+bool http_channel::answer_closes() const {
+    return !parser_->get().keep_alive() || ended_by_close_;
+}
+
+bool http_channel::reusable() const {
+    return socket_.is_open() && complete() && kept_ == 0 && !writing_ && !answer_closes();
+}
+
+std::optional<seconds> http_channel::idle_limit() const {
+    constexpr std::string_view name = "timeout=";
+    const std::string_view text = field("Keep-Alive");
+    const std::size_t at = text.find(name);
+    int value = 0;
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view digits = text.substr(at + name.size());
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    return parsed.ec == std::errc{} ? std::optional(seconds(value)) : std::nullopt;
+}
+
+void http_channel::watch_idle() {
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [weak = weak_from_this()](const beast::error_code& ec) {
+                           const auto self = weak.lock();
+                           if (!ec && self) {
+                               self->close();
+                           }
+                       });
+}
+
+void http_channel::stop_watching() {
+    beast::error_code ec;
+    socket_.cancel(ec);
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Http/http_channel.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "bamboostream/src/Http/http_client.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bamboostream {
+
+/// A client connection that carries one exchange after another. Lives on one thread and is held by
+/// a shared pointer, because a request may still be on its way when the answer is complete.
+///
+/// A connection is fit for another exchange only when the last answer was framed, complete and not
+/// followed by further bytes, the request was written whole, and neither side asked to close.
+/// Surplus bytes would otherwise be taken for the answer to the next request.
+///
+/// Example:
+/// ```
+/// auto channel = std::make_shared<http_channel>(executor);
+/// if (co_await channel->connect(address, connect_timeout, why)) {
+///     channel->send(std::move(bytes), false);
+///     channel->expire_at(deadline);
+///     if (co_await channel->read_head(why)) { … channel->read(into) … }
+/// }
+/// ```
+class http_channel final : public http_stream, public std::enable_shared_from_this<http_channel> {
+public:
+    explicit http_channel(const boost::asio::any_io_executor& executor);
+    ~http_channel() override;
+    http_channel(const http_channel&) = delete;
+    http_channel& operator=(const http_channel&) = delete;
+
+    boost::asio::awaitable<bool> connect(std::string address, milliseconds timeout,
+                                         http_failure& why);
+    /// Starts an exchange: writes `bytes`, a whole serialized request, in the background.
+    /// `head_only` says that the answer has no body whatever its head says (HEAD).
+    void send(std::string bytes, bool head_only);
+    /// Reads the head of the answer; interim answers (1xx) are passed over.
+    boost::asio::awaitable<bool> read_head(http_failure& why);
+    /// Closes the connection at `when`; a read in progress fails.
+    void expire_at(time_point when);
+    void expire_never();
+
+    int status() const override;
+    std::string_view field(std::string_view name) const override;
+    std::vector<http_field> fields() const;
+    boost::asio::awaitable<bool> read(std::string& into) override;
+    bool complete() const override;
+    void close() override;
+
+    /// True when any byte of the request may have left.
+    bool any_sent() const { return any_sent_; }
+    /// True when the connection was closed by `expire_at`.
+    bool timed_out() const { return timed_out_; }
+    /// True when the answer had no length and ended with the connection.
+    bool ended_by_close() const { return ended_by_close_; }
+    bool is_open() const { return socket_.is_open(); }
+    /// True when another exchange may follow on this connection.
+    bool reusable() const;
+    /// How long the other side keeps an idle connection, when its answer says so.
+    std::optional<seconds> idle_limit() const;
+    /// While idle: closes the connection when the other side closes it or sends anything.
+    void watch_idle();
+    void stop_watching();
+
+private:
+    boost::asio::awaitable<void> write_rest(std::size_t done);
+    boost::asio::awaitable<void> read_once(boost::beast::error_code& ec);
+    void parse(std::size_t available, boost::beast::error_code& ec);
+    void start_parser();
+    bool answer_closes() const;
+
+    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer watchdog_;
+    std::optional<parser> parser_;
+    std::unique_ptr<std::array<char, 16 * 1024>> buffer_;
+    std::size_t kept_ = 0;
+    std::string out_;
+    bool writing_ = false;
+    bool any_sent_ = false;
+    bool timed_out_ = false;
+    bool head_only_ = false;
+    bool ended_by_close_ = false;
+};
+
+} // namespace bamboostream
--- a/bamboostream/src/Http/http_client.h
+++ b/bamboostream/src/Http/http_client.h
@@ -33,7 +33,7 @@
 
 /// Sends a request and reads the head of the response within `timeout`. On nothing, `why` tells
 /// whether any byte of the request may have reached the other side.
-boost::asio::awaitable<std::unique_ptr<http_stream>>
+boost::asio::awaitable<std::shared_ptr<http_stream>>
 open_http_stream(boost::asio::any_io_executor executor, std::string address, http_request request,
                  milliseconds timeout, http_failure& why);
 
--- a/bamboostream/src/Http/http_server.cpp
+++ b/bamboostream/src/Http/http_server.cpp
@@ -45,6 +45,14 @@
 /// Bytes that may wait in a connection before `write` makes its caller wait.
 constexpr std::size_t write_buffer_limit = 64 * 1024;
 constexpr milliseconds accept_retry_pause{10};
+/// Holds the longest head and what is read ahead; bodies pass through it.
+constexpr std::size_t read_buffer_bytes = 1024 * 1024 + 64 * 1024;
+/// Bytes of a caller's next requests that are read while the answer to the last is pending; a
+/// caller that sends more is left to TCP's own back pressure.
+constexpr std::size_t read_ahead_limit = 64 * 1024;
+constexpr std::size_t read_ahead_step = 4 * 1024;
+/// Cancelling misses a read that has just completed, so it is repeated until the reader ended.
+constexpr milliseconds cancel_check{2};
 
 auto token(beast::error_code& ec) {
     return asio::redirect_error(asio::use_awaitable, ec);
@@ -58,10 +66,10 @@
 http_request to_request(const http::request<http::string_body>& from) {
     http_request out;
     out.method = std::string(from.method_string());
-    const std::string target(from.target());
-    const std::size_t mark = std::min(target.find('?'), target.size());
-    out.path = target.substr(0, mark);
-    out.query = mark < target.size() ? target.substr(mark + 1) : std::string{};
+    out.target = std::string(from.target());
+    const std::size_t mark = std::min(out.target.find('?'), out.target.size());
+    out.path = out.target.substr(0, mark);
+    out.query = mark < out.target.size() ? out.target.substr(mark + 1) : std::string{};
     for (const auto& field : from) {
         out.fields.push_back({std::string(field.name_string()), std::string(field.value())});
     }
@@ -76,21 +84,48 @@
 /// The exchange over one Beast connection.
 class connection_exchange final : public http_exchange {
 public:
-    connection_exchange(beast::tcp_stream& stream, http_request request, bool keep_alive,
-                        const http_limits& limits)
-        : stream_(stream), request_(std::move(request)), keep_alive_(keep_alive), limits_(limits),
-          drained_(stream.get_executor()) {}
+    connection_exchange(beast::tcp_stream& stream, beast::flat_buffer& read_ahead,
+                        http_request request, bool keep_alive, const http_limits& limits)
+        : stream_(stream), read_ahead_(read_ahead), request_(std::move(request)),
+          keep_alive_(keep_alive), limits_(limits), drained_(stream.get_executor()),
+          watch_ended_(stream.get_executor()) {}
 
     const http_request& request() const override { return request_; }
     asio::any_io_executor executor() override { return stream_.get_executor(); }
     bool caller_gone() const override { return gone_; }
     bool keep_alive() const { return keep_alive_ && !gone_ && complete_; }
+    void close_after() override { keep_alive_ = false; }
+
+    void abort() override {
+        beast::error_code ec;
+        gone_ = true;
+        stream_.socket().close(ec);
+    }
+
+    void watch_caller(std::function<void()> left) override {
+        left_ = std::move(left);
+        watching_ = true;
+        asio::co_spawn(stream_.get_executor(), read_ahead(), asio::detached);
+    }
+
+    /// Ends the reading ahead, so that the next request is read by the connection again.
+    asio::awaitable<void> stop_watching() {
+        left_ = nullptr;
+        beast::error_code ec;
+        while (watching_) {
+            stream_.socket().cancel(ec);
+            watch_ended_.expires_after(cancel_check);
+            co_await watch_ended_.async_wait(token(ec));
+        }
+    }
 
     asio::awaitable<bool> respond(int status, std::string_view content_type, std::string body,
                                   std::span<const http_field> fields) override {
         append_head(status, content_type, fields);
         fmt::format_to(std::back_inserter(out_), "Content-Length: {}\r\n\r\n", body.size());
-        out_ += body;
+        if (request_.method != "HEAD") {
+            out_ += body;
+        }
         complete_ = true;
         co_return co_await flush();
     }
@@ -119,10 +154,33 @@
     }
 
 private:
+    /// What arrives meanwhile is the caller's next request; it stays in the connection's buffer.
+    asio::awaitable<void> read_ahead() {
+        beast::error_code ec;
+        while (left_ && read_ahead_.size() < read_ahead_limit) {
+            const auto space = read_ahead_.prepare(read_ahead_step);
+            const std::size_t count = co_await stream_.socket().async_read_some(space, token(ec));
+            read_ahead_.commit(count);
+            if (ec) {
+                break;
+            }
+        }
+        watching_ = false;
+        watch_ended_.cancel();
+        if (ec && ec != asio::error::operation_aborted && left_) {
+            gone_ = true;
+            const auto left = std::exchange(left_, nullptr);
+            left();
+        }
+    }
+
     void append_head(int status, std::string_view content_type,
                      std::span<const http_field> fields) {
-        fmt::format_to(std::back_inserter(out_), "HTTP/1.1 {} {}\r\nContent-Type: {}\r\n", status,
-                       reason_phrase(status), content_type);
+        fmt::format_to(std::back_inserter(out_), "HTTP/1.1 {} {}\r\n", status,
+                       reason_phrase(status));
+        if (!content_type.empty()) {
+            fmt::format_to(std::back_inserter(out_), "Content-Type: {}\r\n", content_type);
+        }
         for (const http_field& field : fields) {
             fmt::format_to(std::back_inserter(out_), "{}: {}\r\n", field.name, field.value);
         }
@@ -170,10 +228,14 @@
     }
 
     beast::tcp_stream& stream_;
+    beast::flat_buffer& read_ahead_;
     http_request request_;
     bool keep_alive_;
     const http_limits& limits_;
     asio::steady_timer drained_;
+    asio::steady_timer watch_ended_;
+    std::function<void()> left_;
+    bool watching_ = false;
     std::string out_;
     std::string writing_;
     bool flushing_ = false;
@@ -249,22 +311,24 @@
             co_return false;
         }
         const bool keep_alive = parser.get().keep_alive();
-        connection_exchange exchange(stream_, to_request(parser.get()), keep_alive, limits);
+        connection_exchange exchange(stream_, buffer_, to_request(parser.get()), keep_alive,
+                                     limits);
         ++server_->open_exchanges;
         co_await server_->handler(exchange);
+        co_await exchange.stop_watching();
         --server_->open_exchanges;
         co_return exchange.keep_alive();
     }
 
     asio::awaitable<void> refuse(parse_problem problem) {
-        connection_exchange exchange(stream_, {}, false, server_->limits);
+        connection_exchange exchange(stream_, buffer_, {}, false, server_->limits);
         co_await exchange.respond(problem.status, "application/json",
                                   error_body(problem.code, problem.message), {});
     }
 
     std::shared_ptr<internal::http_server_state> server_;
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_{1024 * 1024 + 64 * 1024};
+    beast::flat_buffer buffer_{read_buffer_bytes};
 };
 
 asio::awaitable<void> run_connection(std::shared_ptr<internal::http_server_state> server,
@@ -331,6 +395,10 @@
     });
 }
 
+void http_server::set_limits(const http_limits& limits) {
+    state_->limits = limits;
+}
+
 std::size_t http_server::open_exchanges() const {
     return state_->open_exchanges;
 }
--- a/bamboostream/src/Http/http_server.h
+++ b/bamboostream/src/Http/http_server.h
@@ -24,7 +24,8 @@
     virtual const http_request& request() const = 0;
     virtual boost::asio::any_io_executor executor() = 0;
 
-    /// Sends a whole answer. False when the caller is gone.
+    /// Sends a whole answer. An empty `content_type` leaves that field to `fields`. False when the
+    /// caller is gone.
     virtual boost::asio::awaitable<bool> respond(int status, std::string_view content_type,
                                                  std::string body,
                                                  std::span<const http_field> fields) = 0;
@@ -37,8 +38,16 @@
     virtual boost::asio::awaitable<bool> write(std::string_view bytes) = 0;
     /// Ends a chunked answer.
     virtual boost::asio::awaitable<bool> end_stream() = 0;
-    /// True once a write has failed or the connection was reset.
+    /// True once a write has failed, the connection was reset, or a watched caller has closed.
     virtual bool caller_gone() const = 0;
+    /// Reads ahead on the caller's connection until the answer is complete, and calls `left` once
+    /// when the caller closes. Without it a caller that gives up while a backend server is at work
+    /// is noticed only by the next write, and the work goes on for nobody. Call it at most once.
+    virtual void watch_caller(std::function<void()> left) = 0;
+    /// Breaks the connection off, so that an answer that has begun doesn't look complete.
+    virtual void abort() = 0;
+    /// Says in the head of the answer that the connection closes after it.
+    virtual void close_after() = 0;
 
     boost::asio::awaitable<bool> respond_json(int status, std::string body,
                                               std::span<const http_field> fields = {});
@@ -76,6 +85,8 @@
     std::optional<std::string> listen(std::string_view address, std::string& why);
     /// Stops accepting; open connections go on.
     void stop_accepting();
+    /// Changes the limits for requests that begin from now on. On the servers' thread.
+    void set_limits(const http_limits& limits);
     /// Requests being answered now.
     std::size_t open_exchanges() const;
 
--- a/bamboostream/src/Http/message.h
+++ b/bamboostream/src/Http/message.h
@@ -17,6 +17,8 @@
 /// A request as the handlers see it: whole, with the target split at '?'.
 struct http_request {
     std::string method;
+    /// The target as it came, for those who pass the request on unchanged.
+    std::string target;
     std::string path;
     std::string query;
     std::vector<http_field> fields;
--- /dev/null
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -0,0 +1,142 @@
+#include "bamboostream/src/Membership/backend_registry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bamboostream {
+
+void backend_registry::learn(const registered_backend& backend, time_point) {
+    registered_backend heard = backend;
+    heard.leaving = heard.leaving || left_.contains(backend.id);
+    const auto found = backends_.find(backend.id);
+    if (found == backends_.end()) {
+        backends_.emplace(backend.id, record{heard, std::nullopt});
+        changes_.push_back({registry_event::joined, heard});
+    } else {
+        found->second.removal_due.reset();
+        found->second.backend = heard;
+    }
+    if (heard.leaving) {
+        mark_leaving(backend.id);
+    }
+}
+
+void backend_registry::mark_leaving(const backend_id& id) {
+    const bool first = left_.insert(id).second;
+    const auto found = backends_.find(id);
+    if (found == backends_.end()) {
+        return;
+    }
+    found->second.backend.leaving = true;
+    if (first) {
+        changes_.push_back({registry_event::leaving, found->second.backend});
+    }
+}
+
+bool backend_registry::removals_wait(time_point now) const {
+    return store_away_ || (store_returned_ && now < *store_returned_ + return_grace);
+}
+
+void backend_registry::remove(const backend_id& id, time_point now) {
+    const auto found = backends_.find(id);
+    if (found == backends_.end()) {
+        return;
+    }
+    if (removals_wait(now) && !found->second.backend.leaving) {
+        found->second.removal_due = store_returned_.value_or(now) + return_grace;
+        return;
+    }
+    erase(id);
+}
+
+void backend_registry::erase(const backend_id& id) {
+    const auto found = backends_.find(id);
+    changes_.push_back({registry_event::gone, found->second.backend});
+    backends_.erase(found);
+}
+
+void backend_registry::learn_all(std::span<const registered_backend> entries, time_point now) {
+    for (const registered_backend& backend : entries) {
+        learn(backend, now);
+    }
+    for (const registered_backend& known : all()) {
+        const bool listed =
+            std::any_of(entries.begin(), entries.end(),
+                        [&](const registered_backend& entry) { return entry.id == known.id; });
+        if (!listed) {
+            remove(known.id, now);
+        }
+    }
+}
+
+void backend_registry::learn_from_peer(std::span<const registered_backend> entries,
+                                       time_point now) {
+    for (const registered_backend& backend : entries) {
+        learn(backend, now);
+    }
+    for (const registered_backend& known : all()) {
+        const bool listed =
+            std::any_of(entries.begin(), entries.end(),
+                        [&](const registered_backend& entry) { return entry.id == known.id; });
+        if (!listed) {
+            erase(known.id);
+        }
+    }
+}
+
+void backend_registry::store_failed(time_point) {
+    store_away_ = true;
+}
+
+void backend_registry::store_answered(time_point now) {
+    if (!std::exchange(store_away_, false)) {
+        return;
+    }
+    store_returned_ = now;
+    for (auto& [id, record] : backends_) {
+        if (record.removal_due) {
+            record.removal_due = now + return_grace;
+        }
+    }
+}
+
+void backend_registry::expire(time_point now) {
+    if (store_away_) {
+        return;
+    }
+    for (const registered_backend& known : all()) {
+        const auto& due = backends_.at(known.id).removal_due;
+        if (due && now >= *due) {
+            erase(known.id);
+        }
+    }
+}
+
+std::vector<const registered_backend*> backend_registry::usable(const service_id& service) const {
+    std::vector<const registered_backend*> out;
+    for (const auto& [id, record] : backends_) {
+        if (record.backend.service == service && !record.backend.leaving) {
+            out.push_back(&record.backend);
+        }
+    }
+    return out;
+}
+
+const registered_backend* backend_registry::find(const backend_id& id) const {
+    const auto found = backends_.find(id);
+    return found == backends_.end() ? nullptr : &found->second.backend;
+}
+
+std::vector<registered_backend> backend_registry::all() const {
+    std::vector<registered_backend> out;
+    for (const auto& [id, record] : backends_) {
+        out.push_back(record.backend);
+    }
+    return out;
+}
+
+std::vector<registry_change> backend_registry::take_changes() {
+    return std::exchange(changes_, {});
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "bamboostream/src/Core/clock.h"
+#include "bamboostream/src/Core/identities.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bamboostream {
+
+/// A backend server as it registered itself. Its id stands for one start: a restart has another.
+struct registered_backend {
+    backend_id id;
+    std::string address;
+    service_id service;
+    failure_domain_id failure_domain;
+    /// Requests that it runs at once.
+    int slots = 1;
+    bool leaving = false;
+    /// It has just started and is slow until then.
+    time_point slow_until{};
+};
+
+/// A change that callers of the registry may want to log or act on.
+enum class registry_event : std::uint8_t { joined, leaving, gone };
+struct registry_change {
+    registry_event event = registry_event::joined;
+    registered_backend backend;
+};
+
+/// The backend servers that registered in the platform's store.
+///
+/// Leaving is sticky for an id: the store may repeat an older entry after a gap in its history, and
+/// a request that then reaches a server that leaves is cut. Removal is believed at once while the
+/// store answers. While the store is away entries lapse although their servers live, so removals
+/// are put off until the servers have had time to register again after its return.
+class backend_registry {
+public:
+    /// Servers that live are registered again about two seconds after the store's return.
+    static constexpr milliseconds return_grace{2'500};
+
+    /// An entry from the store.
+    void learn(const registered_backend& backend, time_point now);
+    /// The store says that the entry was removed.
+    void remove(const backend_id& id, time_point now);
+    /// All entries at one moment; those that are missing count as removed.
+    void learn_all(std::span<const registered_backend> entries, time_point now);
+    /// Entries as another instance believes them, which has already waited for lapsed ones.
+    void learn_from_peer(std::span<const registered_backend> entries, time_point now);
+    /// The server itself or another instance says that it leaves.
+    void mark_leaving(const backend_id& id);
+    void store_failed(time_point now);
+    void store_answered(time_point now);
+    /// Carries out removals that were put off and are due.
+    void expire(time_point now);
+
+    /// Servers of a service that may get new work. The views last until the next change.
+    std::vector<const registered_backend*> usable(const service_id& service) const;
+    /// Whether the server is still listed, leaving or not; null when it isn't.
+    const registered_backend* find(const backend_id& id) const;
+    std::vector<registered_backend> all() const;
+    bool empty() const { return backends_.empty(); }
+    std::vector<registry_change> take_changes();
+
+private:
+    struct record {
+        registered_backend backend;
+        std::optional<time_point> removal_due;
+    };
+    bool removals_wait(time_point now) const;
+    void erase(const backend_id& id);
+
+    std::map<backend_id, record> backends_;
+    /// Ids that said they leave; kept after their entries are gone.
+    std::set<backend_id> left_;
+    std::vector<registry_change> changes_;
+    bool store_away_ = false;
+    std::optional<time_point> store_returned_;
+};
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Routing/backend_picker.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "bamboostream/src/Core/clock.h"
+#include "bamboostream/src/Membership/backend_registry.h"
+#include "bamboostream/src/Routing/load_book.h"
+#include "bamboostream/src/Routing/outlier_detector.h"
+
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <unordered_map>
+
+namespace bamboostream {
+
+/// What a request asks of the backend server that gets it.
+struct placement_request {
+    /// Servers that it must not go to, for instance because it failed there.
+    std::span<const backend_id> avoid;
+    /// Cache memory that the generation will hold, in tokens; zero for plain calls.
+    std::int64_t memory_tokens = 0;
+    /// Tokens of cache memory of each server; zero for plain services.
+    std::int64_t server_memory_tokens = 0;
+    failure_domain_id near;
+};
+
+/// Chooses the backend server for a request by the work that is under way at each.
+///
+/// For plain calls that is the share of places taken. For generations it is the memory that will be
+/// held, which sets how long a step takes, and the prompts that wait to be read, which set how long
+/// the first event takes: a prompt of 3,000 tokens takes some 200 ms to read, and everything that
+/// is queued before it is waited for.
+class backend_picker {
+public:
+    explicit backend_picker(std::uint64_t seed) : random_(seed) {}
+
+    /// Null when no server may get the request.
+    const registered_backend* pick(std::span<const registered_backend* const> servers,
+                                   const load_book& loads, const placement_request& request,
+                                   time_point now);
+    void on_success(const backend_id& id, time_point now);
+    /// `group_size` counts the servers of the same service.
+    void on_failure(const backend_id& id, std::size_t group_size, time_point now);
+
+private:
+    double cost(const registered_backend& server, const backend_work& work,
+                const placement_request& request, time_point now) const;
+
+    std::mt19937_64 random_;
+    outlier_detector outliers_;
+    /// Share of recent failures, by server.
+    std::unordered_map<backend_id, double> failing_;
+};
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Routing/load_book.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "bamboostream/src/Core/clock.h"
+#include "bamboostream/src/Core/identities.h"
+
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace bamboostream {
+
+/// Work that is under way at one backend server.
+struct backend_work {
+    int requests = 0;
+    /// Cache memory that generations hold or are expected to hold, in tokens.
+    std::int64_t memory_tokens = 0;
+    /// Prompt tokens of generations that have not sent an event yet: what a new one queues behind.
+    std::int64_t unread_tokens = 0;
+
+    backend_work& operator+=(const backend_work& other);
+    bool operator==(const backend_work&) const = default;
+};
+
+/// Work by backend server.
+struct backend_work_entry {
+    backend_id id;
+    backend_work work;
+};
+
+/// What is under way at the backend servers: this instance's own work to the moment, and what the
+/// other instances told of theirs a moment ago. Together they are fresher than the reports of the
+/// backend servers, and they cost no status check.
+class load_book {
+public:
+    /// Work that a dead instance told of is forgotten after this: its requests are cut by then.
+    static constexpr milliseconds peer_validity{2'000};
+
+    void add(const backend_id& id, const backend_work& work);
+    void subtract(const backend_id& id, const backend_work& work);
+    /// Replaces what `peer` told before.
+    void hear(const std::string& peer, std::span<const backend_work_entry> entries, time_point now);
+    /// All work at one server.
+    backend_work total(const backend_id& id, time_point now) const;
+    /// This instance's own work, for the others.
+    std::vector<backend_work_entry> own() const;
+
+private:
+    struct heard {
+        time_point at;
+        std::unordered_map<backend_id, backend_work> work;
+    };
+    std::unordered_map<backend_id, backend_work> own_;
+    std::map<std::string, heard> peers_;
+};
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Routing/route_table.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "bamboostream/src/Configuration/routing_configuration.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace bamboostream {
+
+namespace internal {
+/// Lets maps with string keys be searched by views.
+struct text_hash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const {
+        return std::hash<std::string_view>{}(text);
+    }
+};
+template <class Value>
+using text_map = std::unordered_map<std::string, Value, text_hash, std::equal_to<>>;
+} // namespace internal
+
+/// One version of the configuration, indexed for the lookups that every request needs. Immutable;
+/// a lookup costs one hash a slash of the path, however many routes there are.
+///
+/// Example: `const route_rule* r = table.find_route(host, path);`
+class route_table {
+public:
+    explicit route_table(routing_configuration configuration);
+
+    /// The route of the host with the longest prefix of `path`; null when there is none.
+    const route_rule* find_route(std::string_view host, std::string_view path) const;
+    /// The workspace that holds `key`; null when there is none.
+    const workspace_rule* find_workspace(std::string_view key) const;
+    const service_rule* find_service(const service_id& id) const;
+    bool needs_keys() const { return configuration_.workspaces.has_value(); }
+    const routing_configuration& configuration() const { return configuration_; }
+
+private:
+    routing_configuration configuration_;
+    internal::text_map<internal::text_map<const route_rule*>> routes_by_host_;
+    internal::text_map<const workspace_rule*> workspaces_by_key_;
+    internal::text_map<const service_rule*> services_;
+};
+
+/// A service of the route, drawn by weight; null when the route names none.
+const service_id* draw_service(const route_rule& route, std::mt19937_64& random);
+
+} // namespace bamboostream
--- a/bamboostream/src/Streams/relay.cpp
+++ b/bamboostream/src/Streams/relay.cpp
@@ -101,7 +101,7 @@
     co_return co_await run(nullptr, std::move(generation), from, out, progress);
 }
 
-asio::awaitable<std::unique_ptr<http_stream>>
+asio::awaitable<std::shared_ptr<http_stream>>
 relay::reconnect(const generation_id& generation, std::uint64_t from, relay_result& result) {
     const time_point give_up =
         monotonic_now() + (from == 0 ? timing_.lost_before_first_token : timing_.lost_after);
@@ -130,7 +130,7 @@
     co_return nullptr;
 }
 
-asio::awaitable<relay_result> relay::run(std::unique_ptr<http_stream> stream,
+asio::awaitable<relay_result> relay::run(std::shared_ptr<http_stream> stream,
                                          generation_id generation, std::uint64_t from,
                                          token_stream& out, relay_progress& progress) {
     relay_result result;
--- a/bamboostream/src/Streams/relay.h
+++ b/bamboostream/src/Streams/relay.h
@@ -77,10 +77,10 @@
                                                 token_stream& out, relay_progress& progress);
 
 private:
-    boost::asio::awaitable<relay_result> run(std::unique_ptr<http_stream> stream,
+    boost::asio::awaitable<relay_result> run(std::shared_ptr<http_stream> stream,
                                              generation_id generation, std::uint64_t from,
                                              token_stream& out, relay_progress& progress);
-    boost::asio::awaitable<std::unique_ptr<http_stream>>
+    boost::asio::awaitable<std::shared_ptr<http_stream>>
     reconnect(const generation_id& generation, std::uint64_t from, relay_result& result);
 
     boost::asio::any_io_executor executor_;
