--- a/bamboostream/src/Core/settings.cpp
+++ b/bamboostream/src/Core/settings.cpp
@@ -178,7 +178,7 @@
 settings_outcome settings::parse(int argc, const char* const* argv) {
     std::string format = "text";
     std::string level = "info";
-    choice("log-format", &format, "Form of the log lines on standard error", {"text", "json"});
+    choice("log-format", &format, "Form of the log lines on standard output", {"text", "json"});
     choice("log-level", &level, "Lowest level logged", {"debug", "info", "warning", "error"});
 
     CLI::App app{purpose_, program_};
--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -30,7 +30,7 @@
     const service_rule* service =
         state_.routes ? state_.routes->find_service(backend.service) : nullptr;
     const bool moves = service != nullptr && service->engine && service->engine->moves;
-    if (!moves || !peers_.drives(backend.id) || !driven_.insert(backend.id).second) {
+    if (!moves || !peers_.drives(backend.service) || !driven_.insert(backend.id).second) {
         return;
     }
     asio::co_spawn(context_, drive(backend), asio::detached);
@@ -68,8 +68,10 @@
     }
     const time_point now = monotonic_now();
     for (const registered_backend* backend : state_.registry.usable(service)) {
-        out.push_back({*backend, state_.loads.total(backend->id, now), rule->engine->memory_tokens,
-                       rule->engine->slots});
+        out.push_back(
+            {*backend, state_.loads.total(backend->id, now), rule->engine->memory_tokens,
+             rule->engine->slots,
+             link_free_.contains(backend->id) ? link_free_.at(backend->id) : time_point{}});
     }
     return out;
 }
@@ -77,9 +79,17 @@
 asio::awaitable<bool> evacuation_service::move_one(const registered_backend& source,
                                                    const move_candidate& candidate) {
     std::vector<move_target> open = targets(source.service);
+    const service_rule* rule = state_.routes->find_service(source.service);
+    const link_speed speed =
+        rule && rule->engine ? link_speed{rule->engine->bytes_per_token, rule->engine->link_mbps}
+                             : link_speed{};
     const std::string& id = candidate.generation.id;
-    while (const auto index = choose_target(candidate.generation, source.failure_domain, open)) {
+    while (const auto index = choose_target(candidate.generation, source.failure_domain, speed,
+                                            open, monotonic_now())) {
         const registered_backend target = open[*index].backend;
+        const bool far = target.failure_domain != source.failure_domain;
+        link_free_[target.id] = std::max(open[*index].link_free, monotonic_now()) +
+                                copy_time(candidate.generation.memory_tokens, speed, far);
         open.erase(open.begin() + static_cast<std::ptrdiff_t>(*index));
         move_failure why;
         auto copy =
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,9 +17,10 @@
 class evacuation_peers {
 public:
     virtual ~evacuation_peers() = default;
-    /// True when this instance moves the generations of that engine; one instance does, so that the
-    /// copies on the engine's link follow each other in one order and without gaps.
-    virtual bool drives(const backend_id& backend) const = 0;
+    /// True when this instance moves the generations of that service's engines; one instance does,
+    /// so that the copies on an engine's link follow each other without gaps, and engines that
+    /// leave together don't copy to the same target.
+    virtual bool drives(const service_id& service) const = 0;
     /// Generations at the engine that other instances pass on.
     virtual boost::asio::awaitable<std::vector<move_candidate>> gather(backend_id backend) = 0;
     /// Tells the instance that passes a generation on where it goes on.
@@ -50,6 +52,8 @@
     generation_mover& mover_;
     evacuation_peers& peers_;
     std::set<backend_id> driven_;
+    /// Until when the links of targets are busy with copies of this instance's.
+    std::map<backend_id, time_point> link_free_;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Evacuation/move_plan.cpp
+++ b/bamboostream/src/Evacuation/move_plan.cpp
@@ -11,8 +11,9 @@
 /// A step of a busy engine takes some 10 ms a token: 30 tokens end within 0.3 s, well inside the
 /// shortest notice of 1.5 s, and moving them would only stand in the way of others.
 constexpr std::int64_t tokens_that_end_soon = 30;
-/// Share of a full engine that the doubled time of a move between failure domains is worth.
-constexpr double far_cost = 0.25;
+/// A second until the copy is done counts as much as so many engines full of memory: of a notice of
+/// some 2 s each tenth is one generation more or less, and a fuller engine only slows its steps.
+constexpr double cost_a_second = 1.2;
 /// A target keeps this share of its memory free: what runs there grows until it ends.
 constexpr double most_full = 0.95;
 
@@ -29,9 +30,19 @@
     return candidates;
 }
 
+duration copy_time(std::int64_t tokens, link_speed speed, bool far) {
+    if (speed.mbps <= 0.0) {
+        return duration{};
+    }
+    constexpr double bits_per_byte = 8.0;
+    const double us = static_cast<double>(tokens) * speed.bytes_per_token * bits_per_byte /
+                      speed.mbps * (far ? 2.0 : 1.0);
+    return from_milliseconds(us / 1000.0);
+}
+
 std::optional<std::size_t> choose_target(const movable_generation& generation,
-                                         const failure_domain_id& source_domain,
-                                         std::span<const move_target> targets) {
+                                         const failure_domain_id& source_domain, link_speed speed,
+                                         std::span<const move_target> targets, time_point now) {
     std::optional<std::size_t> best;
     double best_cost = std::numeric_limits<double>::max();
     for (std::size_t i = 0; i < targets.size(); ++i) {
@@ -44,7 +55,10 @@
         if (full > most_full || t.work.requests >= t.slots) {
             continue;
         }
-        const double cost = full + (t.backend.failure_domain == source_domain ? 0.0 : far_cost);
+        const bool far = t.backend.failure_domain != source_domain;
+        const duration wait = std::max(duration{}, t.link_free - now);
+        const duration done = wait + copy_time(generation.memory_tokens, speed, far);
+        const double cost = full + cost_a_second * to_milliseconds(done) / 1000.0;
         if (cost < best_cost) {
             best_cost = cost;
             best = i;
--- a/bamboostream/src/Evacuation/move_plan.h
+++ b/bamboostream/src/Evacuation/move_plan.h
@@ -26,17 +26,30 @@
     backend_work work;
     std::int64_t memory_tokens = 0;
     int slots = 0;
+    /// When its link is done with the copies that were sent to it before.
+    time_point link_free{};
 };
 
+/// How fast memory moves.
+struct link_speed {
+    double bytes_per_token = 0.0;
+    /// Bits a microsecond.
+    double mbps = 0.0;
+};
+
+/// Time of a copy on an otherwise idle link; twice as long between failure domains.
+duration copy_time(std::int64_t tokens, link_speed speed, bool far);
+
 /// The order in which generations leave an engine. Copies share the engine's link and go one after
 /// the other; whoever is not done when the engine goes is cut. Small copies first saves the most
 /// generations in the time there is; one that ends by itself within the notice goes last.
 std::vector<move_candidate> order_moves(std::vector<move_candidate> candidates);
 
-/// The target on which the generation hurts least and is hurt least; nothing when none has room.
-/// A move between failure domains takes twice as long, which counts as load on the target.
+/// The target on which the copy is done soonest and the generation hurts least; nothing when none
+/// has room. Engines that leave together must not copy to the same target: its link would make each
+/// copy take as long as both, and half of the generations would be cut.
 std::optional<std::size_t> choose_target(const movable_generation& generation,
-                                         const failure_domain_id& source_domain,
-                                         std::span<const move_target> targets);
+                                         const failure_domain_id& source_domain, link_speed speed,
+                                         std::span<const move_target> targets, time_point now);
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/active_streams.cpp
+++ b/bamboostream/src/Forwarding/active_streams.cpp
@@ -5,6 +5,14 @@
 
 namespace bamboostream {
 
+std::int64_t expected_tokens_left(const active_stream& stream) {
+    const std::int64_t most =
+        std::max<std::int64_t>(0, stream.most_output_tokens - stream.output_tokens);
+    const std::int64_t expected =
+        std::max(stream.expected_output_tokens - stream.output_tokens, stream.output_tokens / 2);
+    return stream.most_output_tokens > 0 ? std::min(most, expected) : expected;
+}
+
 void active_streams::add(std::shared_ptr<active_stream> stream) {
     const std::string id = stream->id;
     streams_[id] = std::move(stream);
--- a/bamboostream/src/Forwarding/active_streams.h
+++ b/bamboostream/src/Forwarding/active_streams.h
@@ -43,7 +43,10 @@
     /// Only moving saves it: it must not run again.
     bool movable = false;
     std::int64_t prompt_tokens = 0;
+    /// What the caller expects; zero when it didn't say.
     std::int64_t expected_output_tokens = 0;
+    /// What the generation may put out at most; zero when unknown.
+    std::int64_t most_output_tokens = 0;
     std::int64_t output_tokens = 0;
     /// Somebody has asked for it in order to move it.
     bool move_expected = false;
@@ -52,6 +55,11 @@
     boost::asio::steady_timer noticed;
 };
 
+/// Tokens that a generation is expected to put out yet. Callers' estimates are right at the median
+/// only, and half of all generations outlive theirs: then as much is expected again as a half of
+/// what has come, since lengths spread over a wide range and who has lived long lives on.
+std::int64_t expected_tokens_left(const active_stream& stream);
+
 /// The streams of this instance by request id.
 class active_streams {
 public:
--- a/bamboostream/src/Forwarding/forward_request.h
+++ b/bamboostream/src/Forwarding/forward_request.h
@@ -20,7 +20,9 @@
     /// How long the caller waits; nothing when it didn't say.
     std::optional<milliseconds> patience;
     std::int64_t prompt_tokens = 0;
-    /// The most the generation may put out, or what the caller expects when it said so.
+    /// The most the generation may put out; zero when the caller didn't say.
+    std::int64_t most_output_tokens = 0;
+    /// What the caller expects, the most when it expects nothing.
     std::int64_t expected_output_tokens = 0;
     /// The caller has this event already and wants the next.
     std::optional<std::uint64_t> resume_after;
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -377,6 +377,7 @@
         stream_->movable = is_movable();
         stream_->prompt_tokens = request_.prompt_tokens;
         stream_->expected_output_tokens = request_.expected_output_tokens;
+        stream_->most_output_tokens = request_.most_output_tokens;
         state_.streams.add(stream_);
     }
     stream_->backend = to.backend.id;
@@ -402,9 +403,8 @@
             co_return fail(to, attempt_end::lost, "the caller left");
         }
         stream_->output_tokens = static_cast<std::int64_t>(splitter_.events()) * tokens_per_event;
-        const std::int64_t expected =
-            std::max(stream_->output_tokens, request_.expected_output_tokens);
-        update_work({1, request_.prompt_tokens + expected, 0});
+        const std::int64_t output = stream_->output_tokens + expected_tokens_left(*stream_);
+        update_work({1, request_.prompt_tokens + output, 0});
         if (may_go_on) {
             channel_->expire_at(std::min(deadline_, monotonic_now() + longest_pause));
         }
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -236,8 +236,8 @@
     }
 }
 
-bool peer_exchange::drives(const backend_id& backend) const {
-    const auto owners = membership_.owners(backend.text(), 1);
+bool peer_exchange::drives(const service_id& service) const {
+    const auto owners = membership_.owners(service.text(), 1);
     return owners.empty() || owners.front() == membership_.own_address();
 }
 
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -27,7 +27,7 @@
     boost::asio::awaitable<std::unique_ptr<wire::FrameT>>
     handle(std::unique_ptr<wire::FrameT> frame);
 
-    bool drives(const backend_id& backend) const override;
+    bool drives(const service_id& service) const override;
     boost::asio::awaitable<std::vector<move_candidate>> gather(backend_id backend) override;
     void tell(const std::string& instance, const std::string& generation,
               const move_notice& notice) override;
--- /dev/null
+++ b/test/platform/decisions_test.cpp
@@ -0,0 +1,415 @@
+// Decision objects of the gateway, without a network.
+
+#include "bamboostream/Evacuation"
+#include "bamboostream/Forwarding"
+#include "bamboostream/Routing"
+
+#include <boost/asio/io_context.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace bamboostream {
+namespace {
+
+const time_point start = time_point{} + seconds(1'000);
+
+registered_backend backend(const std::string& id, const std::string& domain = "norra") {
+    registered_backend out;
+    out.id = backend_id(id);
+    out.address = id + ":80";
+    out.service = service_id("s");
+    out.failure_domain = failure_domain_id(domain);
+    out.slots = 6;
+    return out;
+}
+
+// --- routes
+
+struct route_row {
+    std::string host;
+    std::string path;
+    std::string expected;
+};
+
+class route_lookup : public testing::TestWithParam<route_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, route_lookup,
+    testing::Values(route_row{"a.example", "/x/1", "x"}, route_row{"a.example", "/x/y/1", "x-y"},
+                    route_row{"a.example", "/x/y", "x"}, route_row{"a.example:80", "/x/", "x"},
+                    route_row{"a.example", "/x", ""}, route_row{"a.example", "/z/1", ""},
+                    route_row{"b.example", "/x/1", "b-root"}, route_row{"c.example", "/x/1", ""},
+                    route_row{"a.example", "", ""}, route_row{"b.example", "*", ""}));
+
+TEST_P(route_lookup, longest_prefix_of_the_host_wins) {
+    routing_configuration c;
+    for (const auto& [name, host, prefix] :
+         std::vector<std::array<std::string, 3>>{{"x", "a.example", "/x/"},
+                                                 {"x-y", "a.example", "/x/y/"},
+                                                 {"b-root", "b.example", "/"}}) {
+        route_rule route;
+        route.name = name;
+        route.host = host;
+        route.path_prefix = prefix;
+        c.routes.push_back(route);
+    }
+    const route_table table(c);
+    const route_rule* found = table.find_route(GetParam().host, GetParam().path);
+    EXPECT_EQ(found ? found->name : "", GetParam().expected);
+}
+
+TEST(route_table_test, services_are_drawn_by_weight) {
+    route_rule route;
+    route.services = {{service_id("a"), 90.0}, {service_id("b"), 10.0}, {service_id("c"), 0.0}};
+    std::mt19937_64 random(7);
+    std::map<std::string, int> drawn;
+    for (int i = 0; i < 10'000; ++i) {
+        ++drawn[draw_service(route, random)->text()];
+    }
+    EXPECT_NEAR(drawn["a"], 9'000, 150);
+    EXPECT_EQ(drawn["c"], 0);
+}
+
+// --- backend servers
+
+// A server says that it leaves; later the store's history has a gap and an older entry, still
+// ready, is read again. A request sent to it then would be cut when it goes, so it stays leaving.
+TEST(backend_registry_test, leaving_is_sticky) {
+    backend_registry registry;
+    registered_backend b = backend("i-1");
+    registry.learn(b, start);
+    b.leaving = true;
+    registry.learn(b, start);
+    b.leaving = false;
+    registry.learn(b, start);
+    EXPECT_TRUE(registry.usable(service_id("s")).empty());
+    registry.remove(b.id, start);
+    registry.learn(b, start);
+    EXPECT_TRUE(registry.usable(service_id("s")).empty());
+}
+
+/// When an entry is removed, relative to an outage of the store from 0 to 10 s.
+struct removal_row {
+    std::string name;
+    int removed_at_ms;
+    int asked_at_ms;
+    bool back_in_time;
+    bool usable;
+};
+
+class entry_removal : public testing::TestWithParam<removal_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, entry_removal,
+    testing::Values(removal_row{"before_an_outage", -100, -50, false, false},
+                    removal_row{"lapsed_while_away", 5'000, 9'000, false, true},
+                    removal_row{"lapsed_and_just_returned", 10'100, 12'000, false, true},
+                    removal_row{"lapsed_and_never_back", 10'100, 12'600, false, false},
+                    removal_row{"lapsed_and_back", 10'100, 13'000, true, true},
+                    removal_row{"long_after", 20'000, 20'001, false, false}),
+    [](const auto& info) { return info.param.name; });
+
+// While the store is away entries lapse although their servers live. Dropping them would refuse all
+// requests; keeping them for ever would send requests to the dead. They wait for their return.
+TEST_P(entry_removal, waits_only_around_an_outage) {
+    const removal_row row = GetParam();
+    backend_registry registry;
+    registry.learn(backend("i-1"), start - seconds(60));
+    const auto at = [](int ms) { return start + milliseconds(ms); };
+    const auto step = [&](int ms) {
+        if (ms == row.removed_at_ms) {
+            registry.remove(backend_id("i-1"), at(ms));
+        }
+    };
+    std::vector<int> moments = {row.removed_at_ms, row.asked_at_ms, 0, 10'000};
+    std::sort(moments.begin(), moments.end());
+    for (const int ms : moments) {
+        if (ms > row.asked_at_ms) {
+            break;
+        }
+        if (ms == 0) {
+            registry.store_failed(at(ms));
+        }
+        if (ms == 10'000) {
+            registry.store_answered(at(ms));
+        }
+        step(ms);
+    }
+    if (row.back_in_time) {
+        registry.learn(backend("i-1"), at(11'500));
+    }
+    registry.expire(at(row.asked_at_ms));
+    EXPECT_EQ(!registry.usable(service_id("s")).empty(), row.usable);
+}
+
+// --- choice of a server
+
+TEST(backend_picker_test, prefers_the_server_with_less_work_over_all_instances) {
+    backend_picker picker(1);
+    load_book loads;
+    const registered_backend a = backend("a");
+    const registered_backend b = backend("b");
+    const std::vector<const registered_backend*> servers = {&a, &b};
+    loads.add(a.id, {1, 0, 0});
+    const std::vector<backend_work_entry> told = {{b.id, {4, 0, 0}}};
+    loads.hear("peer", told, start);
+    placement_request request;
+    request.near = failure_domain_id("norra");
+    EXPECT_EQ(picker.pick(servers, loads, request, start)->id, a.id);
+    // What a peer told is forgotten when it has been silent.
+    EXPECT_EQ(picker.pick(servers, loads, request, start + seconds(3))->id, b.id);
+}
+
+TEST(backend_picker_test, queued_prompts_weigh_more_than_memory) {
+    backend_picker picker(1);
+    load_book loads;
+    const registered_backend a = backend("a");
+    const registered_backend b = backend("b");
+    const std::vector<const registered_backend*> servers = {&a, &b};
+    loads.add(a.id, {2, 8'000, 6'000});
+    loads.add(b.id, {3, 12'000, 0});
+    placement_request request;
+    request.server_memory_tokens = 34'000;
+    EXPECT_EQ(picker.pick(servers, loads, request, start)->id, b.id);
+}
+
+// One of four servers fails everything. Requests turn to the others, and when all fail nobody is
+// left out for good: the crowd is never ejected.
+TEST(backend_picker_test, a_failing_server_gets_little_and_the_crowd_is_kept) {
+    backend_picker picker(1);
+    load_book loads;
+    std::vector<registered_backend> all = {backend("a"), backend("b"), backend("c"), backend("d")};
+    std::vector<const registered_backend*> servers;
+    for (const registered_backend& b : all) {
+        servers.push_back(&b);
+    }
+    placement_request request;
+    int to_a = 0;
+    for (int i = 0; i < 400; ++i) {
+        const registered_backend* chosen = picker.pick(servers, loads, request, start);
+        const bool fails = chosen->id == all[0].id;
+        to_a += fails ? 1 : 0;
+        fails ? picker.on_failure(chosen->id, 4, start) : picker.on_success(chosen->id, start);
+    }
+    EXPECT_LT(to_a, 10);
+    for (int i = 0; i < 100; ++i) {
+        for (const registered_backend& b : all) {
+            picker.on_failure(b.id, 4, start);
+        }
+    }
+    EXPECT_NE(picker.pick(servers, loads, request, start), nullptr);
+}
+
+// --- retries
+
+// Backend servers fail and every instance wants to send again. The sum over all instances must stay
+// under the ratio of all requests plus the slack, also while the count of instances lags.
+TEST(window_budget_test, the_sum_over_all_instances_stays_under_the_rule) {
+    constexpr int instances = 8;
+    constexpr int requests_each = 50;
+    const window_budget_rules rules{0.2, 56.0, seconds(10)};
+    int spent = 0;
+    for (int i = 0; i < instances; ++i) {
+        window_budget budget(rules);
+        for (int r = 0; r < requests_each; ++r) {
+            const time_point now = start + milliseconds(100 * r);
+            budget.on_request(service_id("s"), now);
+            spent += budget.try_spend(service_id("s"), instances, now) ? 1 : 0;
+            spent += budget.try_spend(service_id("s"), instances, now) ? 1 : 0;
+        }
+    }
+    EXPECT_LE(spent, 0.2 * instances * requests_each + 56.0);
+    EXPECT_GE(spent, 0.4 * (0.2 * instances * requests_each + 56.0));
+}
+
+TEST(window_budget_test, what_was_spent_comes_back_after_the_window) {
+    window_budget budget({0.0, 2.0, seconds(10)});
+    EXPECT_TRUE(budget.try_spend(service_id("s"), 1, start));
+    EXPECT_FALSE(budget.try_spend(service_id("s"), 1, start + seconds(9)));
+    EXPECT_TRUE(budget.try_spend(service_id("s"), 1, start + seconds(11)));
+}
+
+// --- attempts
+
+struct attempt_row {
+    std::string name;
+    repeat_rule repeats;
+    int most_attempts;
+    std::vector<attempt_end> ends;
+    bool again;
+    final_answer answer;
+};
+
+class attempt_decision : public testing::TestWithParam<attempt_row> {};
+
+using enum attempt_end;
+
+INSTANTIATE_TEST_SUITE_P(
+    table, attempt_decision,
+    testing::Values(
+        attempt_row{"unsent", repeat_rule::once, 1, {not_sent}, true, final_answer::not_run},
+        attempt_row{"unsent_thrice",
+                    repeat_rule::once,
+                    1,
+                    {not_sent, not_sent, not_sent},
+                    false,
+                    final_answer::not_run},
+        attempt_row{"refused", repeat_rule::once, 1, {not_run}, false, final_answer::not_run},
+        attempt_row{
+            "refused_with_room", repeat_rule::once, 2, {not_run}, true, final_answer::not_run},
+        attempt_row{"lost", repeat_rule::once, 3, {lost}, false, final_answer::unknown},
+        attempt_row{"silent", repeat_rule::once, 3, {silent}, false, final_answer::timed_out},
+        attempt_row{"failed", repeat_rule::once, 3, {failed}, false, final_answer::backend_failure},
+        attempt_row{"safe_lost", repeat_rule::repeatable, 2, {lost}, true, final_answer::unknown},
+        attempt_row{"safe_lost_then_refused",
+                    repeat_rule::repeatable,
+                    2,
+                    {lost, not_run},
+                    false,
+                    final_answer::unknown},
+        attempt_row{"safe_lost_then_unsent",
+                    repeat_rule::repeatable,
+                    2,
+                    {lost, not_sent},
+                    true,
+                    final_answer::unknown},
+        attempt_row{"stream_lost", repeat_rule::resumable, 2, {lost}, true, final_answer::unknown}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_P(attempt_decision, never_says_not_run_of_what_may_have_run) {
+    attempt_history history;
+    for (const attempt_end end : GetParam().ends) {
+        history.note(end);
+    }
+    const attempt_end last = GetParam().ends.back();
+    EXPECT_EQ(may_try_again(GetParam().repeats, GetParam().most_attempts, history, last),
+              GetParam().again);
+    EXPECT_EQ(choose_final_answer(history, last), GetParam().answer);
+}
+
+// --- events
+
+struct split_row {
+    std::string name;
+    std::vector<std::string> pieces;
+    std::string expected;
+    event_order order;
+    bool at_boundary;
+};
+
+class event_split : public testing::TestWithParam<split_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, event_split,
+    testing::Values(
+        split_row{"whole", {"id: 1\nd\n\n"}, "id: 1\nd\n\n", event_order::in_order, true},
+        split_row{"cut_anywhere",
+                  {"i", "d: 1", "\nd\n", "\nid:2\n"},
+                  "id: 1\nd\n\n",
+                  event_order::in_order,
+                  false},
+        split_row{"repeated",
+                  {"id: 1\na\n\nid: 1\na\n\nid: 2\nb\n\n"},
+                  "id: 1\na\n\nid: 2\nb\n\n",
+                  event_order::in_order,
+                  true},
+        split_row{
+            "missing", {"id: 1\na\n\nid: 3\nb\n\n"}, "id: 1\na\n\n", event_order::broken, true},
+        split_row{"version_line_first",
+                  {"weight-versions: 2\nid: 1\na\n\n"},
+                  "weight-versions: 2\nid: 1\na\n\n",
+                  event_order::in_order,
+                  true},
+        split_row{"without_ids",
+                  {"data: a\n\ndata: b\n\n"},
+                  "data: a\n\ndata: b\n\n",
+                  event_order::in_order,
+                  true}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_P(event_split, passes_on_whole_events_once_and_in_order) {
+    event_splitter splitter;
+    std::string out;
+    event_order order = event_order::in_order;
+    for (const std::string& piece : GetParam().pieces) {
+        splitter.append(piece);
+        order = splitter.take(out);
+    }
+    EXPECT_EQ(out, GetParam().expected);
+    EXPECT_EQ(order, GetParam().order);
+    EXPECT_EQ(splitter.at_boundary(), GetParam().at_boundary);
+}
+
+// --- moves
+
+TEST(move_plan_test, small_copies_go_first_and_what_ends_by_itself_last) {
+    const auto ordered = order_moves(
+        {{{"big", 4'000, 500}, ""}, {{"ending", 1'000, 8}, ""}, {{"small", 2'000, 500}, "peer"}});
+    ASSERT_EQ(ordered.size(), 3u);
+    EXPECT_EQ(ordered[0].generation.id, "small");
+    EXPECT_EQ(ordered[1].generation.id, "big");
+    EXPECT_EQ(ordered[2].generation.id, "ending");
+}
+
+// Callers' estimates are right at the median only. A generation that has outlived its estimate must
+// not count as about to end: it would be moved last and cut.
+TEST(move_plan_test, what_has_outlived_its_estimate_lives_on) {
+    boost::asio::io_context context;
+    active_stream stream(context.get_executor(), "g");
+    stream.expected_output_tokens = 400;
+    stream.most_output_tokens = 2'000;
+    for (const auto& [output, left] : std::vector<std::pair<int, int>>{
+             {0, 400}, {100, 300}, {390, 195}, {1'000, 500}, {1'900, 100}, {2'000, 0}}) {
+        stream.output_tokens = output;
+        EXPECT_EQ(expected_tokens_left(stream), left) << output;
+    }
+}
+
+struct target_row {
+    std::string name;
+    std::vector<std::int64_t> memory;
+    std::vector<std::string> domains;
+    std::vector<int> requests;
+    std::vector<int> link_busy_ms;
+    int expected;
+};
+
+class move_targets : public testing::TestWithParam<target_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, move_targets,
+    testing::Values(
+        target_row{"emptier", {20'000, 5'000}, {"norra", "norra"}, {3, 1}, {0, 0}, 1},
+        target_row{"same_domain", {8'000, 5'000}, {"norra", "verket"}, {3, 3}, {0, 0}, 0},
+        target_row{
+            "far_when_near_is_busy", {24'000, 5'000}, {"norra", "verket"}, {3, 3}, {0, 0}, 1},
+        // Another engine that leaves is copying to the near target already.
+        target_row{"idle_link", {5'000, 9'000}, {"norra", "norra"}, {3, 3}, {300, 0}, 1},
+        target_row{
+            "far_when_near_link_is_busy", {5'000, 5'000}, {"norra", "verket"}, {3, 3}, {400, 0}, 1},
+        target_row{"no_memory", {29'000}, {"norra"}, {3}, {0}, -1},
+        target_row{"no_slot", {5'000}, {"norra"}, {24}, {0}, -1}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_P(move_targets, are_chosen_by_room_and_way) {
+    std::vector<move_target> targets;
+    for (std::size_t i = 0; i < GetParam().memory.size(); ++i) {
+        targets.push_back({backend(fmt::format("i-{}", i), GetParam().domains[i]),
+                           {GetParam().requests[i], GetParam().memory[i], 0},
+                           30'000,
+                           24,
+                           start + milliseconds(GetParam().link_busy_ms[i])});
+    }
+    const auto chosen = choose_target({"g", 3'000, 400}, failure_domain_id("norra"),
+                                      {96'256.0, 14'000.0}, targets, start);
+    EXPECT_EQ(chosen ? static_cast<int>(*chosen) : -1, GetParam().expected);
+}
+
+TEST(move_plan_test, a_copy_takes_as_long_as_its_bytes_and_twice_that_between_domains) {
+    const link_speed speed{96'256.0, 14'000.0};
+    EXPECT_NEAR(to_milliseconds(copy_time(3'500, speed, false)), 192.5, 1.0);
+    EXPECT_NEAR(to_milliseconds(copy_time(3'500, speed, true)), 385.0, 2.0);
+}
+
+} // namespace
+} // namespace bamboostream
--- /dev/null
+++ b/test/platform/forwarding_test.cpp
@@ -0,0 +1,423 @@
+// Requests through a forwarding instance to backend servers that misbehave.
+
+#include "test/platform/forwarding_fixture.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace bamboostream::test {
+
+namespace asio = boost::asio;
+
+namespace {
+
+backend_script answering(const std::string& body) {
+    return [body](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.send(sealed_answer(c, body));
+    };
+}
+
+/// One way in which a backend server goes wrong. Printed by its name.
+struct misbehaviour {
+    std::string name;
+    backend_script script;
+    /// What the caller of a request that must run once is told.
+    int once_status;
+};
+
+void PrintTo(const misbehaviour& row, std::ostream* out) {
+    *out << row.name;
+}
+
+std::vector<misbehaviour> misbehaviours() {
+    using connection = scripted_connection&;
+    return {
+        {"refuses_unrun",
+         [](connection c) -> asio::awaitable<void> {
+             co_await c.send("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+         },
+         503},
+        {"another_server_has_the_address",
+         [](connection c) -> asio::awaitable<void> {
+             co_await c.send("HTTP/1.1 421 X\r\nReplica-Id: i-2\r\nContent-Length: 0\r\n\r\n");
+         },
+         503},
+        {"unavailable_without_saying_unrun",
+         [](connection c) -> asio::awaitable<void> {
+             co_await c.send("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+         },
+         502},
+        {"resets",
+         [](connection c) -> asio::awaitable<void> {
+             c.reset();
+             co_return;
+         },
+         502},
+        {"closes_without_answer",
+         [](connection c) -> asio::awaitable<void> {
+             c.close();
+             co_return;
+         },
+         502},
+        {"truncates_the_body",
+         [](connection c) -> asio::awaitable<void> {
+             std::string answer = sealed_answer(c, "abcdef");
+             answer.resize(answer.size() - 3);
+             co_await c.send(answer);
+             c.close();
+         },
+         502},
+        {"sends_noise",
+         [](connection c) -> asio::awaitable<void> {
+             co_await c.send("\x16\x03garbage\r\n\r\n");
+             c.close();
+         },
+         502},
+        {"answers_another_request",
+         [](connection c) -> asio::awaitable<void> {
+             co_await c.send("HTTP/1.1 200 X\r\nAttempt-Id: other\r\nResponse-Seal: s\r\n"
+                             "Content-Length: 1\r\n\r\nx");
+         },
+         502},
+        {"answers_without_seal",
+         [](connection c) -> asio::awaitable<void> {
+             co_await c.send("HTTP/1.1 200 X\r\nAttempt-Id: " + c.field("Attempt-Id") +
+                             "\r\nContent-Length: 1\r\n\r\nx");
+         },
+         502},
+        {"encodes_the_body",
+         [](connection c) -> asio::awaitable<void> {
+             co_await c.send("HTTP/1.1 200 X\r\nAttempt-Id: " + c.field("Attempt-Id") +
+                             "\r\nResponse-Seal: s\r\nContent-Encoding: gzip\r\n"
+                             "Content-Length: 1\r\n\r\nx");
+         },
+         502},
+        {"is_silent", [](connection c) -> asio::awaitable<void> { co_await c.wait_for_close(); },
+         504},
+        {"fails",
+         [](connection c) -> asio::awaitable<void> {
+             co_await c.send(sealed_answer(c, "broken", 500));
+         },
+         500},
+    };
+}
+
+std::string name_of(const testing::TestParamInfo<misbehaviour>& info) {
+    return info.param.name;
+}
+
+class misbehaving_backend : public testing::TestWithParam<misbehaviour> {};
+
+INSTANTIATE_TEST_SUITE_P(table, misbehaving_backend, testing::ValuesIn(misbehaviours()), name_of);
+
+// The caller of a request that must run once gets one honest answer: "not run" (503, with a time to
+// come back) only where the backend server said so, else that the fate is unknown or the server's
+// own failure. The second server never sees the request, because the first may have run it.
+TEST_P(misbehaving_backend, a_request_that_runs_once_is_sent_once) {
+    forwarding_fixture f;
+    scripted_backend& bad = f.add("i-1", GetParam().script);
+    const auto view = f.ask("once", "a1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), GetParam().once_status) << view->bytes;
+    EXPECT_EQ(bad.requests().size(), 1u);
+    EXPECT_EQ(view->field("Retry-After").empty(), GetParam().once_status != 503);
+    EXPECT_EQ(view->field("Response-Seal").empty(), GetParam().once_status != 500);
+}
+
+// The caller of a request that may be repeated sees nothing of the fault: the request goes to
+// another server and that server's answer comes back.
+TEST_P(misbehaving_backend, a_repeatable_request_goes_to_another_server) {
+    forwarding_fixture f;
+    const backend_script bad = GetParam().script;
+    bool joined = false;
+    f.add("i-1", [&f, &joined, bad](scripted_connection& c) -> asio::awaitable<void> {
+        if (!std::exchange(joined, true)) {
+            f.add("i-2", answering("sound"));
+        }
+        co_await bad(c);
+    });
+    const auto view = f.ask("safe", "a1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 200) << view->bytes;
+    EXPECT_EQ(view->body(), "sound");
+}
+
+TEST(forwarding, passes_the_request_on_unchanged_but_for_what_the_system_sets) {
+    forwarding_fixture f;
+    scripted_backend& backend = f.add("i-1", answering("whole"));
+    const auto view = f.ask("once", "a1",
+                            "X-Own: 1\r\nTenant: forged\r\nHold: h\r\nPin-Ms: 5\r\n"
+                            "Kv-Backup: 1.2.3.4:5\r\nKv-From: 1.2.3.4:5/h\r\nDeadline-Ms: 700\r\n"
+                            "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\n");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 200);
+    EXPECT_EQ(view->body(), "whole");
+    EXPECT_EQ(view->field("Response-Seal"), "s-whole");
+    ASSERT_EQ(backend.requests().size(), 1u);
+    const std::string& sent = backend.requests().front();
+    EXPECT_TRUE(sent.starts_with("POST /once/x?y=1 HTTP/1.1\r\n")) << sent;
+    EXPECT_TRUE(sent.ends_with("\r\n\r\nbody"));
+    for (const char* present : {"\r\nX-Own: 1\r\n", "\r\nTenant: desk\r\n",
+                                "\r\nExpected-Instance: i-1\r\n", "\r\nAttempt-Id: a1\r\n"}) {
+        EXPECT_NE(sent.find(present), std::string::npos) << present << sent;
+    }
+    for (const char* absent :
+         {"forged", "Authorization", "Hold", "Pin-Ms", "Kv-", "X-Hop", "Deadline-Ms: 700"}) {
+        EXPECT_EQ(sent.find(absent), std::string::npos) << absent << sent;
+    }
+}
+
+struct refusal_row {
+    std::string name;
+    std::string route;
+    std::string fields;
+    int status;
+};
+
+class refused_at_once : public testing::TestWithParam<refusal_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, refused_at_once,
+                         testing::Values(refusal_row{"unknown_route", "nowhere", "", 404},
+                                         refusal_row{"bad_deadline", "once",
+                                                     "Deadline-Ms: soon\r\n", 400}),
+                         [](const auto& info) { return info.param.name; });
+
+TEST_P(refused_at_once, without_reaching_a_server) {
+    forwarding_fixture f;
+    scripted_backend& backend = f.add("i-1", answering("x"));
+    const auto view = f.ask(GetParam().route, "a1", GetParam().fields);
+    f.finish(view);
+    EXPECT_EQ(view->status(), GetParam().status);
+    EXPECT_TRUE(backend.requests().empty());
+}
+
+TEST(forwarding, an_unknown_key_is_refused) {
+    forwarding_fixture f;
+    f.add("i-1", answering("x"));
+    f.route("once");
+    f.run_for(milliseconds(1));
+    routing_configuration changed = f.state().routes->configuration();
+    changed.workspaces->front().keys = {"another-key"};
+    f.state().routes = std::make_shared<const route_table>(changed);
+    const auto view = f.ask("once", "a1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 401);
+}
+
+// Before the first configuration an instance knows neither routes nor keys; the caller is told that
+// the request has not run, instead of 401 or 404 for what may be allowed.
+TEST(forwarding, without_a_configuration_it_says_not_run) {
+    forwarding_fixture f;
+    f.state().routes = nullptr;
+    const auto view = f.ask("once", "a1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 503);
+    EXPECT_FALSE(view->field("Retry-After").empty());
+}
+
+// All servers are down: nothing was sent, so "not run" is true and said at once.
+TEST(forwarding, servers_that_refuse_connections_leave_the_request_unrun) {
+    forwarding_fixture f;
+    f.add_dead("i-1");
+    f.add_dead("i-2");
+    const auto view = f.ask("once", "a1");
+    f.finish(view, milliseconds(500));
+    EXPECT_EQ(view->status(), 503);
+}
+
+// The server sends bytes after its complete answer. They would be taken for the answer to the next
+// request on that connection, so the connection is not used again.
+TEST(forwarding, a_connection_with_surplus_bytes_is_not_used_again) {
+    forwarding_fixture f;
+    scripted_backend& backend = f.add("i-1", [](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.send(sealed_answer(c, "a") + "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+    });
+    for (const char* id : {"a1", "a2"}) {
+        const auto view = f.ask("once", id);
+        f.finish(view);
+        EXPECT_EQ(view->body(), "a");
+    }
+    EXPECT_EQ(backend.connections(), 2);
+}
+
+TEST(forwarding, a_sound_connection_is_used_again) {
+    forwarding_fixture f;
+    scripted_backend& backend = f.add("i-1", answering("a"));
+    for (const char* id : {"a1", "a2", "a3"}) {
+        f.finish(f.ask("once", id));
+    }
+    EXPECT_EQ(backend.connections(), 1);
+    EXPECT_EQ(backend.requests().size(), 3u);
+}
+
+// The caller closes while the backend server is at work. The work would go on for nobody, so the
+// connection to the server is closed at once.
+TEST(forwarding, work_for_a_caller_that_has_left_ends) {
+    forwarding_fixture f;
+    scripted_backend& backend = f.add("i-1", [](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.wait_for_close();
+        c.close();
+    });
+    const auto view = f.ask("once", "a1");
+    f.run_for(milliseconds(50));
+    ASSERT_EQ(backend.requests().size(), 1u);
+    EXPECT_EQ(f.state().counters.open, 1u);
+    f.leave(view);
+    f.run_for(milliseconds(100));
+    EXPECT_EQ(f.state().counters.open, 0u);
+}
+
+TEST(forwarding, a_stream_passes_whole) {
+    forwarding_fixture f;
+    f.add(
+        "i-1",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(0, 2));
+            co_await c.pause(20);
+            co_await c.send(stream_events(3, 5) + stream_end);
+        },
+        "engines");
+    const auto view = f.ask("long", "a1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 200);
+    EXPECT_TRUE(view->complete());
+    EXPECT_EQ(view->body(), events_text(0, 5));
+    EXPECT_EQ(view->field("Response-Seal"), "s");
+}
+
+/// One way in which a stream that must run once ends too early.
+struct early_end {
+    std::string name;
+    std::string tail;
+    bool reset;
+};
+
+class broken_stream : public testing::TestWithParam<early_end> {};
+
+INSTANTIATE_TEST_SUITE_P(table, broken_stream,
+                         testing::Values(early_end{"in_an_event", "9\r\nid: 2\ndat\r\n", false},
+                                         early_end{"between_events", "", false},
+                                         early_end{"by_reset", "", true},
+                                         early_end{"with_a_gap", stream_events(4, 5), false}),
+                         [](const auto& info) { return info.param.name; });
+
+// The server stops in the middle. The caller gets the whole events that came, and a connection that
+// closes without the end of the answer, so that nobody takes it for complete.
+TEST_P(broken_stream, never_looks_complete) {
+    forwarding_fixture f;
+    const early_end row = GetParam();
+    scripted_backend& backend = f.add(
+        "i-1",
+        [row](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(0, 1));
+            co_await c.pause(20);
+            co_await c.send(row.tail);
+            row.reset ? c.reset() : c.close();
+        },
+        "engines");
+    f.add("i-2", answering("never asked"), "engines");
+    f.state().registry.mark_leaving(backend_id("i-2"));
+    const auto view = f.ask("long", "a1");
+    f.finish(view);
+    EXPECT_TRUE(view->closed);
+    EXPECT_FALSE(view->complete());
+    EXPECT_EQ(view->body(), events_text(0, 1));
+    EXPECT_EQ(backend.requests().size(), 1u);
+}
+
+// A stream that may be taken up is cut; another server goes on after the last event that the caller
+// has, repeats one, and the caller sees one answer without a seam.
+TEST(forwarding, a_resumable_stream_goes_on_at_another_server) {
+    forwarding_fixture f;
+    scripted_backend& first = f.add(
+        "i-1",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(0, 2) + "7\r\nid: 3\nd\r\n");
+            co_await c.pause(20);
+            c.reset();
+        },
+        "engines");
+    const auto view = f.ask("label", "a1");
+    f.run_for(milliseconds(10));
+    ASSERT_EQ(first.requests().size(), 1u);
+    scripted_backend& second = f.add(
+        "i-2",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(2, 4) + stream_end);
+        },
+        "engines");
+    f.finish(view);
+    EXPECT_TRUE(view->complete()) << view->bytes;
+    EXPECT_EQ(view->body(), events_text(0, 4));
+    ASSERT_EQ(second.requests().size(), 1u);
+    EXPECT_NE(second.requests().front().find("\r\nLast-Event-Id: 2\r\n"), std::string::npos);
+}
+
+/// How the news of a move and the end of the stream at its source follow each other.
+struct move_row {
+    std::string name;
+    bool notice_first;
+};
+
+class moved_stream : public testing::TestWithParam<move_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, moved_stream,
+                         testing::Values(move_row{"notice_first", true},
+                                         move_row{"end_first", false}),
+                         [](const auto& info) { return info.param.name; });
+
+// An engine leaves, its generation is copied elsewhere and its stream stops without an end. The
+// news of where it goes on may come before or after that; the caller sees one answer without a
+// seam, and the new engine is asked with the copy's handle and the last event.
+TEST_P(moved_stream, goes_on_from_the_copy) {
+    forwarding_fixture f;
+    const bool notice_first = GetParam().notice_first;
+    f.add(
+        "i-1",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(0, 3));
+            co_await c.pause(60);
+            c.close();
+        },
+        "engines");
+    const auto view = f.ask("long", "a1");
+    f.run_for(milliseconds(30));
+    scripted_backend& target = f.add(
+        "i-2",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(4, 6) + stream_end);
+        },
+        "engines");
+    const auto movable = f.state().streams.claim_movable(backend_id("i-1"));
+    ASSERT_EQ(movable.size(), 1u);
+    EXPECT_EQ(movable.front(), (movable_generation{"a1", 100 + 16, 40 - 16}));
+    f.run_for(milliseconds(notice_first ? 1 : 120));
+    f.state().streams.notify("a1",
+                             {backend_id("i-2"), target.address(), {"10.0.0.1:80", "handle-7"}});
+    f.finish(view);
+    EXPECT_TRUE(view->complete()) << view->bytes;
+    EXPECT_EQ(view->body(), events_text(0, 6));
+    ASSERT_EQ(target.requests().size(), 1u);
+    const std::string& sent = target.requests().front();
+    EXPECT_NE(sent.find("\r\nKv-From: 10.0.0.1:80/handle-7\r\n"), std::string::npos) << sent;
+    EXPECT_NE(sent.find("\r\nLast-Event-Id: 3\r\n"), std::string::npos) << sent;
+}
+
+// Requests that last longer than their route allows get their final answer then, not at the
+// deadline of the caller.
+TEST(forwarding, the_route_s_timeout_ends_the_wait) {
+    forwarding_fixture f;
+    f.add("i-1", [](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.wait_for_close();
+        c.close();
+    });
+    f.route("once").timeout = milliseconds(200);
+    const time_point began = monotonic_now();
+    const auto view = f.ask("once", "a1", "Deadline-Ms: 5000\r\n");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 504);
+    EXPECT_LT(monotonic_now() - began, milliseconds(500));
+}
+
+} // namespace
+} // namespace bamboostream::test
--- /dev/null
+++ b/test/platform/scripted_backend.cpp
@@ -0,0 +1,116 @@
+#include "test/platform/scripted_backend.h"
+
+#include "bamboostream/src/Control/periodic.h"
+#include "bamboostream/src/Http/address.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+namespace bamboostream::test {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+namespace {
+
+auto token(error_code& ec) {
+    return asio::redirect_error(asio::use_awaitable, ec);
+}
+
+std::string field_of(const std::string& head, const std::string& name) {
+    const std::size_t at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const std::size_t begin = at + name.size() + 4;
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+} // namespace
+
+std::string scripted_connection::field(const std::string& name) const {
+    return field_of(request_, name);
+}
+
+asio::awaitable<void> scripted_connection::send(std::string bytes) {
+    error_code ec;
+    co_await asio::async_write(socket_, asio::buffer(bytes), token(ec));
+}
+
+asio::awaitable<void> scripted_connection::pause(int ms) {
+    co_await pause_for(milliseconds(ms));
+}
+
+asio::awaitable<void> scripted_connection::wait_for_close() {
+    error_code ec;
+    char byte = 0;
+    while (!ec) {
+        co_await socket_.async_read_some(asio::buffer(&byte, 1), token(ec));
+    }
+}
+
+void scripted_connection::close() {
+    error_code ec;
+    socket_.shutdown(tcp::socket::shutdown_both, ec);
+    socket_.close(ec);
+}
+
+void scripted_connection::reset() {
+    error_code ec;
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+    socket_.close(ec);
+}
+
+scripted_backend::scripted_backend(asio::io_context& context, backend_script script)
+    : context_(context), script_(std::move(script)),
+      acceptor_(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+      address_(to_text(acceptor_.local_endpoint())) {
+    asio::co_spawn(context_, accept(), asio::detached);
+}
+
+void scripted_backend::stop() {
+    error_code ec;
+    acceptor_.close(ec);
+}
+
+asio::awaitable<void> scripted_backend::accept() {
+    error_code ec;
+    while (acceptor_.is_open()) {
+        tcp::socket socket(context_);
+        co_await acceptor_.async_accept(socket, token(ec));
+        if (ec) {
+            co_return;
+        }
+        ++connections_;
+        asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+    }
+}
+
+asio::awaitable<void> scripted_backend::serve(tcp::socket socket) {
+    error_code ec;
+    std::string buffer;
+    while (socket.is_open()) {
+        const std::size_t head = co_await asio::async_read_until(
+            socket, asio::dynamic_buffer(buffer), "\r\n\r\n", token(ec));
+        if (ec) {
+            ++closed_;
+            co_return;
+        }
+        const std::string length = field_of(buffer.substr(0, head), "Content-Length");
+        const std::size_t whole = head + (length.empty() ? 0 : std::stoul(length));
+        if (buffer.size() < whole) {
+            co_await asio::async_read(socket, asio::dynamic_buffer(buffer),
+                                      asio::transfer_exactly(whole - buffer.size()), token(ec));
+        }
+        requests_.push_back(buffer.substr(0, whole));
+        buffer.erase(0, whole);
+        scripted_connection connection(socket, requests_.back());
+        co_await script_(connection);
+    }
+}
+
+} // namespace bamboostream::test
--- /dev/null
+++ b/test/platform/translation_test.cpp
@@ -0,0 +1,182 @@
+// The platform's records, settings and store pages as typed values.
+
+#include "bamboostream/Gateway"
+#include "platform/directory_translation.h"
+#include "platform/record_translation.h"
+#include "platform/settings_file.h"
+#include "platform/store_client.h"
+
+#include <gtest/gtest.h>
+
+namespace bamboostream::platform {
+namespace {
+
+constexpr const char* document = R"({"version":7,"routes":[
+ {"name":"r1","host":"h","path_prefix":"/a/","kind":"streaming","timeout_ms":6000,"slo_ms":1500,
+  "priority":0,"service":"s1","max_attempts":2,"anonymous":false,"resumable":true,"gap_slo_ms":180},
+ {"name":"r2","host":"h","path_prefix":"/b/","kind":"streaming","timeout_ms":39000,"slo_ms":1800,
+  "priority":1,"traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+  "max_attempts":1,"anonymous":false,"resumable":false,"gap_slo_ms":180},
+ {"name":"r3","host":"h","path_prefix":"/c/","kind":"idempotent","service":"s2","anonymous":true},
+ {"name":"r4","host":"h","path_prefix":"/d/","kind":"non_idempotent","service":"s2"},
+ {"name":"r5","host":"h","path_prefix":"/e/","kind":"something_new","service":"s2"}],
+ "services":[{"name":"s1","max_conns":312,"engine":{"slots":32,"kv_tokens":34485,"kv_bytes":96256,
+  "link_mbps":14000.0,"moves":true,"stride":4}},{"name":"s2","max_conns":110}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+  "idle_timeout_ms":15000},
+ "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1}],"unknown":{}})";
+
+TEST(record_translation_test, reads_a_configuration) {
+    std::string why;
+    const auto c = record_translation().read_configuration(document, why);
+    ASSERT_TRUE(c) << why;
+    EXPECT_EQ(c->version, 7);
+    ASSERT_EQ(c->routes.size(), 5u);
+    const std::vector<repeat_rule> repeats = {repeat_rule::resumable, repeat_rule::once,
+                                              repeat_rule::repeatable, repeat_rule::once,
+                                              repeat_rule::once};
+    for (std::size_t i = 0; i < repeats.size(); ++i) {
+        EXPECT_EQ(c->routes[i].repeats, repeats[i]) << c->routes[i].name;
+    }
+    EXPECT_EQ(c->routes[1].services.size(), 2u);
+    EXPECT_EQ(c->routes[0].most_attempts, 2);
+    EXPECT_TRUE(c->routes[2].anonymous);
+    ASSERT_TRUE(c->services[0].engine);
+    EXPECT_EQ(c->services[0].engine->tokens_per_event, 4);
+    EXPECT_FALSE(c->services[1].engine);
+    EXPECT_EQ(c->workspaces->front().keys.size(), 2u);
+    EXPECT_EQ(c->caller_limits.idle_timeout, milliseconds(15'000));
+}
+
+class bad_document : public testing::TestWithParam<const char*> {};
+
+INSTANTIATE_TEST_SUITE_P(table, bad_document,
+                         testing::Values("", "{", "[]", "null", R"({"version":1})",
+                                         R"({"version":0,"routes":[],"services":[]})",
+                                         R"({"version":"x","routes":[],"services":[]})"));
+
+TEST_P(bad_document, is_refused_with_a_reason) {
+    std::string why;
+    EXPECT_FALSE(record_translation().read_configuration(GetParam(), why));
+    EXPECT_FALSE(why.empty());
+    EXPECT_FALSE(record_translation().read_backend("i-1", GetParam(), time_point{}, why));
+}
+
+TEST(record_translation_test, reads_an_entry) {
+    std::string why;
+    const auto b = record_translation().read_backend(
+        "i-1",
+        R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":32,"state":"draining",
+            "cold_left_ms":500})",
+        time_point{}, why);
+    ASSERT_TRUE(b) << why;
+    EXPECT_TRUE(b->leaving);
+    EXPECT_EQ(b->slots, 32);
+    EXPECT_EQ(b->slow_until, time_point{} + milliseconds(500));
+}
+
+const std::string good_settings = "zone=z\nlisten.front=1.2.3.4:1\nlisten.ready=1.2.3.4:2\n"
+                                  "listen.control=1.2.3.4:3\nlisten.directory=1.2.3.4:4\n"
+                                  "seeds=1.2.3.4:3,1.2.3.5:3\nbounds.grace_s=8\n"
+                                  "bounds.retry_budget_ratio=0.2\nbounds.budget_window_s=10\n"
+                                  "bounds.retry_budget_slack=56\nbounds.ttl_max_s=5\n"
+                                  "platform.address=1.2.3.9:7\nsomething.new=1\n";
+
+TEST(settings_file_test, reads_what_it_knows) {
+    std::vector<std::string> mistakes;
+    const auto s = parse_settings(good_settings, mistakes);
+    ASSERT_TRUE(s);
+    EXPECT_EQ(s->gateway.seeds.size(), 2u);
+    EXPECT_EQ(s->gateway.grace, milliseconds(8'000));
+    EXPECT_EQ(s->gateway.budget.window, milliseconds(10'000));
+    EXPECT_EQ(s->store_address, "1.2.3.9:7");
+}
+
+TEST(settings_file_test, names_all_mistakes_at_once) {
+    std::vector<std::string> mistakes;
+    EXPECT_FALSE(parse_settings("listen.front=nonsense\nbounds.grace_s=-3\nseeds=x\n", mistakes));
+    for (const char* name :
+         {"listen.front", "bounds.grace_s", "seeds", "zone", "platform.address"}) {
+        EXPECT_TRUE(std::any_of(mistakes.begin(), mistakes.end(), [&](const std::string& m) {
+            return m.starts_with(name);
+        })) << name;
+    }
+}
+
+std::string bytes_of(std::initializer_list<int> values) {
+    std::string out;
+    for (const int v : values) {
+        out += static_cast<char>(v);
+    }
+    return out;
+}
+
+const std::string page_head(16, '\0');
+
+struct page_row {
+    std::string name;
+    std::string body;
+    bool good;
+    std::size_t records;
+};
+
+class store_page : public testing::TestWithParam<page_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, store_page,
+    testing::Values(
+        page_row{"empty", page_head, true, 0},
+        page_row{"two", page_head + bytes_of({0, 0, 0, 3, 1, 'k', 'v', 0, 0, 0, 2, 1, 'k'}), true,
+                 2},
+        page_row{"no_head", "x", false, 0},
+        page_row{"cut_length", page_head + bytes_of({0, 0}), false, 0},
+        page_row{"cut_record", page_head + bytes_of({0, 0, 0, 9, 1, 'k'}), false, 0},
+        page_row{"key_longer_than_record", page_head + bytes_of({0, 0, 0, 2, 7, 'k'}), false, 0},
+        page_row{"no_content", page_head + bytes_of({0, 0, 0, 0}), false, 0}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_P(store_page, is_parsed_or_refused) {
+    const auto page = parse_records(GetParam().body, 40);
+    ASSERT_EQ(page.has_value(), GetParam().good);
+    if (page) {
+        EXPECT_EQ(page->records.size(), GetParam().records);
+        EXPECT_EQ(page->next, 40 + static_cast<std::int64_t>(GetParam().records));
+    }
+}
+
+// The store loses its newest records and hands out an older configuration, or a peer that lags
+// does. Taking it back would serve removed routes and keys again; the newest version stays.
+TEST(deployment_state_test, never_goes_back_to_an_older_configuration) {
+    const record_translation codec;
+    class no_requests final : public request_codec {
+        std::optional<forward_request> read_request(const http_request&,
+                                                    std::string&) const override {
+            return std::nullopt;
+        }
+        std::string write_request(const http_request&, const forward_send&) const override {
+            return {};
+        }
+        answer_facts read_answer(const http_channel&, const forward_request&) const override {
+            return {};
+        }
+        std::vector<http_field> answer_fields(const http_channel&) const override { return {}; }
+    };
+    const no_requests requests;
+    forwarding_state forwarding(requests, failure_domain_id("z"), {}, 1);
+    deployment_state state(forwarding, codec);
+    const auto with_version = [](int version) {
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+    };
+    state.take_configuration(with_version(5), "store");
+    state.take_configuration(with_version(4), "peer");
+    EXPECT_EQ(state.version(), 5);
+    state.take_configuration("{broken", "store");
+    EXPECT_EQ(state.version(), 5);
+    state.take_configuration(with_version(9), "peer");
+    EXPECT_EQ(state.version(), 9);
+    state.take_records(record_topic::operator_documents, {{"config", ""}}, false, time_point{});
+    EXPECT_EQ(state.version(), 9);
+}
+
+} // namespace
+} // namespace bamboostream::platform
--- a/tools/capacity.sh
+++ b/tools/capacity.sh
@@ -21,14 +21,14 @@
 }
 trap stop EXIT
 address() { for _ in $(seq 200); do [ -s "$run/$1" ] && { sed -n "${2:-1}p" "$run/$1"; return; }; sleep 0.05; done; exit 1; }
-"$bin/standin-log" --announce-file "$run/log" 2>/dev/null & pids+=($!)
-"$bin/standin-platform" --announce-file "$run/platform" 2>/dev/null & pids+=($!)
+"$bin/standin-log" --announce-file "$run/log" >/dev/null 2>&1 & pids+=($!)
+"$bin/standin-platform" --announce-file "$run/platform" >/dev/null 2>&1 & pids+=($!)
 "$bin/bamboostreamd" --log "$(address log)" --platform "$(address platform)" --threads 1 \
-  --announce-file "$run/instance" 2>/dev/null & pids+=($!); daemon=$!
+  --announce-file "$run/instance" >/dev/null 2>&1 & pids+=($!); daemon=$!
 # The engine is played by the bench on a port that is free now; the relay goes to the same port.
 engine=127.0.0.1:$(python3 -c 'import socket; s=socket.socket(); s.bind(("127.0.0.1",0)); print(s.getsockname()[1])')
 "$bin/fault-proxy" --target "$engine" --announce-file "$run/relay_control" \
-  --proxy-announce-file "$run/relay" 2>/dev/null & pids+=($!); relay=$!
+  --proxy-announce-file "$run/relay" >/dev/null 2>&1 & pids+=($!); relay=$!
 "$bin/stream-bench" --platform "$(address platform)" --operators "$(address instance 2)" \
   --callers "$(address instance 1)" --relay "$(address relay)" --daemon-pid "$daemon" \
   --relay-pid "$relay" --phase-ms 3000 --engine-listen "$engine" --announce-file "$run/bench" \
--- a/tools/test_console.sh
+++ b/tools/test_console.sh
@@ -17,10 +17,10 @@
 }
 trap stop EXIT
 address() { for _ in $(seq 200); do [ -s "$run/$1" ] && { sed -n "${2:-1}p" "$run/$1"; return; }; sleep 0.05; done; exit 1; }
-"$bin/standin-log" --announce-file "$run/log" 2>/dev/null & pids+=($!)
-"$bin/standin-platform" --announce-file "$run/platform" 2>/dev/null & pids+=($!)
+"$bin/standin-log" --announce-file "$run/log" >/dev/null 2>&1 & pids+=($!)
+"$bin/standin-platform" --announce-file "$run/platform" >/dev/null 2>&1 & pids+=($!)
 "$bin/bamboostreamd" --log "$(address log)" --platform "$(address platform)" \
-  --announce-file "$run/instance" 2>/dev/null & pids+=($!)
+  --announce-file "$run/instance" >/dev/null 2>&1 & pids+=($!)
 operators=$(address instance 2)
 "$bin/bamboostreamctl" --operators "$operators" config submit examples/registry.json
 python3 test/console/console_test.py "$operators"
--- a/tools/try.sh
+++ b/tools/try.sh
@@ -44,7 +44,7 @@
 trap stop EXIT
 start() { # name program arguments…
   local name=$1; shift
-  "$bin/$1" "${@:2}" --announce-file "$run/$name" 2>"$run/$name.log" &
+  "$bin/$1" "${@:2}" --announce-file "$run/$name" >"$run/$name.log" 2>&1 &
   pids+=($!)
 }
 address() { # name [line]
