Let two instances read the platform's store and tell the others

Ruled out: longer pauses between reads (a leaving engine gives 1.5 s, and each tenth counts). Change: two instances by rendezvous read and push changes with sequence numbers; whoever hears of no fresh reader for 0.8 s reads for itself; a gap in the numbers asks for all entries; a newer configuration is fetched from the store. Work under way goes out as fixed-size entries by hash, a third of the bytes. Tests: reading_duty and change_follower rows.

--- a/bamboostream/src/Gateway/deployment_state.h
+++ b/bamboostream/src/Gateway/deployment_state.h
@@ -32,6 +32,8 @@
     /// Logs and passes on what has changed in the registry.
     void report_changes();
 
+    /// Changes of the registry so far; another instance that knows this many is up to date.
+    std::uint64_t sequence() const { return sequence_; }
     std::int64_t version() const { return version_; }
     const std::string& document() const { return document_; }
     /// Whether callers can be served.
@@ -44,6 +46,7 @@
     const record_codec& codec_;
     std::int64_t version_ = 0;
     std::string document_;
+    std::uint64_t sequence_ = 0;
     std::function<void(const routing_configuration&)> configuration_listener_;
     std::function<void(const registry_change&)> backend_listener_;
 };
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -51,7 +51,7 @@
           forwarding(contracts.requests, failure_domain_id(settings.failure_domain),
                      settings.budget, seed),
           state(forwarding, contracts.records),
-          store(context, contracts.store, state, forwarding.registry),
+          store(context, contracts.store, state, forwarding.registry, duty),
           links(context, [this](std::unique_ptr<wire::FrameT> frame) {
               return peers->handle(std::move(frame));
           }) {}
@@ -62,6 +62,7 @@
     std::uint64_t seed;
     forwarding_state forwarding;
     deployment_state state;
+    store_duty duty;
     store_follower store;
     link_hub links;
     std::unique_ptr<membership_service> membership;
@@ -109,10 +110,12 @@
     membership = std::make_unique<membership_service>(context, links,
                                                       std::make_unique<seed_list>(settings.seeds),
                                                       self, membership_service::timing{}, seed);
-    peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, state, store);
+    peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, state, store,
+                                            duty);
     evacuation = std::make_unique<evacuation_service>(context, forwarding, contracts.mover, *peers);
     state.on_new_configuration([this](const routing_configuration& c) { take_configuration(c); });
     state.on_backend_change([this](const registry_change& change) {
+        peers->note_change(change);
         if (change.event != registry_event::joined) {
             evacuation->on_leaving(change.backend);
         }
@@ -126,6 +129,7 @@
 void gateway::parts::take_configuration(const routing_configuration& configuration) {
     callers->set_limits(configuration.caller_limits);
     membership->members().update_self(0, configuration.version);
+    peers->note_configuration();
 }
 
 bool gateway::parts::start() {
@@ -150,7 +154,7 @@
         return false;
     }
     membership->start();
-    store.start();
+    store.start([this] { return peers->reads_store(); });
     peers->start();
     asio::co_spawn(context, housekeeping(), asio::detached);
     log_event(events::started, "callers={} peers={} failure_domain={} seeds={}",
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -19,6 +19,8 @@
 /// How often an instance looks whether it lags behind its peers.
 constexpr milliseconds catch_up_period{300};
 constexpr milliseconds peer_timeout{500};
+/// How often a reader of the store tells the others that its view is fresh; changes go out at once.
+constexpr milliseconds news_period{300};
 /// Generations of an instance that doesn't answer by then are not moved in this round.
 constexpr milliseconds gather_timeout{150};
 
@@ -49,13 +51,23 @@
 
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report) {
     std::vector<backend_work_entry> out;
-    for (const auto& entry : report.entries) {
-        out.push_back({backend_id(entry->backend),
-                       {entry->requests, entry->memory_tokens, entry->unread_tokens}});
+    for (const wire::WorkEntry& entry : report.entries) {
+        out.push_back(
+            {entry.backend(), {entry.requests(), entry.memory_tokens(), entry.unread_tokens()}});
     }
     return out;
 }
 
+wire::LoadReportT to_wire(const std::vector<backend_work_entry>& own) {
+    wire::LoadReportT report;
+    for (const backend_work_entry& entry : own) {
+        report.entries.emplace_back(entry.backend, entry.work.requests,
+                                    static_cast<std::int32_t>(entry.work.memory_tokens),
+                                    static_cast<std::int32_t>(entry.work.unread_tokens));
+    }
+    return report;
+}
+
 /// Answers of several peers that are asked at once.
 struct gathered_answers {
     explicit gathered_answers(asio::io_context& context) : complete(context) {}
@@ -68,13 +80,14 @@
 
 peer_exchange::peer_exchange(asio::io_context& context, link_hub& links,
                              membership_service& membership, forwarding_state& forwarding,
-                             deployment_state& state, const store_follower& store)
+                             deployment_state& state, const store_follower& store, store_duty& duty)
     : context_(context), links_(links), membership_(membership), forwarding_(forwarding),
-      state_(state), store_(store) {}
+      state_(state), store_(store), duty_(duty), news_due_(context) {}
 
 void peer_exchange::start() {
     asio::co_spawn(context_, load_loop(), asio::detached);
     asio::co_spawn(context_, catch_up_loop(), asio::detached);
+    asio::co_spawn(context_, news_loop(), asio::detached);
 }
 
 std::vector<std::string> peer_exchange::usable_peers() const {
@@ -95,16 +108,7 @@
         forwarding_.live_instances = peers.size() + 1;
         if (!own.empty() || !told_none) {
             for (const std::string& peer : peers) {
-                wire::LoadReportT report;
-                for (const backend_work_entry& entry : own) {
-                    auto item = std::make_unique<wire::WorkEntryT>();
-                    item->backend = entry.id.text();
-                    item->requests = entry.work.requests;
-                    item->memory_tokens = entry.work.memory_tokens;
-                    item->unread_tokens = entry.work.unread_tokens;
-                    report.entries.push_back(std::move(item));
-                }
-                links_.send(peer, make_frame(std::move(report)));
+                links_.send(peer, make_frame(to_wire(own)));
             }
         }
         told_none = own.empty();
@@ -112,6 +116,75 @@
     }
 }
 
+bool peer_exchange::reads_store() const {
+    const auto owners = membership_.owners("store", store_duty::readers);
+    return std::find(owners.begin(), owners.end(), membership_.own_address()) != owners.end();
+}
+
+void peer_exchange::note_change(const registry_change& change) {
+    untold_.push_back(change);
+    news_due_.cancel();
+}
+
+void peer_exchange::note_configuration() {
+    news_due_.cancel();
+}
+
+/// A change goes out at once: a leaving engine's generations have some 2 s to move.
+asio::awaitable<void> peer_exchange::news_loop() {
+    while (true) {
+        co_await wait_on(news_due_, monotonic_now() + news_period);
+        tell_news();
+    }
+}
+
+void peer_exchange::tell_news() {
+    const std::uint64_t previous = std::exchange(told_sequence_, state_.sequence());
+    const std::vector<registry_change> changes = std::exchange(untold_, {});
+    if (!reads_store()) {
+        return;
+    }
+    const time_point now = monotonic_now();
+    for (const std::string& peer : usable_peers()) {
+        wire::StoreNewsT news;
+        news.fresh = store_.fresh();
+        news.configuration_version = state_.version();
+        news.previous = previous;
+        news.sequence = told_sequence_;
+        for (const registry_change& change : changes) {
+            auto fact = to_wire(change.backend, now);
+            fact->gone = change.event == registry_event::gone;
+            news.changed.push_back(std::move(fact));
+        }
+        links_.send(peer, make_frame(std::move(news)));
+    }
+}
+
+void peer_exchange::hear_news(const std::string& sender, const wire::StoreNewsT& news) {
+    const time_point now = monotonic_now();
+    duty_.hear(news.fresh, news.configuration_version, now);
+    if (reads_store() || !news.fresh) {
+        return;
+    }
+    switch (follower_.judge(sender, news.previous, news.sequence)) {
+    case change_follower::verdict::known:
+        return;
+    case change_follower::verdict::ask_for_all:
+        asio::co_spawn(context_, ask_backends(sender), asio::detached);
+        return;
+    case change_follower::verdict::apply:
+        break;
+    }
+    for (const auto& fact : news.changed) {
+        if (fact->gone) {
+            forwarding_.registry.forget(backend_id(fact->id));
+        } else {
+            forwarding_.registry.learn(from_wire(*fact, now), now);
+        }
+    }
+    state_.report_changes();
+}
+
 std::string peer_exchange::peer_with_newer_configuration() const {
     std::string best;
     std::int64_t version = state_.version();
@@ -177,12 +250,14 @@
     }
     if (!entries.empty()) {
         state_.take_peer_backends(entries, now);
+        follower_.caught_up(peer, list.sequence);
     }
 }
 
 std::unique_ptr<wire::FrameT> peer_exchange::answer_backends() const {
     wire::BackendListT list;
-    list.fresh = !store_.failing_since();
+    list.fresh = store_.fresh();
+    list.sequence = state_.sequence();
     const time_point now = monotonic_now();
     for (const registered_backend& backend : forwarding_.registry.all()) {
         list.entries.push_back(to_wire(backend, now));
@@ -199,6 +274,18 @@
     return make_reply(std::move(answer));
 }
 
+std::unique_ptr<wire::FrameT> peer_exchange::answer_movable(const backend_id& backend) {
+    wire::MovableReplyT reply;
+    for (const movable_generation& generation : forwarding_.streams.claim_movable(backend)) {
+        auto item = std::make_unique<wire::MovableGenerationT>();
+        item->id = generation.id;
+        item->memory_tokens = generation.memory_tokens;
+        item->tokens_left = generation.tokens_left;
+        reply.generations.push_back(std::move(item));
+    }
+    return make_reply(std::move(reply));
+}
+
 asio::awaitable<std::unique_ptr<wire::FrameT>>
 peer_exchange::handle(std::unique_ptr<wire::FrameT> frame) {
     switch (frame->message.type) {
@@ -212,18 +299,11 @@
         forwarding_.loads.hear(frame->sender, from_wire(*frame->message.AsLoadReport()),
                                monotonic_now());
         co_return nullptr;
-    case wire::Message::MovableRequest: {
-        wire::MovableReplyT reply;
-        const backend_id backend(frame->message.AsMovableRequest()->backend);
-        for (const movable_generation& generation : forwarding_.streams.claim_movable(backend)) {
-            auto item = std::make_unique<wire::MovableGenerationT>();
-            item->id = generation.id;
-            item->memory_tokens = generation.memory_tokens;
-            item->tokens_left = generation.tokens_left;
-            reply.generations.push_back(std::move(item));
-        }
-        co_return make_reply(std::move(reply));
-    }
+    case wire::Message::MovableRequest:
+        co_return answer_movable(backend_id(frame->message.AsMovableRequest()->backend));
+    case wire::Message::StoreNews:
+        hear_news(frame->sender, *frame->message.AsStoreNews());
+        co_return nullptr;
     case wire::Message::MoveNotice: {
         const wire::MoveNoticeT& notice = *frame->message.AsMoveNotice();
         forwarding_.streams.notify(
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -7,11 +7,16 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <random>
 #include <string>
 #include <vector>
 
+namespace bamboostream::wire {
+struct StoreNewsT;
+}
+
 namespace bamboostream {
 
 /// What instances of the gateway tell each other: work under way, configuration and backend servers
@@ -20,13 +25,20 @@
 public:
     peer_exchange(boost::asio::io_context& context, link_hub& links, membership_service& membership,
                   forwarding_state& forwarding, deployment_state& state,
-                  const store_follower& store);
+                  const store_follower& store, store_duty& duty);
 
     void start();
     /// Answers a frame of another instance.
     boost::asio::awaitable<std::unique_ptr<wire::FrameT>>
     handle(std::unique_ptr<wire::FrameT> frame);
 
+    /// True when this instance reads the platform's store for all.
+    bool reads_store() const;
+    /// A change of the registry or the configuration, which the others are told when this instance
+    /// reads for them.
+    void note_change(const registry_change& change);
+    void note_configuration();
+
     bool drives(const service_id& service) const override;
     boost::asio::awaitable<std::vector<move_candidate>> gather(backend_id backend) override;
     void tell(const std::string& instance, const std::string& generation,
@@ -35,12 +47,16 @@
 private:
     boost::asio::awaitable<void> load_loop();
     boost::asio::awaitable<void> catch_up_loop();
+    boost::asio::awaitable<void> news_loop();
+    void tell_news();
+    void hear_news(const std::string& sender, const wire::StoreNewsT& news);
     boost::asio::awaitable<void> ask_configuration(std::string peer);
     boost::asio::awaitable<void> ask_backends(std::string peer);
     std::vector<std::string> usable_peers() const;
     /// A peer that has a newer configuration than this instance.
     std::string peer_with_newer_configuration() const;
     std::unique_ptr<wire::FrameT> answer_backends() const;
+    std::unique_ptr<wire::FrameT> answer_movable(const backend_id& backend);
     std::unique_ptr<wire::FrameT> answer_configuration(std::int64_t newer_than) const;
 
     boost::asio::io_context& context_;
@@ -49,6 +65,12 @@
     forwarding_state& forwarding_;
     deployment_state& state_;
     const store_follower& store_;
+    store_duty& duty_;
+    change_follower follower_;
+    /// Changes that the others have not been told of.
+    std::vector<registry_change> untold_;
+    std::uint64_t told_sequence_ = 0;
+    boost::asio::steady_timer news_due_;
     std::mt19937_64 random_{1};
 };
 
--- /dev/null
+++ b/bamboostream/src/Gateway/store_duty.cpp
@@ -0,0 +1,35 @@
+#include "bamboostream/src/Gateway/store_duty.h"
+
+#include <algorithm>
+
+namespace bamboostream {
+
+void store_duty::hear(bool fresh, std::int64_t configuration_version, time_point now) {
+    told_version_ = std::max(told_version_, configuration_version);
+    if (fresh) {
+        last_fresh_ = now;
+    }
+}
+
+bool store_duty::covered(time_point now) const {
+    return last_fresh_ && now - *last_fresh_ <= reader_silence;
+}
+
+change_follower::verdict change_follower::judge(const std::string& sender, std::uint64_t previous,
+                                                std::uint64_t sequence) {
+    const auto found = known_.find(sender);
+    if (found != known_.end() && found->second == sequence) {
+        return verdict::known;
+    }
+    if (found != known_.end() && found->second == previous) {
+        found->second = sequence;
+        return verdict::apply;
+    }
+    return verdict::ask_for_all;
+}
+
+void change_follower::caught_up(const std::string& sender, std::uint64_t sequence) {
+    known_[sender] = sequence;
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/store_duty.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "bamboostream/src/Core/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace bamboostream {
+
+/// Whether this instance must read the platform's store itself.
+///
+/// Every call to the store costs, and all instances would read the same records: 62 instances made
+/// 220 calls a second, which cost more than all other prices together. Two instances in different
+/// failure domains read and tell the others of each change. An instance that hasn't heard from a
+/// reader with a fresh view for a moment reads for itself, so a reader's death, freeze or partition
+/// costs others no more than that moment; a configuration must be in force within two seconds.
+///
+/// Example: `if (duty.must_read(is_reader, now)) read();`
+class store_duty {
+public:
+    /// Readers tell their state every 300 ms; two tellings may be lost.
+    static constexpr milliseconds reader_silence{800};
+    /// Instances that read for all.
+    static constexpr std::size_t readers = 2;
+
+    /// A reader's telling.
+    void hear(bool fresh, std::int64_t configuration_version, time_point now);
+    /// True while some reader tells what the store says.
+    bool covered(time_point now) const;
+    bool must_read(bool is_reader, time_point now) const { return is_reader || !covered(now); }
+    /// The newest configuration that a reader has told of.
+    std::int64_t told_version() const { return told_version_; }
+
+private:
+    std::optional<time_point> last_fresh_;
+    std::int64_t told_version_ = 0;
+};
+
+/// How far this instance has followed the changes that another one tells.
+class change_follower {
+public:
+    enum class verdict : std::uint8_t { apply, known, ask_for_all };
+    /// What to do with the changes between `previous` and `sequence` of `sender`.
+    verdict judge(const std::string& sender, std::uint64_t previous, std::uint64_t sequence);
+    /// Everything up to `sequence` of `sender` is known.
+    void caught_up(const std::string& sender, std::uint64_t sequence);
+
+private:
+    std::map<std::string, std::uint64_t> known_;
+};
+
+} // namespace bamboostream
--- a/bamboostream/src/Gateway/store_follower.cpp
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -19,8 +19,12 @@
 /// Between two reads: entries of backend servers come ten a second, and taking a few at once saves
 /// calls. It adds to the time in which a leaving server is noticed, of which there are 1.5 s.
 constexpr milliseconds pause_between_reads{60};
-/// Between two tries while the store is away.
-constexpr milliseconds retry_pause{250};
+/// Between two tries while the store is away. Refused calls cost as much as others, so only those
+/// who read for all try often.
+constexpr milliseconds reader_retry_pause{250};
+constexpr milliseconds retry_pause{700};
+/// How often an instance that needs not read looks whether that still holds.
+constexpr milliseconds rest_pause{100};
 
 std::string_view name_of(record_topic topic) {
     return topic == record_topic::operator_documents ? "operator_documents" : "backend_entries";
@@ -28,7 +32,8 @@
 
 } // namespace
 
-void store_follower::start() {
+void store_follower::start(std::function<bool()> is_reader) {
+    is_reader_ = std::move(is_reader);
     asio::co_spawn(context_, follow(documents_), asio::detached);
     asio::co_spawn(context_, follow(entries_), asio::detached);
 }
@@ -40,10 +45,34 @@
     return documents_.failing_since ? documents_.failing_since : entries_.failing_since;
 }
 
+bool store_follower::fresh() const {
+    return !failing_since();
+}
+
+/// Somebody else reads, and what has been read there is known here.
+bool store_follower::may_rest(const topic_position& position) const {
+    if (duty_.must_read(is_reader_(), monotonic_now())) {
+        return false;
+    }
+    return position.topic == record_topic::backend_entries ||
+           duty_.told_version() <= state_.version();
+}
+
 asio::awaitable<void> store_follower::follow(topic_position& position) {
+    bool read_before = false;
     while (true) {
+        if (read_before && may_rest(position)) {
+            // What comes meanwhile is told by others; the position here is out of date.
+            position.next.reset();
+            note_answer(position, true, {});
+            co_await pause_for(rest_pause);
+            continue;
+        }
         const bool answered = co_await advance(position);
-        co_await pause_for(answered ? pause_between_reads : retry_pause);
+        read_before = read_before || answered;
+        co_await pause_for(answered       ? pause_between_reads
+                           : is_reader_() ? reader_retry_pause
+                                          : retry_pause);
     }
 }
 
--- a/bamboostream/src/Gateway/store_follower.h
+++ b/bamboostream/src/Gateway/store_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostream/src/Gateway/deployment_state.h"
+#include "bamboostream/src/Gateway/store_duty.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -9,14 +10,18 @@
 
 namespace bamboostream {
 
-/// Follows the topics of the platform's store and keeps the deployment state up to date.
+/// Follows the topics of the platform's store and keeps the deployment state up to date, while it
+/// is this instance's duty. See also `store_duty`.
 class store_follower {
 public:
     store_follower(boost::asio::io_context& context, record_store& store, deployment_state& state,
-                   backend_registry& registry)
-        : context_(context), store_(store), state_(state), registry_(registry) {}
+                   backend_registry& registry, const store_duty& duty)
+        : context_(context), store_(store), state_(state), registry_(registry), duty_(duty) {}
 
-    void start();
+    /// `is_reader` tells whether this instance reads for all.
+    void start(std::function<bool()> is_reader);
+    /// True while this instance knows what the store says, by itself or through a reader.
+    bool fresh() const;
     /// Since when a topic could not be read; nothing while all can be.
     std::optional<time_point> failing_since() const;
 
@@ -28,6 +33,7 @@
         std::optional<time_point> failing_since;
     };
     boost::asio::awaitable<void> follow(topic_position& position);
+    bool may_rest(const topic_position& position) const;
     /// False when the store didn't answer.
     boost::asio::awaitable<bool> advance(topic_position& position);
     void note_answer(topic_position& position, bool answered, const store_failure& why);
@@ -36,6 +42,8 @@
     record_store& store_;
     deployment_state& state_;
     backend_registry& registry_;
+    const store_duty& duty_;
+    std::function<bool()> is_reader_;
     topic_position documents_{record_topic::operator_documents, std::nullopt, std::nullopt};
     topic_position entries_{record_topic::backend_entries, std::nullopt, std::nullopt};
 };
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -55,6 +55,12 @@
     backends_.erase(found);
 }
 
+void backend_registry::forget(const backend_id& id) {
+    if (backends_.contains(id)) {
+        erase(id);
+    }
+}
+
 void backend_registry::learn_all(std::span<const registered_backend> entries, time_point now) {
     for (const registered_backend& backend : entries) {
         learn(backend, now);
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -53,6 +53,8 @@
     void learn_all(std::span<const registered_backend> entries, time_point now);
     /// Entries as another instance believes them, which has already waited for lapsed ones.
     void learn_from_peer(std::span<const registered_backend> entries, time_point now);
+    /// Another instance believes that the server is gone.
+    void forget(const backend_id& id);
     /// The server itself or another instance says that it leaves.
     void mark_leaving(const backend_id& id);
     void store_failed(time_point now);
--- a/bamboostream/src/Routing/load_book.h
+++ b/bamboostream/src/Routing/load_book.h
@@ -24,12 +24,17 @@
     bool operator==(const backend_work&) const = default;
 };
 
-/// Work by backend server.
+/// Work by backend server. The server is named by the hash of its id, which is the same on every
+/// instance: instances tell each other their work several times a second, and ids as text would
+/// make two thirds of the bytes.
 struct backend_work_entry {
-    backend_id id;
+    std::uint64_t backend = 0;
     backend_work work;
 };
 
+/// The name of a backend server in work entries.
+std::uint64_t work_key(const backend_id& id);
+
 /// What is under way at the backend servers: this instance's own work to the moment, and what the
 /// other instances told of theirs a moment ago. Together they are fresher than the reports of the
 /// backend servers, and they cost no status check.
@@ -50,9 +55,9 @@
 private:
     struct heard {
         time_point at;
-        std::unordered_map<backend_id, backend_work> work;
+        std::unordered_map<std::uint64_t, backend_work> work;
     };
-    std::unordered_map<backend_id, backend_work> own_;
+    std::unordered_map<std::uint64_t, backend_work> own_;
     std::map<std::string, heard> peers_;
 };
 
--- a/test/platform/decisions_test.cpp
+++ b/test/platform/decisions_test.cpp
@@ -2,6 +2,7 @@
 
 #include "bamboostream/Evacuation"
 #include "bamboostream/Forwarding"
+#include "bamboostream/Gateway"
 #include "bamboostream/Routing"
 
 #include <boost/asio/io_context.hpp>
@@ -151,7 +152,7 @@
     const registered_backend b = backend("b");
     const std::vector<const registered_backend*> servers = {&a, &b};
     loads.add(a.id, {1, 0, 0});
-    const std::vector<backend_work_entry> told = {{b.id, {4, 0, 0}}};
+    const std::vector<backend_work_entry> told = {{work_key(b.id), {4, 0, 0}}};
     loads.hear("peer", told, start);
     placement_request request;
     request.near = failure_domain_id("norra");
@@ -404,5 +405,49 @@
     EXPECT_NEAR(to_milliseconds(copy_time(3'500, speed, true)), 385.0, 2.0);
 }
 
+// --- who reads the store
+
+struct duty_row {
+    std::string name;
+    bool is_reader;
+    bool told_fresh;
+    int silent_ms;
+    bool must_read;
+};
+
+class reading_duty : public testing::TestWithParam<duty_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, reading_duty,
+                         testing::Values(duty_row{"reader", true, true, 0, true},
+                                         duty_row{"told", false, true, 700, false},
+                                         duty_row{"reader_silent", false, true, 900, true},
+                                         duty_row{"reader_cut_off", false, false, 0, true}),
+                         [](const auto& info) { return info.param.name; });
+
+// One or two instances read the store and tell the others. When the reader dies, freezes or is cut
+// off from the store, everyone reads for itself within a second.
+TEST_P(reading_duty, falls_back_to_oneself_when_readers_are_silent_or_stale) {
+    store_duty duty;
+    EXPECT_TRUE(duty.must_read(false, start));
+    duty.hear(GetParam().told_fresh, 7, start);
+    const time_point now = start + milliseconds(GetParam().silent_ms);
+    EXPECT_EQ(duty.must_read(GetParam().is_reader, now), GetParam().must_read);
+    EXPECT_EQ(duty.told_version(), 7);
+}
+
+// A telling is lost. Applying later ones would leave out the lost change for good: a server that
+// leaves would get work until it is gone. The gap shows in the numbers, and all entries are asked
+// for.
+TEST(change_follower_test, asks_for_all_after_a_gap) {
+    using verdict = change_follower::verdict;
+    change_follower follower;
+    EXPECT_EQ(follower.judge("a", 0, 3), verdict::ask_for_all);
+    follower.caught_up("a", 3);
+    EXPECT_EQ(follower.judge("a", 3, 5), verdict::apply);
+    EXPECT_EQ(follower.judge("a", 5, 5), verdict::known);
+    EXPECT_EQ(follower.judge("a", 6, 7), verdict::ask_for_all);
+    EXPECT_EQ(follower.judge("b", 5, 6), verdict::ask_for_all);
+}
+
 } // namespace
 } // namespace bamboostream
