--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -74,14 +74,14 @@
     bool start();
     bool serve(const std::string& address, http_handler handler);
     void build(const std::string& peer_address);
-    void take_configuration(const routing_configuration& configuration);
+    void take_configuration(const routing_configuration& configuration) const;
     void begin_drain();
     asio::awaitable<void> drain();
     asio::awaitable<void> housekeeping();
     asio::awaitable<void> handle_caller(http_exchange& exchange);
     asio::awaitable<void> handle_directory(http_exchange& exchange);
     asio::awaitable<void> handle_ready(http_exchange& exchange);
-    asio::awaitable<void> handle_metrics(http_exchange& exchange);
+    asio::awaitable<void> handle_metrics(http_exchange& exchange) const;
     std::vector<std::string> addresses_for(std::string_view near);
 };
 
@@ -126,7 +126,7 @@
     forwarding.on_registry_change = [this] { state.report_changes(); };
 }
 
-void gateway::parts::take_configuration(const routing_configuration& configuration) {
+void gateway::parts::take_configuration(const routing_configuration& configuration) const {
     callers->set_limits(configuration.caller_limits);
     membership->members().update_self(0, configuration.version);
     peers->note_configuration();
@@ -216,7 +216,7 @@
     co_await exchange.respond_json(status, "{}");
 }
 
-asio::awaitable<void> gateway::parts::handle_metrics(http_exchange& exchange) {
+asio::awaitable<void> gateway::parts::handle_metrics(http_exchange& exchange) const {
     co_await exchange.respond(200, "text/plain; version=0.0.4",
                               exposition(forwarding, state.version()), {});
 }
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -207,7 +207,7 @@
         const std::vector<std::string> peers = usable_peers();
         if (failing && monotonic_now() - *failing > catch_up_period && !peers.empty()) {
             std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
-            const std::string peer = peers[any(random_)];
+            const std::string& peer = peers[any(random_)];
             co_await ask_backends(peer);
             co_await ask_configuration(peer);
         }
@@ -221,8 +221,7 @@
     wire::ConfigurationRequestT request;
     request.newer_than = state_.version();
     link_failure why;
-    const auto reply =
-        co_await links_.call(peer, make_frame(std::move(request)), peer_timeout, why);
+    const auto reply = co_await links_.call(peer, make_frame(request), peer_timeout, why);
     if (reply && reply->message.type == wire::Message::ConfigurationReply) {
         const wire::ConfigurationReplyT& answer = *reply->message.AsConfigurationReply();
         if (answer.version > state_.version()) {
--- /dev/null
+++ b/test/platform/standin_store.cpp
@@ -0,0 +1,127 @@
+#include "test/platform/standin_store.h"
+
+#include "bamboostream/src/Control/periodic.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+namespace bamboostream::test {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr milliseconds poll_step{5};
+
+std::string big_endian(std::uint64_t value, int bytes) {
+    std::string out;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+        out += static_cast<char>(value >> shift & 0xff);
+    }
+    return out;
+}
+
+std::string base64(const std::string& text) {
+    std::string out(boost::beast::detail::base64::encoded_size(text.size()), '\0');
+    out.resize(boost::beast::detail::base64::encode(out.data(), text.data(), text.size()));
+    return out;
+}
+
+} // namespace
+
+standin_store::standin_store(asio::io_context& context) : context_(context) {}
+
+standin_store::~standin_store() {
+    for (const auto& server : servers_) {
+        server->stop_accepting();
+    }
+}
+
+std::string standin_store::add_address() {
+    const auto address = std::make_shared<std::string>();
+    servers_.push_back(std::make_unique<http_server>(
+        std::vector<asio::io_context*>{&context_}, http_limits{},
+        [this, address](http_exchange& exchange) { return handle(exchange, *address); }));
+    std::string why;
+    *address = servers_.back()->listen("127.0.0.1:0", why).value();
+    return *address;
+}
+
+void standin_store::set_manner(const std::string& address, store_manner manner) {
+    manners_[address] = manner;
+}
+
+void standin_store::write(const std::string& topic, const std::string& key,
+                          const std::string& value) {
+    topic_state& t = topics_[topic];
+    t.records.push_back({key, value});
+    if (value.empty()) {
+        t.newest.erase(key);
+    } else {
+        t.newest[key] = value;
+    }
+}
+
+void standin_store::forget_history(const std::string& topic) {
+    topic_state& t = topics_[topic];
+    t.first = t.end();
+    t.records.clear();
+}
+
+asio::awaitable<void> standin_store::handle(http_exchange& exchange, const std::string& address) {
+    ++calls_;
+    const store_manner manner = manners_[address];
+    if (manner == store_manner::is_silent) {
+        co_await pause_for(seconds(5));
+    }
+    if (manner != store_manner::answers) {
+        co_await exchange.respond_json(503, "{}");
+    } else if (exchange.request().path == "/log-newest") {
+        co_await newest(exchange);
+    } else if (exchange.request().path == "/log-read") {
+        co_await read(exchange);
+    } else {
+        co_await exchange.respond_json(404, "{}");
+    }
+}
+
+asio::awaitable<void> standin_store::newest(http_exchange& exchange) {
+    const topic_state& t = topics_[exchange.request().parameter("topic").value_or("")];
+    json::array items;
+    for (const auto& [key, value] : t.newest) {
+        json::object item;
+        item["key"] = key;
+        item["value"] = base64(value);
+        items.push_back(std::move(item));
+    }
+    json::object answer;
+    answer["items"] = std::move(items);
+    answer["more_pages"] = false;
+    answer["end"] = t.end();
+    co_await exchange.respond_json(200, json::serialize(answer));
+}
+
+asio::awaitable<void> standin_store::read(http_exchange& exchange) {
+    const http_request& request = exchange.request();
+    const topic_state& t = topics_[request.parameter("topic").value_or("")];
+    const std::int64_t from = request.number_parameter("from", 0);
+    const time_point until = monotonic_now() + milliseconds(request.number_parameter("wait_ms", 0));
+    while (from >= t.end() && monotonic_now() < until) {
+        co_await pause_for(poll_step);
+    }
+    if (from < t.first) {
+        co_await exchange.respond_json(410, "{}");
+        co_return;
+    }
+    std::string body = big_endian(static_cast<std::uint64_t>(t.end()), 8) +
+                       big_endian(static_cast<std::uint64_t>(t.first), 8);
+    for (std::int64_t i = from; i < t.end(); ++i) {
+        const record& r = t.records[static_cast<std::size_t>(i - t.first)];
+        body += big_endian(1 + r.key.size() + r.value.size(), 4) + big_endian(r.key.size(), 1) +
+                r.key + r.value;
+    }
+    co_await exchange.respond(200, "application/octet-stream", body, {});
+}
+
+} // namespace bamboostream::test
--- /dev/null
+++ b/test/platform/standin_store.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "bamboostream/Http"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bamboostream::test {
+
+/// How the store's stand-in treats the calls at one of its addresses.
+enum class store_manner : std::uint8_t { answers, refuses, is_silent };
+
+/// A small fake of the platform's store: two topics of keyed records, read only by its clients. It
+/// serves the same records at several addresses, so that it can treat instances differently.
+class standin_store {
+public:
+    explicit standin_store(boost::asio::io_context& context);
+    ~standin_store();
+    standin_store(const standin_store&) = delete;
+    standin_store& operator=(const standin_store&) = delete;
+
+    /// One more address; the result names it in `set_manner`.
+    std::string add_address();
+    void set_manner(const std::string& address, store_manner manner);
+    /// Writes a record as the operator ("keyed.op") or a backend server ("keyed.servers") does; an
+    /// empty value removes the key.
+    void write(const std::string& topic, const std::string& key, const std::string& value);
+    /// Deletes the history; the newest record of each key is kept.
+    void forget_history(const std::string& topic);
+    int calls() const { return calls_; }
+
+private:
+    struct record {
+        std::string key;
+        std::string value;
+    };
+    struct topic_state {
+        std::int64_t first = 0;
+        std::vector<record> records;
+        std::map<std::string, std::string> newest;
+        std::int64_t end() const { return first + static_cast<std::int64_t>(records.size()); }
+    };
+    boost::asio::awaitable<void> handle(http_exchange& exchange, const std::string& address);
+    boost::asio::awaitable<void> read(http_exchange& exchange);
+    boost::asio::awaitable<void> newest(http_exchange& exchange);
+
+    boost::asio::io_context& context_;
+    std::vector<std::unique_ptr<http_server>> servers_;
+    std::map<std::string, store_manner> manners_;
+    std::map<std::string, topic_state> topics_;
+    int calls_ = 0;
+};
+
+} // namespace bamboostream::test
