Tell work at engines as soon as it changes; turn away what no engine can serve in time

Instances told their work every 200 ms; in that time nine prompts came, and all went to the engines that had been idle at the last telling. Change: a generation that is sent, begins or ends is told within 4 ms; tellings repeat every 400 ms. Tests: admission rows.

--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -110,6 +110,7 @@
 }
 
 std::optional<forwarded_call::rejection> forwarded_call::find_workspace() {
+    priority_ = route_->priority;
     if (!routes_->needs_keys() || route_->anonymous) {
         return std::nullopt;
     }
@@ -147,16 +148,25 @@
 }
 
 void forwarded_call::update_work(const backend_work& work) {
+    const bool matters = work.unread_tokens != entered_.unread_tokens;
     state_.loads.subtract(entered_at_, entered_);
     entered_ = work;
     state_.loads.add(entered_at_, entered_);
+    if (matters && state_.on_generation_change) {
+        state_.on_generation_change();
+    }
 }
 
 void forwarded_call::leave_work() {
-    if (!entered_at_.empty()) {
-        state_.loads.subtract(entered_at_, entered_);
-        entered_ = {};
-        entered_at_ = {};
+    if (entered_at_.empty()) {
+        return;
+    }
+    const bool matters = entered_.memory_tokens > 0;
+    state_.loads.subtract(entered_at_, entered_);
+    entered_ = {};
+    entered_at_ = {};
+    if (matters && state_.on_generation_change) {
+        state_.on_generation_change();
     }
 }
 
@@ -169,12 +179,31 @@
     wanted.server_memory_tokens = service_->engine ? service_->engine->memory_tokens : 0;
     const registered_backend* chosen =
         state_.picker.pick(servers, state_.loads, wanted, monotonic_now());
-    if (chosen == nullptr) {
+    if (chosen == nullptr || !admitted(*chosen)) {
         return std::nullopt;
     }
     return destination{*chosen, std::nullopt};
 }
 
+bool forwarded_call::admitted(const registered_backend& backend) const {
+    if (!service_->engine || begun_) {
+        return true;
+    }
+    const backend_work work = state_.loads.total(backend.id, monotonic_now());
+    const admission_verdict verdict = judge_admission(
+        state_.admission, work, service_->engine->memory_tokens, priority_, route_->objective);
+    if (verdict == admission_verdict::admit) {
+        return true;
+    }
+    log_event(events::request_refused,
+              "request={} reason={} route={} backend={} memory_tokens={} unread_tokens={} of={}",
+              request_.id,
+              verdict == admission_verdict::memory_full ? "memory_full" : "prompts_queued",
+              route_->name, backend.id.text(), work.memory_tokens, work.unread_tokens,
+              service_->engine->memory_tokens);
+    return false;
+}
+
 asio::awaitable<void> forwarded_call::run() {
     if (state_.leaving) {
         exchange_.close_after();
@@ -360,8 +389,12 @@
 }
 
 asio::awaitable<bool> forwarded_call::pass_on(std::string_view events, int status) {
+    const time_point now = monotonic_now();
+    longest_pause_ = begun_ ? std::max(longest_pause_, now - latest_event_) : duration{};
+    latest_event_ = now;
     if (!begun_) {
         begun_ = true;
+        first_event_ = now;
         const std::vector<http_field> fields = state_.codec.answer_fields(*channel_);
         if (!co_await exchange_.begin_stream(status, {}, fields)) {
             co_return false;
@@ -427,8 +460,10 @@
     state_.picker.on_success(to.backend.id, monotonic_now());
     state_.counters.count(forward_result::answered);
     log_event(events::request_ended,
-              "request={} route={} backend={} events={} sends={} after_ms={:.0f}", request_.id,
-              route_->name, to.backend.id.text(), splitter_.events(), history_.sends,
+              "request={} route={} backend={} events={} sends={} first_ms={:.0f} "
+              "longest_pause_ms={:.0f} after_ms={:.0f}",
+              request_.id, route_->name, to.backend.id.text(), splitter_.events(), history_.sends,
+              to_milliseconds(first_event_ - arrival_), to_milliseconds(longest_pause_),
               to_milliseconds(monotonic_now() - arrival_));
     co_return std::nullopt;
 }
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -51,6 +51,8 @@
     boost::asio::awaitable<void> reject(rejection why);
     std::optional<destination> choose();
     backend_work expected_work() const;
+    /// Whether the generation may go to that engine now; always true for plain calls.
+    bool admitted(const registered_backend& backend) const;
     /// Sends once; nothing when the caller has got its whole answer.
     boost::asio::awaitable<std::optional<attempt_end>> attempt(const destination& to);
     boost::asio::awaitable<bool> open_channel(const registered_backend& backend);
@@ -78,6 +80,8 @@
     const route_rule* route_ = nullptr;
     const service_rule* service_ = nullptr;
     std::optional<workspace_id> workspace_;
+    /// The workspace's rank when it has one, else the route's.
+    int priority_ = 0;
     attempt_history history_;
     std::vector<backend_id> avoid_;
     std::shared_ptr<http_channel> channel_;
@@ -87,6 +91,10 @@
     /// The work that this request has entered into the load book, and where.
     backend_id entered_at_;
     backend_work entered_;
+    /// When the first and the latest event went to the caller, and the longest pause between two.
+    time_point first_event_;
+    time_point latest_event_;
+    duration longest_pause_{};
     bool begun_ = false;
     bool left_ = false;
 
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Forwarding/active_streams.h"
 #include "bamboostream/src/Forwarding/backend_contract.h"
 #include "bamboostream/src/Http/http_channel_pool.h"
+#include "bamboostream/src/Limits/engine_admission.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Routing/backend_picker.h"
 #include "bamboostream/src/Routing/load_book.h"
@@ -58,6 +59,7 @@
     backend_registry registry;
     load_book loads;
     window_budget budget;
+    admission_rules admission;
     backend_picker picker;
     http_channel_pool channels;
     active_streams streams;
@@ -67,6 +69,8 @@
     std::size_t live_instances = 1;
     /// A graceful shutdown has begun: connections close after their answer.
     bool leaving = false;
+    /// Called when a generation is sent to an engine, begins to put out or ends.
+    std::function<void()> on_generation_change;
     /// Called after a change of the registry that forwarding itself has found.
     std::function<void()> on_registry_change;
 };
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -123,6 +123,7 @@
             forwarding.channels.drop(change.backend.address);
         }
     });
+    forwarding.on_generation_change = [this] { peers->note_load(); };
     forwarding.on_registry_change = [this] { state.report_changes(); };
 }
 
@@ -134,6 +135,7 @@
 
 bool gateway::parts::start() {
     std::string why;
+    forwarding.admission = settings.admission;
     const auto peer_address = links.listen(settings.peer_listen, why);
     if (!peer_address) {
         log_event(events::listen_failed, "address={} reason={}", settings.peer_listen, why);
--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Forwarding/backend_contract.h"
 #include "bamboostream/src/Gateway/deployment_contract.h"
+#include "bamboostream/src/Limits/engine_admission.h"
 #include "bamboostream/src/Routing/window_budget.h"
 
 #include <boost/asio/io_context.hpp>
@@ -30,6 +31,7 @@
     /// Addresses at which other instances may be found.
     std::vector<std::string> seeds;
     window_budget_rules budget;
+    admission_rules admission;
     /// Between the signal to end and the kill.
     milliseconds grace{8'000};
     /// How long callers may keep a directory answer.
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -13,9 +13,14 @@
 
 namespace {
 
-/// Work changes by a few requests in this time; telling it more often costs more processor time
-/// than the better choice of a server is worth.
-constexpr milliseconds load_period{200};
+/// Work at engines is told as soon as it changes: instances that choose by a view 200 ms old all
+/// send to the engine that was idle then, and prompts queue there while others are idle (in a crowd
+/// of 45 prompts a second over 44 engines a third of the first events came after 1.5 s). Changes
+/// within this time go out together.
+constexpr milliseconds load_gather{4};
+/// Repeats what was told, for instances that have joined or lost a frame, and tells of plain calls,
+/// which end before the news of them would arrive.
+constexpr milliseconds load_period{400};
 /// How often an instance looks whether it lags behind its peers.
 constexpr milliseconds catch_up_period{300};
 constexpr milliseconds peer_timeout{500};
@@ -82,7 +87,7 @@
                              membership_service& membership, forwarding_state& forwarding,
                              deployment_state& state, const store_follower& store, store_duty& duty)
     : context_(context), links_(links), membership_(membership), forwarding_(forwarding),
-      state_(state), store_(store), duty_(duty), news_due_(context) {}
+      state_(state), store_(store), duty_(duty), news_due_(context), load_due_(context) {}
 
 void peer_exchange::start() {
     asio::co_spawn(context_, load_loop(), asio::detached);
@@ -112,7 +117,8 @@
             }
         }
         told_none = own.empty();
-        co_await pause_for(load_period);
+        co_await wait_on(load_due_, monotonic_now() + load_period);
+        co_await pause_for(load_gather);
     }
 }
 
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -38,6 +38,8 @@
     /// reads for them.
     void note_change(const registry_change& change);
     void note_configuration();
+    /// The work of this instance at engines has changed.
+    void note_load() { load_due_.cancel(); }
 
     bool drives(const service_id& service) const override;
     boost::asio::awaitable<std::vector<move_candidate>> gather(backend_id backend) override;
@@ -71,6 +73,7 @@
     std::vector<registry_change> untold_;
     std::uint64_t told_sequence_ = 0;
     boost::asio::steady_timer news_due_;
+    boost::asio::steady_timer load_due_;
     std::mt19937_64 random_{1};
 };
 
--- a/test/platform/decisions_test.cpp
+++ b/test/platform/decisions_test.cpp
@@ -3,6 +3,7 @@
 #include "bamboostream/Evacuation"
 #include "bamboostream/Forwarding"
 #include "bamboostream/Gateway"
+#include "bamboostream/Limits"
 #include "bamboostream/Routing"
 
 #include <boost/asio/io_context.hpp>
@@ -405,6 +406,35 @@
     EXPECT_NEAR(to_milliseconds(copy_time(3'500, speed, true)), 385.0, 2.0);
 }
 
+// --- admission
+
+struct admission_row {
+    std::string name;
+    std::int64_t memory;
+    std::int64_t unread;
+    int priority;
+    admission_verdict verdict;
+};
+
+class admission : public testing::TestWithParam<admission_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, admission,
+    testing::Values(
+        admission_row{"idle", 0, 0, 1, admission_verdict::admit},
+        admission_row{"urgent_when_nearly_full", 28'000, 0, 0, admission_verdict::admit},
+        admission_row{"less_urgent_when_nearly_full", 28'000, 0, 1, admission_verdict::memory_full},
+        admission_row{"full", 31'000, 0, 0, admission_verdict::memory_full},
+        admission_row{"a_few_prompts", 9'000, 9'000, 0, admission_verdict::admit},
+        admission_row{"hopeless_queue", 9'000, 40'000, 0, admission_verdict::prompts_queued}),
+    [](const auto& info) { return info.param.name; });
+
+TEST_P(admission, turns_away_only_what_cannot_be_served_in_time) {
+    const backend_work work{5, GetParam().memory, GetParam().unread};
+    EXPECT_EQ(judge_admission({}, work, 20'000, GetParam().priority, milliseconds(1'500)),
+              GetParam().verdict);
+}
+
 // --- who reads the store
 
 struct duty_row {
