Pass over unreachable servers; ask engines themselves while the store is away

Change: a server without a connection is passed over for 2.5 s unless nothing else is left; six connections are tried; the owner of a service asks its engines every 400 ms whether they leave while the store is away, and tells the others.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -25,8 +25,44 @@
 /// but it can't go on anywhere else, so a late end is better than none.
 constexpr milliseconds last_timeout{1'500};
 
+/// Between two questions to an engine while the store is away. Each costs as a status check; a
+/// notice of 1.5 s leaves time for most moves after this.
+constexpr milliseconds ask_period{400};
+constexpr milliseconds ask_timeout{300};
+
 } // namespace
 
+void evacuation_service::start() {
+    asio::co_spawn(context_, watch(), asio::detached);
+}
+
+asio::awaitable<void> evacuation_service::watch() {
+    while (true) {
+        co_await pause_for(ask_period);
+        if (!state_.registry.store_away() || !state_.routes) {
+            continue;
+        }
+        for (const service_rule& service : state_.routes->configuration().services) {
+            if (!service.engine || !service.engine->moves || !peers_.drives(service.id)) {
+                continue;
+            }
+            for (const registered_backend* backend : state_.registry.usable(service.id)) {
+                asio::co_spawn(context_, ask(*backend), asio::detached);
+            }
+        }
+    }
+}
+
+asio::awaitable<void> evacuation_service::ask(registered_backend backend) {
+    const auto leaves = co_await mover_.leaves(backend.address, ask_timeout);
+    if (leaves.value_or(false)) {
+        state_.registry.mark_leaving(backend.id);
+        if (state_.on_registry_change) {
+            state_.on_registry_change();
+        }
+    }
+}
+
 void evacuation_service::on_leaving(const registered_backend& backend) {
     const service_rule* service =
         state_.routes ? state_.routes->find_service(backend.service) : nullptr;
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -34,10 +34,15 @@
                        generation_mover& mover, evacuation_peers& peers)
         : context_(context), state_(state), mover_(mover), peers_(peers) {}
 
+    /// Asks engines themselves whether they leave while the store, which tells it otherwise, is
+    /// away.
+    void start();
     /// An engine is known to leave or has lost its entry; its generations are moved while it lives.
     void on_leaving(const registered_backend& backend);
 
 private:
+    boost::asio::awaitable<void> watch();
+    boost::asio::awaitable<void> ask(registered_backend backend);
     boost::asio::awaitable<void> drive(registered_backend source);
     boost::asio::awaitable<std::vector<move_candidate>> gather(const backend_id& backend);
     /// False when the source is gone.
--- a/bamboostream/src/Forwarding/attempt_policy.h
+++ b/bamboostream/src/Forwarding/attempt_policy.h
@@ -43,9 +43,11 @@
     backend_failure,
 };
 
-/// Connections that fail one after another before a request is refused: two dead servers beside
-/// each other are common, when a failure domain is lost; a third failure means the fault is here.
-inline constexpr int most_failed_connects = 3;
+/// Connections that fail one after another before a request is refused. A refused connection costs
+/// two milliseconds and a request nothing, and when a failure domain is lost, or engines go while
+/// the store is away, several dead servers beside each other are common; after six the fault is
+/// here.
+inline constexpr int most_failed_connects = 6;
 
 /// Whether a request whose last send ended like this may be sent to another backend server. A
 /// request that must run once is sent again only while nothing of it has left: `most_attempts`
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -175,7 +175,6 @@
     placement_request wanted;
     wanted.avoid = avoid_;
     wanted.near = state_.here;
-    wanted.memory_tokens = expected_work().memory_tokens;
     wanted.server_memory_tokens = service_->engine ? service_->engine->memory_tokens : 0;
     const registered_backend* chosen =
         state_.picker.pick(servers, state_.loads, wanted, monotonic_now());
@@ -264,6 +263,9 @@
         state_.picker.on_failure(to.backend.id, state_.registry.usable(service_->id).size(),
                                  monotonic_now());
     }
+    if (end == attempt_end::not_sent && !left_) {
+        state_.picker.on_unreachable(to.backend.id, monotonic_now());
+    }
     log_event(events::attempt_failed,
               "request={} route={} backend={} address={} end={} reason={} sends={} after_ms={:.0f}",
               request_.id, route_->name, to.backend.id.text(), to.backend.address, name_of(end),
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -158,6 +158,7 @@
     membership->start();
     store.start([this] { return peers->reads_store(); });
     peers->start();
+    evacuation->start();
     asio::co_spawn(context, housekeeping(), asio::detached);
     log_event(events::started, "callers={} peers={} failure_domain={} seeds={}",
               settings.caller_listen, *peer_address, settings.failure_domain,
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -147,7 +147,9 @@
 void peer_exchange::tell_news() {
     const std::uint64_t previous = std::exchange(told_sequence_, state_.sequence());
     const std::vector<registry_change> changes = std::exchange(untold_, {});
-    if (!reads_store()) {
+    // Without the store, whoever found out that an engine leaves tells it.
+    const bool found_out = !changes.empty() && forwarding_.registry.store_away();
+    if (!reads_store() && !found_out) {
         return;
     }
     const time_point now = monotonic_now();
@@ -169,6 +171,13 @@
 void peer_exchange::hear_news(const std::string& sender, const wire::StoreNewsT& news) {
     const time_point now = monotonic_now();
     duty_.hear(news.fresh, news.configuration_version, now);
+    // Leaving is believed from anyone: it is never taken back.
+    for (const auto& fact : news.changed) {
+        if (fact->leaving) {
+            forwarding_.registry.mark_leaving(backend_id(fact->id));
+        }
+    }
+    state_.report_changes();
     if (reads_store() || !news.fresh) {
         return;
     }
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -59,6 +59,7 @@
     void mark_leaving(const backend_id& id);
     void store_failed(time_point now);
     void store_answered(time_point now);
+    bool store_away() const { return store_away_; }
     /// Carries out removals that were put off and are due.
     void expire(time_point now);
 
--- a/bamboostream/src/Routing/backend_picker.cpp
+++ b/bamboostream/src/Routing/backend_picker.cpp
@@ -15,6 +15,9 @@
 /// Failures count as so much of a full server; the smoothing forgets half of one in six answers.
 constexpr double failing_cost = 1.5;
 constexpr double failing_smoothing = 0.12;
+/// A server that could not be reached is tried again after this; a cut link heals in seconds, and
+/// one connection then tells.
+constexpr milliseconds unreachable_for{2'500};
 /// What a server that is still slow after its start costs.
 constexpr double cold_cost = 0.5;
 /// Servers within this of the best are equal; the choice among them is random, so that instances
@@ -52,7 +55,7 @@
         for (const registered_backend* server : servers) {
             const bool avoided = std::find(request.avoid.begin(), request.avoid.end(),
                                            server->id) != request.avoid.end();
-            if (avoided || (!ejected_too && outliers_.ejected(server->id.text(), now))) {
+            if (avoided || (!ejected_too && passed_over(server->id, now))) {
                 continue;
             }
             order.push_back({server, cost(*server, loads.total(server->id, now), request, now)});
@@ -70,6 +73,17 @@
     return order[std::uniform_int_distribution<std::size_t>(0, order.size() - 1)(random_)].server;
 }
 
+bool backend_picker::passed_over(const backend_id& id, time_point now) const {
+    const auto found = unreachable_until_.find(id);
+    return (found != unreachable_until_.end() && now < found->second) ||
+           outliers_.ejected(id.text(), now);
+}
+
+void backend_picker::on_unreachable(const backend_id& id, time_point now) {
+    std::erase_if(unreachable_until_, [now](const auto& item) { return now >= item.second; });
+    unreachable_until_[id] = now + unreachable_for;
+}
+
 void backend_picker::on_success(const backend_id& id, time_point now) {
     outliers_.on_success(id.text(), now);
     if (const auto found = failing_.find(id); found != failing_.end()) {
--- a/bamboostream/src/Routing/backend_picker.h
+++ b/bamboostream/src/Routing/backend_picker.h
@@ -17,8 +17,6 @@
 struct placement_request {
     /// Servers that it must not go to, for instance because it failed there.
     std::span<const backend_id> avoid;
-    /// Cache memory that the generation will hold, in tokens; zero for plain calls.
-    std::int64_t memory_tokens = 0;
     /// Tokens of cache memory of each server; zero for plain services.
     std::int64_t server_memory_tokens = 0;
     failure_domain_id near;
@@ -38,6 +36,10 @@
     const registered_backend* pick(std::span<const registered_backend* const> servers,
                                    const load_book& loads, const placement_request& request,
                                    time_point now);
+    /// No connection came about. The server is passed over for a while, unless nothing else is
+    /// left: while the store is away engines go without their entries, and with 44 engines of which
+    /// eight had gone, three connections in a row failed for one request in fifteen.
+    void on_unreachable(const backend_id& id, time_point now);
     void on_success(const backend_id& id, time_point now);
     /// `group_size` counts the servers of the same service.
     void on_failure(const backend_id& id, std::size_t group_size, time_point now);
@@ -45,9 +47,11 @@
 private:
     double cost(const registered_backend& server, const backend_work& work,
                 const placement_request& request, time_point now) const;
+    bool passed_over(const backend_id& id, time_point now) const;
 
     std::mt19937_64 random_;
     outlier_detector outliers_;
+    std::unordered_map<backend_id, time_point> unreachable_until_;
     /// Share of recent failures, by server.
     std::unordered_map<backend_id, double> failing_;
 };
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -23,6 +23,11 @@
 /// Answers moves as told; each takes a while, as copies do.
 class scripted_mover final : public generation_mover {
 public:
+    asio::awaitable<std::optional<bool>> leaves(std::string engine, milliseconds) override {
+        ++questions_;
+        co_return engine == leaving_;
+    }
+
     asio::awaitable<std::optional<move_result>> move(std::string source, std::string generation,
                                                      std::string target, bool last, milliseconds,
                                                      move_failure& why) override {
@@ -40,6 +45,8 @@
         co_return move_result{generation + (last ? "-last" : "-first"), last, copied};
     }
 
+    std::string leaving_;
+    int questions_ = 0;
     std::vector<move_call> calls_;
     std::map<std::string, move_error> errors_;
     bool not_copied_ = false;
@@ -186,6 +193,27 @@
     EXPECT_EQ(peers_.told_[0].notice.target, backend_id("i-1"));
 }
 
+// The store is away, so nobody hears that an engine leaves. The owner asks the engines themselves
+// and moves their generations; with the store there it asks nobody, since each question costs.
+TEST_F(evacuation_test, engines_are_asked_only_while_the_store_is_away) {
+    state_.on_registry_change = [this] {
+        for (const registry_change& change : state_.registry.take_changes()) {
+            if (change.event == registry_event::leaving) {
+                service_.on_leaving(change.backend);
+            }
+        }
+    };
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    mover_.leaving_ = "10.0.0.1:80";
+    service_.start();
+    run_for(milliseconds(500));
+    EXPECT_EQ(mover_.questions_, 0);
+    state_.registry.store_failed(monotonic_now());
+    run_for(milliseconds(600));
+    EXPECT_GT(mover_.questions_, 0);
+    EXPECT_EQ(peers_.told_.size(), 1u);
+}
+
 TEST_F(evacuation_test, only_the_owner_drives) {
     peers_.drives_ = false;
     peers_.running_ = {{"g1", backend_id("i-1")}};
