Send new long streams elsewhere while an instance shuts down; write up the incidents

Cause: inc-293c shows streams cut when the grace of a stopped instance ends; one that is taken after the signal has less than 8 s and can't run again. Ruled out as the main loss: streams that were already open there (they can't be handed over). Kept, because the caller is told the truth at once and comes back elsewhere within its objective instead of being cut. Test: forwarding.a_shutdown_sends_new_long_streams_elsewhere.

--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -39,6 +39,11 @@
 /// Engines read some prompt and put out some tokens for requests that say nothing of their size.
 constexpr std::int64_t assumed_memory_tokens = 1'000;
 
+/// A long stream that an instance takes while it shuts down is cut when the grace ends, after 8 s,
+/// and may not run again. It is sent elsewhere at once; callers use another address after a
+/// refusal.
+constexpr double elsewhere_at_once_s = 0.05;
+
 double come_back_after(const route_rule* route, std::mt19937_64& random) {
     const double objective_s = route ? to_milliseconds(route->objective) / 1000.0 : most_return_s;
     const double base = std::clamp(return_part * objective_s, least_return_s, most_return_s);
@@ -83,15 +88,15 @@
     auto request = state_.codec.read_request(exchange_.request(), why);
     if (!request) {
         log_event(events::bad_request, "reason={}", why);
-        return rejection{400, "malformed_request", false};
+        return rejection{400, "malformed_request", false, {}};
     }
     request_ = std::move(*request);
     if (!routes_) {
-        return rejection{503, "not_ready", true};
+        return rejection{503, "not_ready", true, {}};
     }
     route_ = routes_->find_route(request_.host, exchange_.request().path);
     if (route_ == nullptr) {
-        return rejection{404, "no_route", false};
+        return rejection{404, "no_route", false, {}};
     }
     if (auto refused = find_workspace()) {
         return refused;
@@ -99,7 +104,10 @@
     const service_id* service = draw_service(*route_, state_.random);
     service_ = service ? routes_->find_service(*service) : nullptr;
     if (service_ == nullptr) {
-        return rejection{503, "no_service", true};
+        return rejection{503, "no_service", true, {}};
+    }
+    if (state_.leaving && is_movable()) {
+        return rejection{503, "leaving", true, elsewhere_at_once_s};
     }
     const milliseconds patience = request_.patience.value_or(route_->timeout);
     deadline_ = arrival_ + std::min(patience, route_->timeout);
@@ -116,7 +124,7 @@
     }
     const workspace_rule* workspace = routes_->find_workspace(request_.key);
     if (workspace == nullptr) {
-        return rejection{401, "unknown_key", false};
+        return rejection{401, "unknown_key", false, {}};
     }
     workspace_ = workspace->id;
     return std::nullopt;
@@ -125,7 +133,8 @@
 asio::awaitable<void> forwarded_call::reject(rejection why) {
     std::vector<http_field> fields;
     if (why.not_run) {
-        fields.push_back(come_back_field(come_back_after(route_, state_.random)));
+        fields.push_back(
+            come_back_field(why.come_back_s.value_or(come_back_after(route_, state_.random))));
     }
     state_.counters.count(forward_result::rejected);
     log_event(events::request_refused, "request={} reason={} status={} configuration_version={}",
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -33,6 +33,8 @@
         int status = 0;
         std::string_view code;
         bool not_run = false;
+        /// Seconds after which the caller may come back; nothing for what the route suggests.
+        std::optional<double> come_back_s;
     };
     /// A backend server's failure, kept until it is known that no other answer will come.
     struct kept_answer {
--- a/test/platform/forwarding_test.cpp
+++ b/test/platform/forwarding_test.cpp
@@ -403,6 +403,30 @@
     EXPECT_NE(sent.find("\r\nLast-Event-Id: 3\r\n"), std::string::npos) << sent;
 }
 
+// A graceful shutdown has begun. A new long stream would be cut when the grace ends and could not
+// run again, so its caller is told at once that it has not run and may come back right away,
+// elsewhere. Plain calls end in time and are served.
+TEST(forwarding, a_shutdown_sends_new_long_streams_elsewhere) {
+    forwarding_fixture f;
+    scripted_backend& engine = f.add(
+        "i-1",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(0, 1) + stream_end);
+        },
+        "engines");
+    f.add("i-2", answering("ok"));
+    f.state().leaving = true;
+    const auto stream = f.ask("long", "a1");
+    f.finish(stream);
+    EXPECT_EQ(stream->status(), 503);
+    EXPECT_EQ(stream->field("Retry-After"), "0.05");
+    EXPECT_EQ(stream->field("Connection"), "close");
+    EXPECT_TRUE(engine.requests().empty());
+    const auto call = f.ask("once", "a2");
+    f.finish(call);
+    EXPECT_EQ(call->status(), 200);
+}
+
 // Requests that last longer than their route allows get their final answer then, not at the
 // deadline of the caller.
 TEST(forwarding, the_route_s_timeout_ends_the_wait) {
