--- a/bamboostream/src/Forwarding/attempt_policy.cpp
+++ b/bamboostream/src/Forwarding/attempt_policy.cpp
@@ -1,7 +1,15 @@
 #include "bamboostream/src/Forwarding/attempt_policy.h"
 
+#include <array>
+
 namespace bamboostream {
 
+std::string_view to_string(attempt_end end) {
+    static constexpr std::array<std::string_view, 5> names = {"not_sent", "not_run", "lost",
+                                                              "silent", "failed"};
+    return names[static_cast<std::size_t>(end)];
+}
+
 void attempt_history::note(attempt_end end) {
     if (end == attempt_end::not_sent) {
         ++failed_connects;
--- a/bamboostream/src/Forwarding/attempt_policy.h
+++ b/bamboostream/src/Forwarding/attempt_policy.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Configuration/routing_configuration.h"
 
 #include <cstdint>
+#include <string_view>
 
 namespace bamboostream {
 
@@ -20,6 +21,9 @@
     failed,
 };
 
+/// The name of an end in logs.
+std::string_view to_string(attempt_end end);
+
 /// What has happened to one request so far.
 struct attempt_history {
     /// Sends of which a byte may have left.
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -1,6 +1,5 @@
 #include "bamboostream/src/Forwarding/forwarded_call.h"
 
-#include "bamboostream/src/Control/periodic.h"
 #include "bamboostream/src/Core/event_log.h"
 
 #include <algorithm>
@@ -13,23 +12,6 @@
 
 namespace {
 
-/// A connection inside a region takes a few milliseconds; a lost packet is sent again after a
-/// second. Waiting less finds a dead server soon, and another one is tried at no risk.
-constexpr milliseconds connect_timeout{400};
-/// Idle connections that may carry a request which must not be sent twice: the longer a connection
-/// has been idle, the likelier its server is just closing it, and then the request is lost.
-constexpr milliseconds most_idle_for_once{1'500};
-constexpr seconds most_idle_for_repeatable{30};
-/// A send that may be repeated elsewhere is given up after so many objectives without an answer.
-constexpr int objectives_a_try = 2;
-/// A stream that may be taken up elsewhere is given up after a pause like this; engines pause for
-/// some 200 ms when they read a long prompt.
-constexpr milliseconds longest_pause{1'200};
-/// The last part of a move takes some 10 ms after the stream has stopped, much more when the link
-/// is shared; beyond this it has failed.
-constexpr milliseconds move_wait{1'600};
-/// Answers kept whole; larger ones are no answers of plain services.
-constexpr std::size_t answer_limit = 8 * 1024 * 1024;
 /// Times to come back lie between these, spread so that a crowd doesn't return at once. Callers
 /// wait at most a third of the time they have left, so the time follows the route's objective.
 constexpr double least_return_s = 0.1;
@@ -58,12 +40,6 @@
     return {"Retry-After", fmt::format("{:.2f}", after_s)};
 }
 
-std::string_view name_of(attempt_end end) {
-    static constexpr std::array<std::string_view, 5> names = {"not_sent", "not_run", "lost",
-                                                              "silent", "failed"};
-    return names[static_cast<std::size_t>(end)];
-}
-
 } // namespace
 
 forwarded_call::forwarded_call(forwarding_state& state, http_exchange& exchange, time_point arrival)
@@ -264,256 +240,6 @@
     return history_.sends == 0 || state_.budget.try_spend(service_->id, state_.live_instances, now);
 }
 
-attempt_end forwarded_call::fail(const destination& to, attempt_end end, std::string_view reason) {
-    history_.note(end);
-    const bool counts =
-        end == attempt_end::not_sent || end == attempt_end::lost || end == attempt_end::silent;
-    if (counts && !left_) {
-        state_.picker.on_failure(to.backend.id, state_.registry.usable(service_->id).size(),
-                                 monotonic_now());
-    }
-    if (end == attempt_end::not_sent && !left_) {
-        state_.picker.on_unreachable(to.backend.id, monotonic_now());
-    }
-    log_event(events::attempt_failed,
-              "request={} route={} backend={} address={} end={} reason={} sends={} after_ms={:.0f}",
-              request_.id, route_->name, to.backend.id.text(), to.backend.address, name_of(end),
-              reason, history_.sends, to_milliseconds(monotonic_now() - arrival_));
-    return end;
-}
-
-asio::awaitable<bool> forwarded_call::open_channel(const registered_backend& backend) {
-    const time_point now = monotonic_now();
-    const bool once = route_->repeats == repeat_rule::once;
-    channel_ = state_.channels.take(
-        backend.address, once ? duration(most_idle_for_once) : duration(most_idle_for_repeatable),
-        now);
-    if (channel_) {
-        co_return true;
-    }
-    ++state_.counters.new_connections;
-    channel_ = std::make_shared<http_channel>(exchange_.executor());
-    http_failure why;
-    const auto left = std::chrono::duration_cast<milliseconds>(deadline_ - now);
-    co_return co_await channel_->connect(backend.address, std::min(connect_timeout, left), why);
-}
-
-time_point forwarded_call::attempt_limit() const {
-    attempt_history after = history_;
-    after.note(attempt_end::silent);
-    if (!may_try_again(route_->repeats, route_->most_attempts, after, attempt_end::silent)) {
-        return deadline_;
-    }
-    return std::min(deadline_, monotonic_now() + objectives_a_try * route_->objective);
-}
-
-asio::awaitable<std::optional<attempt_end>> forwarded_call::attempt(const destination& to) {
-    enter_work(to.backend.id);
-    if (!co_await open_channel(to.backend)) {
-        co_return fail(to, attempt_end::not_sent, "no connection");
-    }
-    const time_point now = monotonic_now();
-    if (left_ || now >= deadline_) {
-        co_return fail(to, attempt_end::not_sent, "no time left");
-    }
-    forward_send send;
-    send.expected = to.backend.id;
-    send.address = to.backend.address;
-    send.workspace = workspace_;
-    send.time_left = std::chrono::duration_cast<milliseconds>(deadline_ - now);
-    send.resume_after = splitter_.last_id();
-    send.copy = to.copy;
-    channel_->send(state_.codec.write_request(exchange_.request(), send),
-                   exchange_.request().method == "HEAD");
-    if (!channel_->any_sent()) {
-        state_.channels.drop(to.backend.address);
-        co_return fail(to, attempt_end::not_sent, "the connection was closed");
-    }
-    ++state_.counters.sends;
-    channel_->expire_at(to.copy ? deadline_ : attempt_limit());
-    http_failure why;
-    if (!co_await channel_->read_head(why)) {
-        co_return fail(to, channel_->timed_out() ? attempt_end::silent : attempt_end::lost,
-                       why.text);
-    }
-    co_return co_await take_answer(to);
-}
-
-asio::awaitable<std::optional<attempt_end>> forwarded_call::take_answer(const destination& to) {
-    const answer_facts facts = state_.codec.read_answer(*channel_, request_);
-    if (facts.wrong_server) {
-        state_.registry.mark_leaving(to.backend.id);
-        if (state_.on_registry_change) {
-            state_.on_registry_change();
-        }
-    }
-    if (facts.not_run || facts.wrong_server) {
-        std::string ignored;
-        while (co_await channel_->read(ignored)) {
-        }
-        give_back(to);
-        co_return fail(to, attempt_end::not_run, facts.wrong_server ? "another server" : "refused");
-    }
-    if (!facts.genuine) {
-        channel_->close();
-        co_return fail(to, attempt_end::lost, "not the answer to this request");
-    }
-    if (route_->streaming && facts.status == 200) {
-        co_return co_await relay(to, facts);
-    }
-    co_return co_await take_body(to, facts);
-}
-
-void forwarded_call::give_back(const destination& to) {
-    state_.channels.give_back(to.backend.address, std::exchange(channel_, nullptr),
-                              monotonic_now());
-}
-
-asio::awaitable<std::optional<attempt_end>> forwarded_call::take_body(const destination& to,
-                                                                      answer_facts facts) {
-    kept_answer answer{facts.status, state_.codec.answer_fields(*channel_), {}};
-    while (answer.body.size() <= answer_limit && co_await channel_->read(answer.body)) {
-    }
-    if (!channel_->complete()) {
-        const bool silent = channel_->timed_out();
-        channel_->close();
-        co_return fail(to, silent ? attempt_end::silent : attempt_end::lost,
-                       "the answer broke off");
-    }
-    give_back(to);
-    if (facts.status >= 500) {
-        failure_ = std::move(answer);
-        co_return fail(to, attempt_end::failed, "the server failed");
-    }
-    state_.picker.on_success(to.backend.id, monotonic_now());
-    leave_work();
-    co_await exchange_.respond(answer.status, {}, std::move(answer.body), answer.fields);
-    state_.counters.count(forward_result::answered);
-    log_event(events::request_ended, "request={} route={} backend={} status={} after_ms={:.0f}",
-              request_.id, route_->name, to.backend.id.text(), facts.status,
-              to_milliseconds(monotonic_now() - arrival_));
-    co_return std::nullopt;
-}
-
-bool forwarded_call::is_movable() const {
-    return route_->repeats == repeat_rule::once && service_->engine && service_->engine->moves;
-}
-
-asio::awaitable<bool> forwarded_call::pass_on(std::string_view events, int status) {
-    const time_point now = monotonic_now();
-    longest_pause_ = begun_ ? std::max(longest_pause_, now - latest_event_) : duration{};
-    latest_event_ = now;
-    if (!begun_) {
-        begun_ = true;
-        first_event_ = now;
-        const std::vector<http_field> fields = state_.codec.answer_fields(*channel_);
-        if (!co_await exchange_.begin_stream(status, {}, fields)) {
-            co_return false;
-        }
-    }
-    co_return co_await exchange_.write(events);
-}
-
-asio::awaitable<std::optional<attempt_end>> forwarded_call::relay(const destination& to,
-                                                                  answer_facts facts) {
-    if (!stream_) {
-        stream_ = std::make_shared<active_stream>(exchange_.executor(), request_.id);
-        stream_->movable = is_movable();
-        stream_->prompt_tokens = request_.prompt_tokens;
-        stream_->expected_output_tokens = request_.expected_output_tokens;
-        stream_->most_output_tokens = request_.most_output_tokens;
-        state_.streams.add(stream_);
-    }
-    stream_->backend = to.backend.id;
-    stream_->moved.reset();
-    stream_->move_expected = false;
-    splitter_.restart();
-    const bool may_go_on = route_->repeats == repeat_rule::resumable;
-    const int tokens_per_event = service_->engine ? service_->engine->tokens_per_event : 1;
-    std::string bytes;
-    std::string events;
-    event_order order = event_order::in_order;
-    while (order == event_order::in_order && co_await channel_->read(bytes)) {
-        splitter_.append(bytes);
-        bytes.clear();
-        events.clear();
-        order = splitter_.take(events);
-        if (events.empty()) {
-            continue;
-        }
-        if (!co_await pass_on(events, facts.status)) {
-            left_ = true;
-            channel_->close();
-            co_return fail(to, attempt_end::lost, "the caller left");
-        }
-        stream_->output_tokens = static_cast<std::int64_t>(splitter_.events()) * tokens_per_event;
-        const std::int64_t output = stream_->output_tokens + expected_tokens_left(*stream_);
-        update_work({1, request_.prompt_tokens + output, 0});
-        if (may_go_on) {
-            channel_->expire_at(std::min(deadline_, monotonic_now() + longest_pause));
-        }
-    }
-    const bool whole =
-        order == event_order::in_order && channel_->complete() && splitter_.at_boundary();
-    const bool stopped_for_move = channel_->ended_by_close() && stream_->move_expected;
-    if (!whole || stopped_for_move) {
-        const bool silent = channel_->timed_out();
-        channel_->close();
-        co_return fail(to, silent ? attempt_end::silent : attempt_end::lost,
-                       order == event_order::broken ? "an event is missing"
-                                                    : "the stream broke off");
-    }
-    give_back(to);
-    if (!begun_) {
-        co_await exchange_.begin_stream(facts.status, {}, {});
-    }
-    co_await exchange_.end_stream();
-    state_.picker.on_success(to.backend.id, monotonic_now());
-    state_.counters.count(forward_result::answered);
-    log_event(events::request_ended,
-              "request={} route={} backend={} events={} sends={} first_ms={:.0f} "
-              "longest_pause_ms={:.0f} after_ms={:.0f}",
-              request_.id, route_->name, to.backend.id.text(), splitter_.events(), history_.sends,
-              to_milliseconds(first_event_ - arrival_), to_milliseconds(longest_pause_),
-              to_milliseconds(monotonic_now() - arrival_));
-    co_return std::nullopt;
-}
-
-asio::awaitable<bool> forwarded_call::await_move() {
-    if (!stream_ || !stream_->movable) {
-        co_return false;
-    }
-    const registered_backend* source = state_.registry.find(stream_->backend);
-    const bool leaves = source == nullptr || source->leaving;
-    if (!stream_->moved && (stream_->move_expected || leaves)) {
-        co_await wait_on(stream_->noticed, monotonic_now() + move_wait);
-    }
-    co_return stream_->moved.has_value();
-}
-
-/// Goes on where the generation was moved to, as often as it is moved. A target that doesn't take
-/// the copy leaves the generation at the engine that stopped it, which still has its memory.
-asio::awaitable<std::optional<attempt_end>> forwarded_call::follow_moves(attempt_end end) {
-    while (!left_ && co_await await_move()) {
-        const move_notice notice = *stream_->moved;
-        stream_->moved.reset();
-        const registered_backend* known = state_.registry.find(notice.target);
-        registered_backend target;
-        target.id = notice.target;
-        target.address = notice.target_address;
-        target.service = service_->id;
-        const destination to{known ? *known : target, notice.copy};
-        state_.budget.spend(service_->id, monotonic_now());
-        const auto next = co_await attempt(to);
-        if (!next) {
-            ++state_.counters.moved;
-            co_return std::nullopt;
-        }
-        end = *next;
-    }
-    co_return end;
-}
-
 asio::awaitable<void> forwarded_call::finish(attempt_end end) {
     const final_answer answer = choose_final_answer(history_, end);
     forward_result result = forward_result::broken_off;
@@ -538,7 +264,7 @@
     log_event(events::request_failed,
               "request={} route={} service={} result={} last={} sends={} failed_connects={} "
               "after_ms={:.0f}",
-              request_.id, route_->name, service_->id.text(), to_string(result), name_of(end),
+              request_.id, route_->name, service_->id.text(), to_string(result), to_string(end),
               history_.sends, history_.failed_connects,
               to_milliseconds(monotonic_now() - arrival_));
 }
