Take only what surely ends in time while an instance shuts down

A label reached an instance on a kept connection 5.7 s after SIGTERM, waited 1.9 s at its engine and was closed without an answer when the process ended. Ruled out: the grace margin (the process ended in time); the directory (its answers had lapsed; the connection was kept). Change: a request whose deadline is later than the end of the process is refused as not run, to come back at once elsewhere; the rule for long streams is a case of it. Test: shutting_down.takes_only_what_ends_in_time, two of four rows red before, all green now.

--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -21,9 +21,10 @@
 /// Engines read some prompt and put out some tokens for requests that say nothing of their size.
 constexpr std::int64_t assumed_memory_tokens = 1'000;
 
-/// A long stream that an instance takes while it shuts down is cut when the grace ends, after 8 s,
-/// and may not run again. It is sent elsewhere at once; callers use another address after a
-/// refusal.
+/// What an instance takes while it shuts down, and what may last beyond its end, is cut there after
+/// a backend server has worked on it: a stream that was taken 5.7 s after the signal on a kept
+/// connection was closed without an answer. It is sent elsewhere at once; callers use another
+/// address after a refusal.
 constexpr double elsewhere_at_once_s = 0.05;
 
 double come_back_after(const route_rule* route, std::mt19937_64& random) {
@@ -82,11 +83,11 @@
     if (service_ == nullptr) {
         return rejection{503, "no_service", true, {}};
     }
-    if (state_.leaving && is_movable()) {
-        return rejection{503, "leaving", true, elsewhere_at_once_s};
-    }
     const milliseconds patience = request_.patience.value_or(route_->timeout);
     deadline_ = arrival_ + std::min(patience, route_->timeout);
+    if (state_.leaving && deadline_ > state_.ends_at) {
+        return rejection{503, "leaving", true, elsewhere_at_once_s};
+    }
     if (route_->repeats == repeat_rule::resumable) {
         splitter_ = event_splitter(request_.resume_after);
     }
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -69,6 +69,8 @@
     std::size_t live_instances = 1;
     /// A graceful shutdown has begun: connections close after their answer.
     bool leaving = false;
+    /// When the process ends after that.
+    time_point ends_at = time_point::max();
     /// Called when a generation is sent to an engine, begins to put out or ends.
     std::function<void()> on_generation_change;
     /// Called after a change of the registry that forwarding itself has found.
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -244,6 +244,7 @@
     const time_point began = monotonic_now();
     const time_point lapsed = began + longest_kept * settings.directory_validity;
     const time_point end = began + settings.grace - grace_margin;
+    forwarding.ends_at = end;
     while (monotonic_now() < end && (forwarding.counters.open > 0 || monotonic_now() < lapsed)) {
         co_await pause_for(drain_check);
     }
--- a/test/platform/forwarding_test.cpp
+++ b/test/platform/forwarding_test.cpp
@@ -403,10 +403,29 @@
     EXPECT_NE(sent.find("\r\nLast-Event-Id: 3\r\n"), std::string::npos) << sent;
 }
 
-// A graceful shutdown has begun. A new long stream would be cut when the grace ends and could not
-// run again, so its caller is told at once that it has not run and may come back right away,
-// elsewhere. Plain calls end in time and are served.
-TEST(forwarding, a_shutdown_sends_new_long_streams_elsewhere) {
+/// A request that arrives while the instance shuts down and ends in 700 ms.
+struct shutdown_row {
+    std::string name;
+    std::string route;
+    std::string fields;
+    bool served;
+};
+
+class shutting_down : public testing::TestWithParam<shutdown_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, shutting_down,
+                         testing::Values(shutdown_row{"long_stream", "long", "", false},
+                                         shutdown_row{"label", "label", "", false},
+                                         shutdown_row{"slow_call", "once", "", false},
+                                         shutdown_row{"call_that_fits", "once",
+                                                      "Deadline-Ms: 300\r\n", true}),
+                         [](const auto& info) { return info.param.name; });
+
+// A graceful shutdown has begun, and callers still use connections that they keep. What may last
+// beyond the end of the process would be cut there, after a backend server has worked on it. Its
+// caller is told at once that it has not run and may come back right away, elsewhere; what surely
+// ends in time is served.
+TEST_P(shutting_down, takes_only_what_ends_in_time) {
     forwarding_fixture f;
     scripted_backend& engine = f.add(
         "i-1",
@@ -414,17 +433,15 @@
             co_await c.send(stream_head(c) + stream_events(0, 1) + stream_end);
         },
         "engines");
-    f.add("i-2", answering("ok"));
+    scripted_backend& calls = f.add("i-2", answering("ok"));
     f.state().leaving = true;
-    const auto stream = f.ask("long", "a1");
-    f.finish(stream);
-    EXPECT_EQ(stream->status(), 503);
-    EXPECT_EQ(stream->field("Retry-After"), "0.05");
-    EXPECT_EQ(stream->field("Connection"), "close");
-    EXPECT_TRUE(engine.requests().empty());
-    const auto call = f.ask("once", "a2");
-    f.finish(call);
-    EXPECT_EQ(call->status(), 200);
+    f.state().ends_at = monotonic_now() + milliseconds(700);
+    const auto view = f.ask(GetParam().route, "a1", GetParam().fields);
+    f.finish(view);
+    EXPECT_EQ(view->status(), GetParam().served ? 200 : 503);
+    EXPECT_EQ(view->field("Retry-After"), GetParam().served ? "" : "0.05");
+    EXPECT_EQ(view->field("Connection"), "close");
+    EXPECT_EQ(engine.requests().size() + calls.requests().size(), GetParam().served ? 1u : 0u);
 }
 
 // Requests that last longer than their route allows get their final answer then, not at the
