Mend the linter's two findings in the gateway's test

A parameter that was copied, and a fixture without deleted copies. Before: two errors; now none for that file; no other file had any in that run.

--- a/test/platform/system/gateway_test.cpp
+++ b/test/platform/system/gateway_test.cpp
@@ -36,6 +36,10 @@
 };
 
 class gateway_test : public testing::Test {
+public:
+    gateway_test(const gateway_test&) = delete;
+    gateway_test& operator=(const gateway_test&) = delete;
+
 protected:
     gateway_test() : store_(context_) {
         std::string pattern =
@@ -107,7 +111,7 @@
         });
     }
 
-    std::shared_ptr<call_result> call(const std::string& address, http_request request) {
+    std::shared_ptr<call_result> call(const std::string& address, const http_request& request) {
         auto result = std::make_shared<call_result>();
         asio::co_spawn(
             context_,
