Take settings that change while a gateway runs; next owner takes evacuations over; workspaces' ranks count

Cause: SIGHUP only checked the file; a store that moves to another address, new seeds or another grace needed a restart. The file may also change without a signal. Change: read again on SIGHUP and every 5 s; what has changed is applied, addresses to listen at stay. Test: changed_settings (2 rows, real process); before, with SIGHUP the old store was read on and the new configuration never came into force. Cause: when the instance that drives a service's evacuations died, its generations were left to be cut. Change: the others remember engines that leave, and whoever is the owner at the next look drives. Test: the_next_owner_takes_over_from_a_dead_one. Cause: the rank of a workspace goes before the route's by the platform's description and was not used. Test: ranked (4 rows).

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -39,20 +39,30 @@
 asio::awaitable<void> evacuation_service::watch() {
     while (true) {
         co_await pause_for(ask_period);
-        if (!state_.registry.store_away() || !state_.routes) {
+        take_over(monotonic_now());
+        if (state_.registry.store_away() && state_.routes) {
+            ask_engines();
+        }
+    }
+}
+
+void evacuation_service::ask_engines() {
+    for (const service_rule& service : state_.routes->configuration().services) {
+        if (!service.engine || !service.engine->moves || !peers_.drives(service.id)) {
             continue;
         }
-        for (const service_rule& service : state_.routes->configuration().services) {
-            if (!service.engine || !service.engine->moves || !peers_.drives(service.id)) {
-                continue;
-            }
-            for (const registered_backend* backend : state_.registry.usable(service.id)) {
-                asio::co_spawn(context_, ask(*backend), asio::detached);
-            }
+        for (const registered_backend* backend : state_.registry.usable(service.id)) {
+            asio::co_spawn(context_, ask(*backend), asio::detached);
         }
     }
 }
 
+void evacuation_service::take_over(time_point now) {
+    std::erase_if(left_to_others_, [&](const watched_engine& engine) {
+        return now - engine.since > longest_evacuation || start_driving(engine.backend);
+    });
+}
+
 asio::awaitable<void> evacuation_service::ask(registered_backend backend) {
     const auto leaves = co_await mover_.leaves(backend.address, ask_timeout);
     if (leaves.value_or(false)) {
@@ -67,10 +77,19 @@
     const service_rule* service =
         state_.routes ? state_.routes->find_service(backend.service) : nullptr;
     const bool moves = service != nullptr && service->engine && service->engine->moves;
-    if (!moves || !peers_.drives(backend.service) || !driven_.insert(backend.id).second) {
-        return;
+    if (moves && !start_driving(backend)) {
+        left_to_others_.push_back({backend, monotonic_now()});
+    }
+}
+
+bool evacuation_service::start_driving(const registered_backend& backend) {
+    if (!peers_.drives(backend.service)) {
+        return false;
+    }
+    if (driven_.insert(backend.id).second) {
+        asio::co_spawn(context_, drive(backend), asio::detached);
     }
-    asio::co_spawn(context_, drive(backend), asio::detached);
+    return true;
 }
 
 asio::awaitable<std::vector<move_candidate>> evacuation_service::gather(const backend_id& backend) {
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -42,6 +42,10 @@
 
 private:
     boost::asio::awaitable<void> watch();
+    void ask_engines();
+    void take_over(time_point now);
+    /// False when another instance drives.
+    bool start_driving(const registered_backend& backend);
     boost::asio::awaitable<void> ask(registered_backend backend);
     boost::asio::awaitable<void> drive(registered_backend source);
     boost::asio::awaitable<std::vector<move_candidate>> gather(const backend_id& backend);
@@ -58,7 +62,15 @@
     forwarding_state& state_;
     generation_mover& mover_;
     evacuation_peers& peers_;
+    /// An engine that another instance evacuates, and when it was found to leave.
+    struct watched_engine {
+        registered_backend backend;
+        time_point since;
+    };
     std::set<backend_id> driven_;
+    /// When the instance that drives dies or freezes, the next owner takes its evacuations over:
+    /// all generations there would be cut though their engine still lives.
+    std::vector<watched_engine> left_to_others_;
     /// Targets that a generation is on its way to. The last part of a copy waits behind whatever
     /// else is sent to the same target, while its stream stands still (250 to 950 ms instead of
     /// some 10), so a target gets one generation at a time.
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -102,6 +102,7 @@
         return rejection{401, "unknown_key", std::nullopt};
     }
     workspace_ = workspace->id;
+    priority_ = workspace->priority.value_or(route_->priority);
     return std::nullopt;
 }
 
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -22,6 +22,8 @@
 
 constexpr milliseconds housekeeping_period{500};
 constexpr milliseconds drain_check{20};
+/// Between two looks whether the settings have changed without a signal.
+constexpr milliseconds settings_period{5'000};
 /// Left of the grace when the process ends by itself, so that it isn't killed in a write.
 constexpr milliseconds grace_margin{350};
 /// Callers keep directory answers up to three times as long as told.
@@ -34,11 +36,15 @@
 /// Machines are found by the seeds of the settings and by gossip from there.
 class seed_list final : public instance_list {
 public:
-    explicit seed_list(std::vector<std::string> seeds) { list_.instances = std::move(seeds); }
-    asio::awaitable<std::optional<machine_list>> read(list_failure&) override { co_return list_; }
+    explicit seed_list(const std::vector<std::string>& seeds) : seeds_(seeds) {}
+    asio::awaitable<std::optional<machine_list>> read(list_failure&) override {
+        machine_list out;
+        out.instances = seeds_;
+        co_return out;
+    }
 
 private:
-    machine_list list_;
+    const std::vector<std::string>& seeds_;
 };
 
 } // namespace
@@ -70,11 +76,14 @@
     std::unique_ptr<evacuation_service> evacuation;
     std::vector<std::unique_ptr<http_server>> servers;
     http_server* callers = nullptr;
+    std::function<std::optional<gateway_settings>(bool)> reload;
 
     bool start();
     bool serve(const std::string& address, http_handler handler);
     void build(const std::string& peer_address);
     void take_configuration(const routing_configuration& configuration) const;
+    void apply(const gateway_settings& changed);
+    asio::awaitable<void> watch_settings();
     void begin_drain();
     asio::awaitable<void> drain();
     asio::awaitable<void> housekeeping();
@@ -230,6 +239,27 @@
     co_await call.run();
 }
 
+/// Requests that are under way aren't touched.
+void gateway::parts::apply(const gateway_settings& changed) {
+    settings.seeds = changed.seeds;
+    settings.budget = changed.budget;
+    settings.grace = changed.grace;
+    settings.directory_validity = changed.directory_validity;
+    forwarding.budget.set_rules(changed.budget);
+    log_event(events::reloaded, "seeds={} grace_ms={} directory_validity_ms={} budget_ratio={}",
+              settings.seeds.size(), settings.grace.count(), settings.directory_validity.count(),
+              settings.budget.ratio);
+}
+
+asio::awaitable<void> gateway::parts::watch_settings() {
+    while (true) {
+        co_await pause_for(settings_period);
+        if (const auto changed = reload(false)) {
+            apply(*changed);
+        }
+    }
+}
+
 void gateway::parts::begin_drain() {
     if (!forwarding.leaving) {
         asio::co_spawn(context, drain(), asio::detached);
@@ -254,10 +284,12 @@
     context.stop();
 }
 
-int gateway::run(std::function<void()> reload) {
+int gateway::run(std::function<std::optional<gateway_settings>(bool)> reload) {
     if (!parts_->start()) {
         return exit_code_unavailable;
     }
+    parts_->reload = std::move(reload);
+    asio::co_spawn(parts_->context, parts_->watch_settings(), asio::detached);
     asio::io_context& context = parts_->context;
     asio::signal_set end(context, SIGTERM, SIGINT);
     end.async_wait([this](auto error, auto) {
@@ -269,7 +301,9 @@
     std::function<void()> wait_for_hangup = [&] {
         hangup.async_wait([&](auto error, auto) {
             if (!error) {
-                reload();
+                if (const auto changed = parts_->reload(true)) {
+                    parts_->apply(*changed);
+                }
                 wait_for_hangup();
             }
         });
--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,8 +69,10 @@
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
 
-    /// Serves until a signal ends it. `reload` is called on SIGHUP. The result is an exit code.
-    int run(std::function<void()> reload);
+    /// Serves until a signal ends it. `reload` is called on SIGHUP (with true) and now and then, as
+    /// settings may change without a signal; it returns settings that have changed. Addresses to
+    /// listen at and the failure domain stay as they were at the start. The result is an exit code.
+    int run(std::function<std::optional<gateway_settings>(bool signalled)> reload);
 
 private:
     struct parts;
--- a/bamboostream/src/Routing/window_budget.h
+++ b/bamboostream/src/Routing/window_budget.h
@@ -30,6 +30,8 @@
 public:
     explicit window_budget(window_budget_rules rules) : rules_(rules) {}
 
+    /// New rules count from the next decision on; what was spent stays spent.
+    void set_rules(window_budget_rules rules) { rules_ = rules; }
     void on_request(const service_id& service, time_point now);
     /// Takes one further send out of the budget; false when it is used up. `instances` counts the
     /// live ones, this one included.
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -214,6 +214,21 @@
     EXPECT_EQ(peers_.told_.size(), 1u);
 }
 
+// Another instance evacuates the engine and dies in the middle. Its engine still lives; the next
+// owner moves the generations that are left, and their callers notice nothing.
+TEST_F(evacuation_test, the_next_owner_takes_over_from_a_dead_one) {
+    peers_.drives_ = false;
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    service_.start();
+    leave("i-1");
+    run_for(milliseconds(500));
+    EXPECT_TRUE(mover_.calls_.empty());
+    peers_.drives_ = true;
+    run_for(milliseconds(600));
+    ASSERT_EQ(peers_.told_.size(), 1u);
+    EXPECT_EQ(peers_.told_[0].notice.copy.handle, "g1-last");
+}
+
 TEST_F(evacuation_test, only_the_owner_drives) {
     peers_.drives_ = false;
     peers_.running_ = {{"g1", backend_id("i-1")}};
--- a/test/platform/forwarding_test.cpp
+++ b/test/platform/forwarding_test.cpp
@@ -462,6 +462,45 @@
     EXPECT_EQ(server.requests().size(), 2u);
 }
 
+/// Ranks and whether a generation is taken by an engine whose memory is promised 1.4 times over.
+struct rank_row {
+    std::string name;
+    int route_rank;
+    std::optional<int> workspace_rank;
+    int status;
+};
+
+class ranked : public testing::TestWithParam<rank_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, ranked,
+                         testing::Values(rank_row{"urgent_route", 0, std::nullopt, 200},
+                                         rank_row{"less_urgent_route", 1, std::nullopt, 503},
+                                         rank_row{"urgent_workspace", 1, 0, 200},
+                                         rank_row{"less_urgent_workspace", 0, 1, 503}),
+                         [](const auto& info) { return info.param.name; });
+
+// Engines are crowded. Who is more urgent is served and the others are told to come back; the
+// workspace's rank goes before the route's.
+TEST_P(ranked, the_workspace_s_rank_goes_first) {
+    forwarding_fixture f;
+    f.add(
+        "i-1",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(0, 1) + stream_end);
+        },
+        "engines");
+    f.route("long").priority = GetParam().route_rank;
+    f.run_for(milliseconds(1));
+    routing_configuration changed = f.state().routes->configuration();
+    changed.workspaces->front().priority = GetParam().workspace_rank;
+    f.state().routes = std::make_shared<const route_table>(changed);
+    const auto memory = changed.services.back().engine->memory_tokens;
+    f.state().loads.add(backend_id("i-1"), {3, memory * 14 / 10, 0});
+    const auto view = f.ask("long", "a1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), GetParam().status);
+}
+
 // Requests that last longer than their route allows get their final answer then, not at the
 // deadline of the caller.
 TEST(forwarding, the_route_s_timeout_ends_the_wait) {
--- a/test/platform/system/gateway_fixture.h
+++ b/test/platform/system/gateway_fixture.h
@@ -67,15 +67,20 @@
         it->ip = ip_of(index);
         it->settings = fmt::format("{}/{}.conf", folder_, index);
         it->log = fmt::format("{}/{}.log", folder_, index);
-        std::ofstream(it->settings) << fmt::format(
+        write_settings(*it, index, store_address);
+        instances_.push_back(std::move(it));
+        start(*instances_.back());
+        return *instances_.back();
+    }
+
+    void write_settings(const instance_under_test& it, int index,
+                        const std::string& store_address) const {
+        std::ofstream(it.settings) << fmt::format(
             "zone=z{0}\nlisten.front={1}:8740\nlisten.ready={1}:8749\nlisten.control={1}:8748\n"
             "listen.directory={1}:8746\nseeds={2}:8748\nbounds.grace_s=4\nbounds.ttl_max_s=1\n"
             "bounds.retry_budget_ratio=0.2\nbounds.retry_budget_slack=56\n"
             "bounds.budget_window_s=10\nplatform.address={3}\n",
-            index, it->ip, ip_of(0), store_address);
-        instances_.push_back(std::move(it));
-        start(*instances_.back());
-        return *instances_.back();
+            index, it.ip, ip_of(0), store_address);
     }
 
     static void start(instance_under_test& it) {
--- a/test/platform/system/gateway_test.cpp
+++ b/test/platform/system/gateway_test.cpp
@@ -50,6 +50,37 @@
     EXPECT_EQ(status_of(b, "k1"), 401);
 }
 
+/// Whether the platform tells of new settings by a signal.
+struct reload_row {
+    std::string name;
+    bool signalled;
+};
+
+class changed_settings : public gateway_test, public testing::WithParamInterface<reload_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, changed_settings,
+                         testing::Values(reload_row{"with_a_signal", true},
+                                         reload_row{"without_a_signal", false}),
+                         [](const auto& info) { return info.param.name; });
+
+// The store moves to another address and the settings file says so. The instance goes on serving,
+// reads there, and a configuration that is written after the move comes into force.
+TEST_P(changed_settings, come_into_force_while_it_serves) {
+    configure(1, "k1");
+    add_sound_backend("i-1");
+    const std::string old_store = store_.add_address();
+    auto& a = add_instance(old_store);
+    ASSERT_TRUE(serves(a, "k1"));
+    store_.set_manner(old_store, store_manner::refuses);
+    write_settings(a, 0, good_store_);
+    if (GetParam().signalled) {
+        a.running->signal(SIGHUP);
+    }
+    configure(2, "k2");
+    EXPECT_TRUE(serves(a, "k2", 2 * patience));
+    EXPECT_EQ(status_of(a, "k1"), 401);
+}
+
 // The operator's records are deleted and the history with them, while new versions are written. The
 // instances notice the gap and read the newest records anew instead of waiting for what is gone.
 TEST_F(gateway_test, a_gap_in_the_history_loses_no_configuration) {
