Leave configurations of a storm to peers while they hand them on

Change: an instance that makes headway through its peers (asked every 300 ms) leaves the store alone; one that is stuck for 0.8 s reads.

--- a/bamboostream/src/Gateway/store_follower.cpp
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -47,11 +47,11 @@
 
 /// Somebody else reads, and what has been read there is known here.
 bool store_follower::may_rest(const topic_position& position) const {
-    if (duty_.must_read(is_reader_(), monotonic_now())) {
+    const time_point now = monotonic_now();
+    if (duty_.must_read(is_reader_(), now)) {
         return false;
     }
-    return position.topic == record_topic::backend_entries ||
-           duty_.told_version() <= state_.version();
+    return position.topic == record_topic::backend_entries || !duty_.lags(state_.version(), now);
 }
 
 asio::awaitable<void> store_follower::follow(topic_position& position) {
