--- a/test/platform/forwarding_fixture.cpp
+++ b/test/platform/forwarding_fixture.cpp
@@ -224,6 +224,12 @@
                        status, connection.field("Attempt-Id"), body, body.size(), body);
 }
 
+backend_script answering(const std::string& body) {
+    return [body](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.send(sealed_answer(c, body));
+    };
+}
+
 std::string stream_head(const scripted_connection& connection) {
     return fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n"
                        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
--- a/test/platform/forwarding_fixture.h
+++ b/test/platform/forwarding_fixture.h
@@ -70,6 +70,8 @@
 /// A whole answer of a backend server to the request on this connection.
 std::string sealed_answer(const scripted_connection& connection, const std::string& body,
                           int status = 200);
+/// A server that answers every request with this body.
+backend_script answering(const std::string& body);
 /// The head of a chunked stream of events.
 std::string stream_head(const scripted_connection& connection);
 /// Events from `first` to `last`, each in a chunk of its own.
