--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -58,7 +58,12 @@
 }
 
 class soak_test : public gateway_test, public testing::WithParamInterface<std::uint64_t> {
+public:
+    soak_test(const soak_test&) = delete;
+    soak_test& operator=(const soak_test&) = delete;
+
 protected:
+    soak_test() = default;
     ~soak_test() override { stop_callers(); }
 
     void play() {
