--- a/bamboostream/src/Gateway/store_duty.cpp
+++ b/bamboostream/src/Gateway/store_duty.cpp
@@ -11,18 +11,6 @@
     }
 }
 
-bool store_duty::lags(std::int64_t own_version, time_point now) {
-    if (told_version_ <= own_version) {
-        behind_since_.reset();
-        return false;
-    }
-    if (!behind_since_ || behind_with_ != own_version) {
-        behind_since_ = now;
-        behind_with_ = own_version;
-    }
-    return now - *behind_since_ >= peers_first;
-}
-
 milliseconds store_duty::pause_after_failure(bool is_reader, int failures) {
     constexpr milliseconds reader_pause{250};
     constexpr milliseconds first_pause{700};
--- a/bamboostream/src/Gateway/store_duty.h
+++ b/bamboostream/src/Gateway/store_duty.h
@@ -30,15 +30,6 @@
     /// True while some reader tells what the store says.
     bool covered(time_point now) const;
     bool must_read(bool is_reader, time_point now) const { return is_reader || !covered(now); }
-    /// Peers that have a newer configuration are asked for it every 300 ms, and while versions
-    /// follow each other one may lag all the time. An instance that makes no headway for this long
-    /// reads the store itself; that leaves a second of the two in which a configuration must be in
-    /// force.
-    static constexpr milliseconds peers_first{800};
-    /// Whether peers are too slow in handing on a newer configuration than `own_version`. Without
-    /// the patience 93 instances made 1,082 calls in four seconds of a storm of configurations,
-    /// half the calls of the day.
-    bool lags(std::int64_t own_version, time_point now);
     /// How long to wait after `failures` tries in a row that the store didn't answer. Refused calls
     /// cost as much as others: with a pause of 0.7 s, 62 instances made 3,400 calls in a day with
     /// 15 s of outage, four times those of a calm day. Who reads for all goes on trying often and
@@ -51,9 +42,6 @@
 private:
     std::optional<time_point> last_fresh_;
     std::int64_t told_version_ = 0;
-    /// Since when this instance has been behind with the same version of its own.
-    std::optional<time_point> behind_since_;
-    std::int64_t behind_with_ = 0;
 };
 
 /// How far this instance knows the entries of backend servers, as a position in the store's topic.
--- a/bamboostream/src/Gateway/store_follower.cpp
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -52,7 +52,7 @@
         return false;
     }
     const bool entries = position.topic == record_topic::backend_entries;
-    return entries ? !entries_wanted_ : !duty_.lags(state_.version(), now);
+    return entries ? !entries_wanted_ : duty_.told_version() <= state_.version();
 }
 
 asio::awaitable<void> store_follower::follow(topic_position& position) {
--- a/bamboostream/src/Gateway/store_follower.h
+++ b/bamboostream/src/Gateway/store_follower.h
@@ -15,7 +15,7 @@
 class store_follower {
 public:
     store_follower(boost::asio::io_context& context, record_store& store, deployment_state& state,
-                   backend_registry& registry, store_duty& duty)
+                   backend_registry& registry, const store_duty& duty)
         : context_(context), store_(store), state_(state), registry_(registry), duty_(duty) {}
 
     /// `is_reader` tells whether this instance reads for all.
@@ -45,7 +45,7 @@
     record_store& store_;
     deployment_state& state_;
     backend_registry& registry_;
-    store_duty& duty_;
+    const store_duty& duty_;
     std::function<bool()> is_reader_;
     bool entries_wanted_ = false;
     topic_position documents_{record_topic::operator_documents, std::nullopt, std::nullopt};
--- a/test/platform/routing_decisions_test.cpp
+++ b/test/platform/routing_decisions_test.cpp
@@ -300,38 +300,6 @@
     EXPECT_EQ(duty.told_version(), 7);
 }
 
-/// Versions that this instance has at some moments of a storm in which readers tell a new one each
-/// 60 ms, and whether it must read the store itself at the end.
-struct lag_row {
-    std::string name;
-    std::vector<std::int64_t> own_each_100_ms;
-    bool reads;
-};
-
-class configuration_lag : public testing::TestWithParam<lag_row> {};
-
-INSTANTIATE_TEST_SUITE_P(
-    table, configuration_lag,
-    testing::Values(lag_row{"in_step", {1, 3, 5, 7, 9, 11, 13, 15, 17, 19, 21, 23}, false},
-                    lag_row{"behind_but_moving", {1, 1, 1, 4, 4, 4, 9, 9, 9, 14, 14, 14}, false},
-                    lag_row{"stuck", {1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1}, true},
-                    lag_row{"stuck_after_a_while", {1, 3, 5, 5, 5, 5, 5, 5, 5, 5, 5, 5}, true}),
-    [](const auto& info) { return info.param.name; });
-
-// Operators change the configuration many times a second. Instances get it from each other; only
-// one whose peers don't hand it on reads the store itself, early enough for the two seconds in
-// which it must be in force.
-TEST_P(configuration_lag, is_left_to_peers_while_they_hand_it_on) {
-    store_duty duty;
-    bool reads = false;
-    for (std::size_t i = 0; i < GetParam().own_each_100_ms.size(); ++i) {
-        const time_point now = start + i * milliseconds(100);
-        duty.hear(true, static_cast<std::int64_t>(2 * i + 1), now);
-        reads = duty.lags(GetParam().own_each_100_ms[i], now);
-    }
-    EXPECT_EQ(reads, GetParam().reads);
-}
-
 /// Tries in a row that the store didn't answer, and the pause after them.
 struct pause_row {
     std::string name;
