Believe a removal that the readers of the store conclude after an outage

Cause: readers wait 2.5 s for entries that lapsed in an outage and then give them up. No record comes with that, so the position in the topic stays, and the others took the telling for known. Test first: a_server_that_lapsed_in_an_outage_is_given_up_by_all, red three times of three, green three times after. Ruled out: the store's deleted history itself (it is read anew, and the readers act on it); lost tellings (TCP, links were up).

--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <map>
 
 namespace bamboostream {
 
@@ -185,6 +186,7 @@
     switch (state_.entries().judge(static_cast<std::int64_t>(news.previous),
                                    static_cast<std::int64_t>(news.sequence))) {
     case change_follower::verdict::known:
+        forget_removed(news);
         return;
     case change_follower::verdict::ask_for_all:
         if (!store_.failing_since()) {
@@ -206,6 +208,22 @@
     state_.report_changes();
 }
 
+void peer_exchange::forget_removed(const wire::StoreNewsT& news) {
+    if (!state_.entries().removal_holds(static_cast<std::int64_t>(news.sequence))) {
+        return;
+    }
+    std::map<std::string, bool> removed;
+    for (const auto& fact : news.changed) {
+        removed[fact->id] = fact->gone;
+    }
+    for (const auto& [id, gone] : removed) {
+        if (gone) {
+            forwarding_.registry.forget(backend_id(id));
+        }
+    }
+    state_.report_changes();
+}
+
 std::string peer_exchange::peer_with_newer_configuration() const {
     std::string best;
     std::int64_t version = state_.version();
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -52,6 +52,8 @@
     boost::asio::awaitable<void> news_loop();
     void tell_news();
     void hear_news(const std::string& sender, const wire::StoreNewsT& news);
+    /// Forgets the servers that a telling with no new record says are gone in the end.
+    void forget_removed(const wire::StoreNewsT& news);
     boost::asio::awaitable<void> ask_configuration(std::string peer);
     boost::asio::awaitable<void> ask_backends(std::string peer);
     std::vector<std::string> usable_peers() const;
--- a/test/platform/routing_decisions_test.cpp
+++ b/test/platform/routing_decisions_test.cpp
@@ -347,5 +347,16 @@
     EXPECT_EQ(follower.position(), 9);
 }
 
+// A reader gives up a server for whose entry it has waited; no record came with that, so the position
+// stays. Who knows no later record than the reader must give it up too; who knows later ones may have
+// seen the server register again.
+TEST(change_follower_test, a_removal_without_a_record_holds_unless_later_records_are_known) {
+    change_follower follower;
+    follower.caught_up(5);
+    EXPECT_TRUE(follower.removal_holds(5));
+    EXPECT_TRUE(follower.removal_holds(6));
+    EXPECT_FALSE(follower.removal_holds(4));
+}
+
 } // namespace
 } // namespace bamboostream
--- a/test/platform/system/gateway_fixture.h
+++ b/test/platform/system/gateway_fixture.h
@@ -201,6 +201,19 @@
         return false;
     }
 
+    /// Whether the instance's log has a line of that event with that detail in it.
+    static bool has_logged(const instance_under_test& it, std::string_view event,
+                           std::string_view detail) {
+        std::ifstream log(it.log);
+        std::string line;
+        while (std::getline(log, line)) {
+            if (line.find(event) != std::string::npos && line.find(detail) != std::string::npos) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     std::string directory_of(const instance_under_test& it) {
         const auto result =
             call(it.ip + ":8746", make_request("GET", "/resolve?name=h.example&zone=z0"));
--- a/test/platform/system/gateway_test.cpp
+++ b/test/platform/system/gateway_test.cpp
@@ -167,6 +167,33 @@
     EXPECT_EQ(removed.requests().size(), before);
 }
 
+// The store is away for a moment, and the history in which a backend server was removed is gone when it
+// answers again. The two instances that read it wait 2.5 s for the server's entry and give it up; the
+// others, who were told of no record, must not keep it: it looks idle, and callers of theirs are
+// refused after several tries at servers that are gone.
+TEST_F(gateway_test, a_server_that_lapsed_in_an_outage_is_given_up_by_all) {
+    configure(1, "k");
+    add_sound_backend("i-1");
+    add_sound_backend("i-2");
+    for (int i = 0; i < 4; ++i) {
+        add_instance(good_store_);
+    }
+    for (const auto& it : instances_) {
+        ASSERT_TRUE(serves(*it, "k"));
+    }
+    wait_until([] { return false; }, milliseconds(1'500));
+    store_.set_manner(good_store_, store_manner::refuses);
+    store_.write("keyed.servers", "i-2", "");
+    store_.forget_history("keyed.servers");
+    // Short enough that the readers' silence makes nobody else read.
+    wait_until([] { return false; }, milliseconds(150));
+    store_.set_manner(good_store_, store_manner::answers);
+    for (const auto& it : instances_) {
+        EXPECT_TRUE(wait_until([&] { return has_logged(*it, "backend_down", "backend=i-2"); }))
+            << it->log;
+    }
+}
+
 TEST_F(gateway_test, bad_settings_are_all_named_and_end_with_code_two) {
     const std::string settings = folder_ + "/bad.conf";
     const std::string log = folder_ + "/bad.log";
