Take a second start of a server for another life, and foreign entries for none

Cause: the time of a server's start was read nowhere, so what stuck to its id (leaving, failures, evacuations) held for the next start too; entries counted as sound with any state, without a failure domain or places, and a known server was dropped at once when its entry couldn't be read among all entries. The stand-ins' entries now have all fields that the description names. Ruled out: comparing starts with a clock here; only starts of one id are compared with each other.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -26,6 +26,7 @@
         backend_down,
         backend_up,
         backend_loading,
+        backend_restarted,
         configuration_in_force,
         configuration_rejected,
         log_unavailable,
--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -37,6 +37,7 @@
 inline constexpr event_kind backend_down{222, event_level::warning, "backend_down", "A backend server can't be reached."};
 inline constexpr event_kind backend_up{223, event_level::info, "backend_up", "A backend server answers again."};
 inline constexpr event_kind backend_loading{224, event_level::info, "backend_loading", "A backend server is loading a model; it gets no new work until it is done."};
+inline constexpr event_kind backend_restarted{225, event_level::info, "backend_restarted", "A backend server started again under the id that it had; nothing of its earlier life holds."};
 inline constexpr event_kind configuration_in_force{300, event_level::info, "configuration_in_force", "A newer configuration version is in force here."};
 inline constexpr event_kind configuration_rejected{301, event_level::warning, "configuration_rejected", "A configuration record on the log lost its race or failed validation."};
 inline constexpr event_kind log_unavailable{310, event_level::warning, "log_unavailable", "The platform's log can't be read; the configuration in force stays."};
--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -82,6 +82,12 @@
     }
 }
 
+void evacuation_service::on_restart(const backend_id& id) {
+    driven_.erase(id);
+    std::erase_if(left_to_others_,
+                  [&id](const watched_engine& engine) { return engine.backend.id == id; });
+}
+
 bool evacuation_service::start_driving(const registered_backend& backend) {
     if (!peers_.drives(backend.service)) {
         return false;
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -40,6 +40,9 @@
     /// An engine is known to leave or has lost its entry; its generations are moved while it lives.
     void on_leaving(const registered_backend& backend);
 
+    /// The engine has started again; when it leaves once more it is evacuated once more.
+    void on_restart(const backend_id& id);
+
 private:
     boost::asio::awaitable<void> watch();
     void ask_engines();
--- a/bamboostream/src/Gateway/deployment_state.cpp
+++ b/bamboostream/src/Gateway/deployment_state.cpp
@@ -4,6 +4,24 @@
 
 namespace bamboostream {
 
+namespace {
+
+const event_kind& event_of(registry_event event) {
+    switch (event) {
+    case registry_event::joined:
+        return events::backend_joined;
+    case registry_event::leaving:
+        return events::backend_leaving;
+    case registry_event::gone:
+        return events::backend_down;
+    case registry_event::restarted:
+        break;
+    }
+    return events::backend_restarted;
+}
+
+} // namespace
+
 void deployment_state::take_configuration(std::string_view text, std::string_view origin) {
     if (text == document_) {
         return;
@@ -44,6 +62,7 @@
 void deployment_state::take_entries(const std::vector<keyed_record>& records, bool all,
                                     time_point now) {
     std::vector<registered_backend> entries;
+    std::vector<backend_id> unreadable;
     for (const keyed_record& record : records) {
         if (record.value.empty()) {
             forwarding_.registry.remove(backend_id(record.key), now);
@@ -54,6 +73,7 @@
         if (!entry) {
             log_event(events::record_rejected, "topic=backend_entries key={} reason={}", record.key,
                       why);
+            unreadable.emplace_back(record.key);
             continue;
         }
         if (all) {
@@ -63,7 +83,7 @@
         }
     }
     if (all) {
-        forwarding_.registry.learn_all(entries, now);
+        forwarding_.registry.learn_all(entries, unreadable, now);
     }
     report_changes();
 }
@@ -77,11 +97,10 @@
 void deployment_state::report_changes() {
     for (const registry_change& change : forwarding_.registry.take_changes()) {
         const registered_backend& backend = change.backend;
-        const event_kind& kind = change.event == registry_event::joined    ? events::backend_joined
-                                 : change.event == registry_event::leaving ? events::backend_leaving
-                                                                           : events::backend_down;
-        log_event(kind, "backend={} address={} service={} failure_domain={}", backend.id.text(),
-                  backend.address, backend.service.text(), backend.failure_domain.text());
+        log_event(event_of(change.event),
+                  "backend={} address={} service={} failure_domain={} started_ms={}",
+                  backend.id.text(), backend.address, backend.service.text(),
+                  backend.failure_domain.text(), backend.started_ms);
         if (backend_listener_) {
             backend_listener_(change);
         }
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -125,12 +125,16 @@
     state.on_new_configuration([this](const routing_configuration& c) { take_configuration(c); });
     state.on_backend_change([this](const registry_change& change) {
         peers->note_change(change);
-        if (change.event != registry_event::joined) {
+        if (change.event == registry_event::leaving || change.event == registry_event::gone) {
             evacuation->on_leaving(change.backend);
         }
-        if (change.event == registry_event::gone) {
+        if (change.event == registry_event::gone || change.event == registry_event::restarted) {
             forwarding.channels.drop(change.backend.address);
         }
+        if (change.event == registry_event::restarted) {
+            evacuation->on_restart(change.backend.id);
+            forwarding.picker.forget(change.backend.id);
+        }
     });
     forwarding.on_generation_change = [this] { peers->note_load(); };
     forwarding.on_registry_change = [this] { state.report_changes(); };
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -37,6 +37,7 @@
     out->service = backend.service.text();
     out->failure_domain = backend.failure_domain.text();
     out->slots = backend.slots;
+    out->started_ms = backend.started_ms;
     out->leaving = backend.leaving;
     const duration slow_for = std::max(duration{}, backend.slow_until - now);
     out->slow_for_ms = static_cast<std::int32_t>(to_milliseconds(slow_for));
@@ -50,6 +51,7 @@
     out.service = service_id(fact.service);
     out.failure_domain = failure_domain_id(fact.failure_domain);
     out.slots = fact.slots;
+    out.started_ms = fact.started_ms;
     out.leaving = fact.leaving;
     out.slow_until = now + milliseconds(fact.slow_for_ms);
     return out;
@@ -175,7 +177,7 @@
     // Leaving is believed from anyone: it is never taken back.
     for (const auto& fact : news.changed) {
         if (fact->leaving) {
-            forwarding_.registry.mark_leaving(backend_id(fact->id));
+            forwarding_.registry.mark_leaving(backend_id(fact->id), fact->started_ms);
         }
     }
     state_.report_changes();
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -6,24 +6,46 @@
 namespace bamboostream {
 
 void backend_registry::learn(const registered_backend& backend, time_point) {
-    registered_backend heard = backend;
-    heard.leaving = heard.leaving || left_.contains(backend.id);
     const auto found = backends_.find(backend.id);
-    if (found == backends_.end()) {
+    const bool known = found != backends_.end();
+    if (known && backend.started_ms < found->second.backend.started_ms) {
+        return;
+    }
+    registered_backend heard = backend;
+    heard.leaving = heard.leaving || has_left(backend);
+    if (!known) {
         backends_.emplace(backend.id, record{heard, std::nullopt});
         changes_.push_back({registry_event::joined, heard});
     } else {
-        found->second.removal_due.reset();
-        found->second.backend = heard;
+        const bool restarted = backend.started_ms > found->second.backend.started_ms;
+        found->second = {heard, std::nullopt};
+        if (restarted) {
+            changes_.push_back({registry_event::restarted, heard});
+        }
     }
     if (heard.leaving) {
-        mark_leaving(backend.id);
+        mark_leaving(backend.id, backend.started_ms);
     }
 }
 
+bool backend_registry::has_left(const registered_backend& backend) const {
+    const auto found = left_.find(backend.id);
+    return found != left_.end() && backend.started_ms <= found->second;
+}
+
 void backend_registry::mark_leaving(const backend_id& id) {
-    const bool first = left_.insert(id).second;
+    const registered_backend* known = find(id);
+    mark_leaving(id, known != nullptr ? known->started_ms : 0);
+}
+
+void backend_registry::mark_leaving(const backend_id& id, std::int64_t started_ms) {
     const auto found = backends_.find(id);
+    if (found != backends_.end() && started_ms < found->second.backend.started_ms) {
+        return;
+    }
+    const auto [left, added] = left_.try_emplace(id, started_ms);
+    const bool first = added || left->second < started_ms;
+    left->second = std::max(left->second, started_ms);
     if (found == backends_.end()) {
         return;
     }
@@ -61,14 +83,16 @@
     }
 }
 
-void backend_registry::learn_all(std::span<const registered_backend> entries, time_point now) {
+void backend_registry::learn_all(std::span<const registered_backend> entries,
+                                 std::span<const backend_id> unreadable, time_point now) {
     for (const registered_backend& backend : entries) {
         learn(backend, now);
     }
     for (const registered_backend& known : all()) {
         const bool listed =
             std::any_of(entries.begin(), entries.end(),
-                        [&](const registered_backend& entry) { return entry.id == known.id; });
+                        [&](const registered_backend& entry) { return entry.id == known.id; }) ||
+            std::find(unreadable.begin(), unreadable.end(), known.id) != unreadable.end();
         if (!listed) {
             remove(known.id, now);
         }
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -14,9 +13,12 @@
 
 namespace bamboostream {
 
-/// A backend server as it registered itself. Its id stands for one start: a restart has another.
+/// A backend server as it registered itself. It may start again under the id that it had.
 struct registered_backend {
     backend_id id;
+    /// When it started, in milliseconds since 1970 by its own clock; zero when it doesn't say. It
+    /// is compared with other starts of the same id only, never with a clock here.
+    std::int64_t started_ms = 0;
     std::string address;
     service_id service;
     failure_domain_id failure_domain;
@@ -28,7 +30,8 @@
 };
 
 /// A change that callers of the registry may want to log or act on.
-enum class registry_event : std::uint8_t { joined, leaving, gone };
+/// After `restarted` the server remembers nothing of before.
+enum class registry_event : std::uint8_t { joined, leaving, gone, restarted };
 struct registry_change {
     registry_event event = registry_event::joined;
     registered_backend backend;
@@ -36,10 +39,10 @@
 
 /// The backend servers that registered in the platform's store.
 ///
-/// Leaving is sticky for an id: the store may repeat an older entry after a gap in its history, and
-/// a request that then reaches a server that leaves is cut. Removal is believed at once while the
-/// store answers. While the store is away entries lapse although their servers live, so removals
-/// are put off until the servers have had time to register again after its return.
+/// Leaving is sticky for one life of a server: the store may repeat an older entry after a gap in
+/// its history, and a request that then reaches a server that leaves is cut. Removal is believed at
+/// once while the store answers. While the store is away entries lapse although their servers live,
+/// so removals are put off until the servers have had time to register again after its return.
 class backend_registry {
 public:
     /// Servers that live are registered again about two seconds after the store's return.
@@ -49,14 +52,18 @@
     void learn(const registered_backend& backend, time_point now);
     /// The store says that the entry was removed.
     void remove(const backend_id& id, time_point now);
-    /// All entries at one moment; those that are missing count as removed.
-    void learn_all(std::span<const registered_backend> entries, time_point now);
+    /// All entries at one moment; those that are missing count as removed. `unreadable` names
+    /// entries that are there and say nothing; what is known of such a server stays.
+    void learn_all(std::span<const registered_backend> entries,
+                   std::span<const backend_id> unreadable, time_point now);
     /// Entries as another instance believes them, which has already waited for lapsed ones.
     void learn_from_peer(std::span<const registered_backend> entries, time_point now);
     /// Another instance believes that the server is gone.
     void forget(const backend_id& id);
     /// The server itself or another instance says that it leaves.
     void mark_leaving(const backend_id& id);
+    /// The same of the life that began at `started_ms`; a later one isn't concerned.
+    void mark_leaving(const backend_id& id, std::int64_t started_ms);
     void store_failed(time_point now);
     void store_answered(time_point now);
     bool store_away() const { return store_away_; }
@@ -77,11 +84,15 @@
         std::optional<time_point> removal_due;
     };
     bool removals_wait(time_point now) const;
+    /// Whether this life of the server has said that it leaves.
+    bool has_left(const registered_backend& backend) const;
     void erase(const backend_id& id);
 
     std::map<backend_id, record> backends_;
-    /// Ids that said they leave; kept after their entries are gone.
-    std::set<backend_id> left_;
+    /// Servers that said they leave, with the start of the life that does; kept after their entries
+    /// are gone. A later life of the same id is sound: were leaving to stick to the id alone, an
+    /// engine that started again would stand idle for good.
+    std::map<backend_id, std::int64_t> left_;
     std::vector<registry_change> changes_;
     bool store_away_ = false;
     std::optional<time_point> store_returned_;
--- a/bamboostream/src/Routing/backend_picker.cpp
+++ b/bamboostream/src/Routing/backend_picker.cpp
@@ -79,6 +79,12 @@
            outliers_.ejected(id.text(), now);
 }
 
+void backend_picker::forget(const backend_id& id) {
+    unreachable_until_.erase(id);
+    failing_.erase(id);
+    outliers_.forget(id.text());
+}
+
 void backend_picker::on_unreachable(const backend_id& id, time_point now) {
     std::erase_if(unreachable_until_, [now](const auto& item) { return now >= item.second; });
     unreachable_until_[id] = now + unreachable_for;
--- a/bamboostream/src/Routing/backend_picker.h
+++ b/bamboostream/src/Routing/backend_picker.h
@@ -44,6 +44,9 @@
     /// `group_size` counts the servers of the same service.
     void on_failure(const backend_id& id, std::size_t group_size, time_point now);
 
+    /// The server has started again: what was held against it concerns another process.
+    void forget(const backend_id& id);
+
 private:
     double cost(const registered_backend& server, const backend_work& work,
                 const placement_request& request, time_point now) const;
--- a/bamboostream/src/Routing/outlier_detector.h
+++ b/bamboostream/src/Routing/outlier_detector.h
@@ -28,6 +28,7 @@
     /// `group_size` is the number of servers the floor is counted over.
     void on_failure(std::string_view backend, std::size_t group_size, time_point now);
     bool ejected(std::string_view backend, time_point now) const;
+    void forget(std::string_view backend) { records_.erase(std::string(backend)); }
 
 private:
     struct record {
--- a/test/platform/routing_decisions_test.cpp
+++ b/test/platform/routing_decisions_test.cpp
@@ -78,6 +78,83 @@
     EXPECT_TRUE(registry.usable(service_id("s")).empty());
 }
 
+registered_backend started_at(std::int64_t started_ms, bool leaving) {
+    registered_backend out = backend("i-1");
+    out.started_ms = started_ms;
+    out.leaving = leaving;
+    return out;
+}
+
+/// What is heard of one id whose server has started twice, in this order.
+struct second_start_row {
+    std::string name;
+    std::vector<registered_backend> heard;
+    bool usable;
+};
+
+void PrintTo(const second_start_row& row, std::ostream* out) {
+    *out << row.name;
+}
+
+class second_start : public testing::TestWithParam<second_start_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, second_start,
+    testing::Values(
+        second_start_row{
+            "left_then_new", {started_at(1'000, true), started_at(2'000, false)}, true},
+        second_start_row{
+            "old_leaving_heard_late", {started_at(2'000, false), started_at(1'000, true)}, true},
+        second_start_row{
+            "new_one_leaves", {started_at(1'000, false), started_at(2'000, true)}, false},
+        second_start_row{
+            "old_ready_heard_late",
+            {started_at(1'000, false), started_at(2'000, true), started_at(1'000, false)},
+            false},
+        second_start_row{"left_then_the_same_again",
+                         {started_at(1'000, true), started_at(1'000, false)},
+                         false}),
+    [](const auto& info) { return info.param.name; });
+
+// An engine leaves and starts again under the id that it had. If its earlier leaving stuck to the
+// id, it would stay idle for good; if an old entry heard late counted, callers would be sent to an
+// engine that leaves, or a sound one would get nothing.
+TEST_P(second_start, is_another_life) {
+    backend_registry registry;
+    for (const registered_backend& entry : GetParam().heard) {
+        registry.learn(entry, start);
+    }
+    EXPECT_EQ(!registry.usable(service_id("s")).empty(), GetParam().usable);
+}
+
+// Whoever keeps something by the id of an engine is told that it began anew.
+TEST(backend_registry_test, a_second_start_is_told) {
+    backend_registry registry;
+    registry.learn(started_at(1'000, true), start);
+    registry.take_changes();
+    registry.learn(started_at(2'000, false), start);
+    const auto changes = registry.take_changes();
+    ASSERT_EQ(changes.size(), 1u);
+    EXPECT_EQ(changes.front().event, registry_event::restarted);
+    // A telling of another instance about the first life.
+    registry.mark_leaving(backend_id("i-1"), 1'000);
+    EXPECT_FALSE(registry.usable(service_id("s")).empty());
+}
+
+// The server that was passed over for its failures is gone; the one that has its id now is new.
+TEST(backend_picker_test, a_second_start_has_a_clean_record) {
+    backend_picker picker(1);
+    const registered_backend b = backend("i-1");
+    const registered_backend other = backend("i-2");
+    const std::vector<const registered_backend*> servers = {&b, &other};
+    load_book loads;
+    loads.add(other.id, {3, 0, 0});
+    picker.on_unreachable(b.id, start);
+    ASSERT_EQ(picker.pick(servers, loads, {}, start)->id, other.id);
+    picker.forget(b.id);
+    EXPECT_EQ(picker.pick(servers, loads, {}, start)->id, b.id);
+}
+
 /// When an entry is removed, relative to an outage of the store from 0 to 10 s.
 struct removal_row {
     std::string name;
@@ -347,9 +424,9 @@
     EXPECT_EQ(follower.position(), 9);
 }
 
-// A reader gives up a server for whose entry it has waited; no record came with that, so the position
-// stays. Who knows no later record than the reader must give it up too; who knows later ones may have
-// seen the server register again.
+// A reader gives up a server for whose entry it has waited; no record came with that, so the
+// position stays. Who knows no later record than the reader must give it up too; who knows later
+// ones may have seen the server register again.
 TEST(change_follower_test, a_removal_without_a_record_holds_unless_later_records_are_known) {
     change_follower follower;
     follower.caught_up(5);
--- a/test/platform/system/explanation_test.cpp
+++ b/test/platform/system/explanation_test.cpp
@@ -122,8 +122,8 @@
         return wait_until([&] { return asked->done || !asked->body.empty(); }) && !asked->done;
     }));
     store_.write("keyed.servers", "i-engine",
-                 fmt::format(R"({{"service":"s","address":"{}","zone":"z0","slots":6,
-"state":"draining","cold_left_ms":0}})",
+                 fmt::format(R"({{"service":"s","address":"{}","zone":"z0","version":"v1","slots":6,
+"state":"draining","cold_left_ms":0,"sequence":1,"born":1}})",
                              backends_.front()->address()));
     wait_until([&] { return line(logs(), "backend_leaving").field("backend") == "i-engine"; });
     ended = true;
--- a/test/platform/system/gateway_fixture.h
+++ b/test/platform/system/gateway_fixture.h
@@ -102,8 +102,8 @@
     scripted_backend& add_backend(const std::string& id, backend_script script) {
         backends_.push_back(std::make_unique<scripted_backend>(context_, std::move(script)));
         store_.write("keyed.servers", id,
-                     fmt::format(R"({{"service":"s","address":"{}","zone":"z0","slots":6,
-"state":"ready","cold_left_ms":0}})",
+                     fmt::format(R"({{"service":"s","address":"{}","zone":"z0","version":"v1",
+"slots":6,"state":"ready","cold_left_ms":0,"sequence":1,"born":1}})",
                                  backends_.back()->address()));
         return *backends_.back();
     }
--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -229,10 +229,11 @@
     }
 
     void write_entry(const soak_server& server, const std::string& state) {
-        store_.write("keyed.servers", server.id,
-                     fmt::format(R"({{"service":"s","address":"{}","zone":"z0","slots":6,
-"state":"{}","cold_left_ms":0}})",
-                                 server.proxied, state));
+        store_.write(
+            "keyed.servers", server.id,
+            fmt::format(R"({{"service":"s","address":"{}","zone":"z0","version":"v1","slots":6,
+"state":"{}","cold_left_ms":0,"sequence":1,"born":1}})",
+                        server.proxied, state));
     }
 
     void add_server() {
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -3,6 +3,7 @@
 #include "bamboostream/Gateway"
 #include "platform/directory_translation.h"
 #include "platform/record_translation.h"
+#include "platform/request_translation.h"
 #include "platform/settings_file.h"
 #include "platform/store_client.h"
 
@@ -66,13 +67,92 @@
     std::string why;
     const auto b = record_translation().read_backend(
         "i-1",
-        R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":32,"state":"draining",
-            "cold_left_ms":500})",
+        R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1","slots":32,
+            "state":"draining","cold_left_ms":500,"sequence":4,"born":1790000000123})",
         time_point{}, why);
     ASSERT_TRUE(b) << why;
     EXPECT_TRUE(b->leaving);
     EXPECT_EQ(b->slots, 32);
     EXPECT_EQ(b->slow_until, time_point{} + milliseconds(500));
+    EXPECT_EQ(b->started_ms, 1'790'000'000'123);
+}
+
+/// One field of a sound entry, replaced.
+struct foreign_entry_row {
+    std::string name;
+    std::string from;
+    std::string to;
+};
+
+void PrintTo(const foreign_entry_row& row, std::ostream* out) {
+    *out << row.name;
+}
+
+class foreign_entry : public testing::TestWithParam<foreign_entry_row> {};
+
+const std::string sound_entry =
+    R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1",)"
+    R"("slots":32,"state":"ready","cold_left_ms":0,"sequence":4,"born":7})";
+
+INSTANTIATE_TEST_SUITE_P(
+    table, foreign_entry,
+    testing::Values(foreign_entry_row{"no_service", R"("service":"s",)", ""},
+                    foreign_entry_row{"service_is_a_number", R"("s")", "3"},
+                    foreign_entry_row{"no_address", R"("address":"1.2.3.4:5",)", ""},
+                    foreign_entry_row{"address_is_a_list", R"("1.2.3.4:5")", "[]"},
+                    foreign_entry_row{"address_without_a_port", "1.2.3.4:5", "1.2.3.4"},
+                    foreign_entry_row{"address_by_name", "1.2.3.4:5", "here:5"},
+                    foreign_entry_row{"no_zone", R"("zone":"z",)", ""},
+                    foreign_entry_row{"zone_is_a_flag", R"("z")", "true"},
+                    foreign_entry_row{"no_version", R"("version":"v1",)", ""},
+                    foreign_entry_row{"no_slots", R"("slots":32,)", ""},
+                    foreign_entry_row{"slots_are_text", "32", R"("32")"},
+                    foreign_entry_row{"slots_are_none", "32", "0"},
+                    foreign_entry_row{"no_state", R"("state":"ready",)", ""},
+                    foreign_entry_row{"unknown_state", "ready", "resting"},
+                    foreign_entry_row{"state_is_a_number", R"("ready")", "1"},
+                    foreign_entry_row{"no_time_to_warm_up", R"("cold_left_ms":0,)", ""},
+                    foreign_entry_row{"time_to_warm_up_is_text", R"("cold_left_ms":0)",
+                                      R"("cold_left_ms":"0")"},
+                    foreign_entry_row{"no_sequence", R"("sequence":4,)", ""},
+                    foreign_entry_row{"sequence_is_text", R"("sequence":4)", R"("sequence":"4")"},
+                    foreign_entry_row{"start_is_text", R"("born":7)", R"("born":"7")"},
+                    foreign_entry_row{"start_is_a_fraction", R"("born":7)", R"("born":7.5)"}),
+    [](const auto& info) { return info.param.name; });
+
+// Another writer puts an entry beside those of the engines. Whatever of it could be read, a request
+// sent there would reach nobody knows what.
+TEST_P(foreign_entry, names_no_server) {
+    std::string why;
+    ASSERT_TRUE(record_translation().read_backend("i-1", sound_entry, time_point{}, why)) << why;
+    std::string entry = sound_entry;
+    const std::size_t at = entry.find(GetParam().from);
+    ASSERT_NE(at, std::string::npos);
+    entry.replace(at, GetParam().from.size(), GetParam().to);
+    EXPECT_FALSE(record_translation().read_backend("i-1", entry, time_point{}, why));
+    EXPECT_FALSE(why.empty());
+}
+
+const std::vector<keyed_record> spoiled_entries = {
+    {"i-0", "\xff\xfe{"}, {"i-1", sound_entry}, {"i-2", "[]"}, {"", sound_entry}};
+
+class spoiled_neighbour : public testing::TestWithParam<bool> {};
+
+INSTANTIATE_TEST_SUITE_P(table, spoiled_neighbour, testing::Bool(),
+                         [](const auto& info) { return info.param ? "at_start" : "in_the_tail"; });
+
+// Entries that can't be read stand among sound ones, at the start and later. The sound ones hold,
+// and a server that is known stays known while its entry can't be read.
+TEST_P(spoiled_neighbour, leaves_sound_entries_alone) {
+    request_translation requests;
+    record_translation records;
+    forwarding_state forwarding(requests, failure_domain_id("z"), {}, 1);
+    deployment_state state(forwarding, records);
+    state.take_records(record_topic::backend_entries, spoiled_entries, GetParam(), time_point{});
+    ASSERT_EQ(forwarding.registry.all().size(), 1u);
+    EXPECT_EQ(forwarding.registry.all().front().id, backend_id("i-1"));
+    state.take_records(record_topic::backend_entries, {{"i-1", "{"}}, GetParam(), time_point{});
+    EXPECT_EQ(forwarding.registry.usable(service_id("s")).size(), 1u);
 }
 
 const std::string good_settings = "zone=z\nlisten.front=1.2.3.4:1\nlisten.ready=1.2.3.4:2\n"
