--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Control/periodic.h"
+#include "bamboostream/src/Gateway/peer_frames.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -30,52 +31,6 @@
 /// Generations of an instance that doesn't answer by then are not moved in this round.
 constexpr milliseconds gather_timeout{150};
 
-std::unique_ptr<wire::BackendFactT> to_wire(const registered_backend& backend, time_point now) {
-    auto out = std::make_unique<wire::BackendFactT>();
-    out->id = backend.id.text();
-    out->address = backend.address;
-    out->service = backend.service.text();
-    out->failure_domain = backend.failure_domain.text();
-    out->slots = backend.slots;
-    out->started_ms = backend.started_ms;
-    out->leaving = backend.leaving;
-    const duration slow_for = std::max(duration{}, backend.slow_until - now);
-    out->slow_for_ms = static_cast<std::int32_t>(to_milliseconds(slow_for));
-    return out;
-}
-
-registered_backend from_wire(const wire::BackendFactT& fact, time_point now) {
-    registered_backend out;
-    out.id = backend_id(fact.id);
-    out.address = fact.address;
-    out.service = service_id(fact.service);
-    out.failure_domain = failure_domain_id(fact.failure_domain);
-    out.slots = fact.slots;
-    out.started_ms = fact.started_ms;
-    out.leaving = fact.leaving;
-    out.slow_until = now + milliseconds(fact.slow_for_ms);
-    return out;
-}
-
-std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report) {
-    std::vector<backend_work_entry> out;
-    for (const wire::WorkEntry& entry : report.entries) {
-        out.push_back(
-            {entry.backend(), {entry.requests(), entry.memory_tokens(), entry.unread_tokens()}});
-    }
-    return out;
-}
-
-wire::LoadReportT to_wire(const std::vector<backend_work_entry>& own) {
-    wire::LoadReportT report;
-    for (const backend_work_entry& entry : own) {
-        report.entries.emplace_back(entry.backend, entry.work.requests,
-                                    static_cast<std::int32_t>(entry.work.memory_tokens),
-                                    static_cast<std::int32_t>(entry.work.unread_tokens));
-    }
-    return report;
-}
-
 /// Answers of several peers that are asked at once.
 struct gathered_answers {
     explicit gathered_answers(asio::io_context& context) : complete(context) {}
@@ -320,15 +275,7 @@
 }
 
 std::unique_ptr<wire::FrameT> peer_exchange::answer_movable(const backend_id& backend) {
-    wire::MovableReplyT reply;
-    for (const movable_generation& generation : forwarding_.streams.claim_movable(backend)) {
-        auto item = std::make_unique<wire::MovableGenerationT>();
-        item->id = generation.id;
-        item->memory_tokens = generation.memory_tokens;
-        item->tokens_left = generation.tokens_left;
-        reply.generations.push_back(std::move(item));
-    }
-    return make_reply(std::move(reply));
+    return make_reply(to_wire(forwarding_.streams.claim_movable(backend)));
 }
 
 asio::awaitable<std::unique_ptr<wire::FrameT>>
@@ -351,9 +298,7 @@
         co_return nullptr;
     case wire::Message::MoveNotice: {
         const wire::MoveNoticeT& notice = *frame->message.AsMoveNotice();
-        forwarding_.streams.notify(
-            notice.generation,
-            {backend_id(notice.target), notice.target_address, {notice.holder, notice.handle}});
+        forwarding_.streams.notify(notice.generation, from_wire(notice));
         co_return nullptr;
     }
     default:
@@ -380,9 +325,8 @@
                 const auto reply =
                     co_await links_.call(peer, make_frame(request), gather_timeout, why);
                 if (reply && reply->message.type == wire::Message::MovableReply) {
-                    for (const auto& item : reply->message.AsMovableReply()->generations) {
-                        answers->candidates.push_back(
-                            {{item->id, item->memory_tokens, item->tokens_left}, peer});
+                    for (auto& generation : from_wire(*reply->message.AsMovableReply())) {
+                        answers->candidates.push_back({std::move(generation), peer});
                     }
                 }
                 if (--answers->missing == 0) {
@@ -399,13 +343,7 @@
 
 void peer_exchange::tell(const std::string& instance, const std::string& generation,
                          const move_notice& notice) {
-    wire::MoveNoticeT message;
-    message.generation = generation;
-    message.target = notice.target.text();
-    message.target_address = notice.target_address;
-    message.holder = notice.copy.holder;
-    message.handle = notice.copy.handle;
-    links_.send(instance, make_frame(std::move(message)));
+    links_.send(instance, make_frame(to_wire(generation, notice)));
 }
 
 } // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -0,0 +1,87 @@
+#include "bamboostream/src/Gateway/peer_frames.h"
+
+#include <algorithm>
+
+namespace bamboostream {
+
+std::unique_ptr<wire::BackendFactT> to_wire(const registered_backend& backend, time_point now) {
+    auto out = std::make_unique<wire::BackendFactT>();
+    out->id = backend.id.text();
+    out->address = backend.address;
+    out->service = backend.service.text();
+    out->failure_domain = backend.failure_domain.text();
+    out->slots = backend.slots;
+    out->started_ms = backend.started_ms;
+    out->leaving = backend.leaving;
+    const duration slow_for = std::max(duration{}, backend.slow_until - now);
+    out->slow_for_ms = static_cast<std::int32_t>(to_milliseconds(slow_for));
+    return out;
+}
+
+registered_backend from_wire(const wire::BackendFactT& fact, time_point now) {
+    registered_backend out;
+    out.id = backend_id(fact.id);
+    out.address = fact.address;
+    out.service = service_id(fact.service);
+    out.failure_domain = failure_domain_id(fact.failure_domain);
+    out.slots = fact.slots;
+    out.started_ms = fact.started_ms;
+    out.leaving = fact.leaving;
+    out.slow_until = now + milliseconds(fact.slow_for_ms);
+    return out;
+}
+
+std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report) {
+    std::vector<backend_work_entry> out;
+    for (const wire::WorkEntry& entry : report.entries) {
+        out.push_back(
+            {entry.backend(), {entry.requests(), entry.memory_tokens(), entry.unread_tokens()}});
+    }
+    return out;
+}
+
+wire::LoadReportT to_wire(std::span<const backend_work_entry> own) {
+    wire::LoadReportT report;
+    for (const backend_work_entry& entry : own) {
+        report.entries.emplace_back(entry.backend, entry.work.requests,
+                                    static_cast<std::int32_t>(entry.work.memory_tokens),
+                                    static_cast<std::int32_t>(entry.work.unread_tokens));
+    }
+    return report;
+}
+
+wire::MovableReplyT to_wire(std::span<const movable_generation> generations) {
+    wire::MovableReplyT reply;
+    for (const movable_generation& generation : generations) {
+        auto item = std::make_unique<wire::MovableGenerationT>();
+        item->id = generation.id;
+        item->memory_tokens = generation.memory_tokens;
+        item->tokens_left = generation.tokens_left;
+        reply.generations.push_back(std::move(item));
+    }
+    return reply;
+}
+
+std::vector<movable_generation> from_wire(const wire::MovableReplyT& reply) {
+    std::vector<movable_generation> out;
+    for (const auto& item : reply.generations) {
+        out.push_back({item->id, item->memory_tokens, item->tokens_left});
+    }
+    return out;
+}
+
+wire::MoveNoticeT to_wire(const std::string& generation, const move_notice& notice) {
+    wire::MoveNoticeT message;
+    message.generation = generation;
+    message.target = notice.target.text();
+    message.target_address = notice.target_address;
+    message.holder = notice.copy.holder;
+    message.handle = notice.copy.handle;
+    return message;
+}
+
+move_notice from_wire(const wire::MoveNoticeT& message) {
+    return {backend_id(message.target), message.target_address, {message.holder, message.handle}};
+}
+
+} // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "bamboostream/src/Forwarding/active_streams.h"
+#include "bamboostream/src/Links/generated/wire_generated.h"
+#include "bamboostream/src/Membership/backend_registry.h"
+#include "bamboostream/src/Routing/load_book.h"
+
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace bamboostream {
+
+// What gateways tell each other, between the product's types and the frames on their links. Times go
+// as what is left of them, since clocks of instances aren't compared.
+
+std::unique_ptr<wire::BackendFactT> to_wire(const registered_backend& backend, time_point now);
+registered_backend from_wire(const wire::BackendFactT& fact, time_point now);
+
+wire::LoadReportT to_wire(std::span<const backend_work_entry> own);
+std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report);
+
+wire::MovableReplyT to_wire(std::span<const movable_generation> generations);
+std::vector<movable_generation> from_wire(const wire::MovableReplyT& reply);
+
+wire::MoveNoticeT to_wire(const std::string& generation, const move_notice& notice);
+move_notice from_wire(const wire::MoveNoticeT& message);
+
+} // namespace bamboostream
