Keep more room at the targets of moves the fuller the pool is

What a move saved made as much late. Hypothesis: the room to keep depends on the pool: with room elsewhere newcomers go there and a target may be filled. Change: the limit falls from 0.95 where targets are on average half full to 0.65 where they are 0.85 full.

--- a/bamboostream/src/Evacuation/move_plan.cpp
+++ b/bamboostream/src/Evacuation/move_plan.cpp
@@ -14,11 +14,6 @@
 /// A second until the copy is done counts as much as so many engines full of memory: of a notice of
 /// some 2 s each tenth is one generation more or less, and a fuller engine only slows its steps.
 constexpr double cost_a_second = 1.2;
-/// What the target's generations may come to hold, in shares of its memory. Past the brim a moved
-/// generation makes others wait: with 1.1 and 1.5 fewer long streams were cut (72 and 32 of 871
-/// instead of 77) and many more were late (153 and 213 instead of 115), measured on 44 engines past
-/// the brim.
-constexpr double most_full = 0.95;
 
 } // namespace
 
@@ -43,18 +38,41 @@
     return from_milliseconds(us / 1000.0);
 }
 
+double most_full_after_move(const move_limits& limits, double average) {
+    const double way =
+        std::clamp((average - limits.easy) / (limits.brim - limits.easy), 0.0, 1.0);
+    return limits.most_full + way * (limits.most_full_at_brim - limits.most_full);
+}
+
+namespace {
+
+double share_of(std::int64_t tokens, std::int64_t memory_tokens) {
+    return memory_tokens > 0 ? static_cast<double>(tokens) / static_cast<double>(memory_tokens)
+                             : 0.0;
+}
+
+double average_fullness(std::span<const move_target> targets) {
+    double sum = 0.0;
+    for (const move_target& target : targets) {
+        sum += share_of(target.work.memory_tokens, target.memory_tokens);
+    }
+    return targets.empty() ? 0.0 : sum / static_cast<double>(targets.size());
+}
+
+} // namespace
+
 std::optional<std::size_t> choose_target(const movable_generation& generation,
                                          const failure_domain_id& source_domain, link_speed speed,
-                                         std::span<const move_target> targets) {
+                                         std::span<const move_target> targets,
+                                         const move_limits& limits) {
+    const double most_full = most_full_after_move(limits, average_fullness(targets));
     std::optional<std::size_t> best;
     double best_cost = std::numeric_limits<double>::max();
     for (std::size_t i = 0; i < targets.size(); ++i) {
         const move_target& t = targets[i];
         const std::int64_t after =
             t.work.memory_tokens + generation.memory_tokens + generation.tokens_left;
-        const double full = t.memory_tokens > 0
-                                ? static_cast<double>(after) / static_cast<double>(t.memory_tokens)
-                                : 0.0;
+        const double full = share_of(after, t.memory_tokens);
         if (full > most_full || t.work.requests >= t.slots) {
             continue;
         }
--- a/standins/engine_model.cpp
+++ b/standins/engine_model.cpp
@@ -1,6 +1,7 @@
 #include "standins/engine_model.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bamboostream::standins {
 
@@ -21,7 +22,11 @@
     s.job = job;
     s.to_prefill = std::max(job.prompt_tokens, 1U);
     s.order = next_order_++;
-    waiting_.push_back(s);
+    if (job.carried_tokens > 0) {
+        waiting_.push_front(s);
+    } else {
+        waiting_.push_back(s);
+    }
     if (!stepping_) {
         begin_step(now);
     }
@@ -90,6 +95,7 @@
         if (use_prefix(s.job) && s.to_prefill > 0) {
             s.to_prefill -= std::min(s.to_prefill - 1, s.job.prefix_tokens);
         }
+        s.to_prefill -= std::min(s.to_prefill, std::exchange(s.job.carried_tokens, 0));
         running_.push_back(s);
         waiting_.pop_front();
     }
--- a/standins/engine_model.h
+++ b/standins/engine_model.h
@@ -42,6 +42,9 @@
     priority_level priority = priority_level::standard;
     std::uint64_t prefix = 0;
     std::uint32_t prefix_tokens = 0;
+    /// Tokens whose cache memory was copied here from another engine; not computed again unless the
+    /// job is pushed out. Such a job is admitted before those that wait.
+    std::uint32_t carried_tokens = 0;
 };
 
 /// What happens to a job.
--- a/test/platform/stream_decisions_test.cpp
+++ b/test/platform/stream_decisions_test.cpp
@@ -168,8 +168,8 @@
     }
 }
 
-// A caller's estimate says 34,926 tokens where its request allows 2,204. Counted as it is, no engine
-// has room for the generation, so nobody takes it when its engine leaves.
+// A caller's estimate says 34,926 tokens where its request allows 2,204. Counted as it is, no
+// engine has room for the generation, so nobody takes it when its engine leaves.
 TEST(move_plan_test, an_estimate_counts_for_no_more_than_the_request_allows) {
     forward_request request;
     request.expected_output_tokens = 34'926;
@@ -197,6 +197,16 @@
                     target_row{
                         "far_when_near_is_busy", {24'000, 5'000}, {"norra", "verket"}, {3, 3}, 1},
 
+                    target_row{"room_is_kept_at_the_brim",
+                               {22'000, 29'000, 29'000},
+                               {"norra", "norra", "norra"},
+                               {3, 9, 9},
+                               -1},
+                    target_row{"filled_while_others_have_room",
+                               {22'000, 1'000, 1'000},
+                               {"norra", "norra", "norra"},
+                               {3, 24, 24},
+                               0},
                     target_row{"no_memory", {29'000}, {"norra"}, {9}, -1},
                     target_row{"no_slot", {5'000}, {"norra"}, {24}, -1}),
     [](const auto& info) { return info.param.name; });
