--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -1,6 +1,7 @@
 #include "bamboostream/src/Membership/backend_registry.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace bamboostream {
@@ -83,18 +84,26 @@
     }
 }
 
+std::vector<backend_id>
+backend_registry::missing_from(std::span<const registered_backend> entries) const {
+    std::set<backend_id> missing;
+    for (const auto& [id, record] : backends_) {
+        missing.insert(id);
+    }
+    for (const registered_backend& entry : entries) {
+        missing.erase(entry.id);
+    }
+    return {missing.begin(), missing.end()};
+}
+
 void backend_registry::learn_all(std::span<const registered_backend> entries,
                                  std::span<const backend_id> unreadable, time_point now) {
     for (const registered_backend& backend : entries) {
         learn(backend, now);
     }
-    for (const registered_backend& known : all()) {
-        const bool listed =
-            std::any_of(entries.begin(), entries.end(),
-                        [&](const registered_backend& entry) { return entry.id == known.id; }) ||
-            std::find(unreadable.begin(), unreadable.end(), known.id) != unreadable.end();
-        if (!listed) {
-            remove(known.id, now);
+    for (const backend_id& id : missing_from(entries)) {
+        if (std::find(unreadable.begin(), unreadable.end(), id) == unreadable.end()) {
+            remove(id, now);
         }
     }
 }
@@ -104,13 +113,8 @@
     for (const registered_backend& backend : entries) {
         learn(backend, now);
     }
-    for (const registered_backend& known : all()) {
-        const bool listed =
-            std::any_of(entries.begin(), entries.end(),
-                        [&](const registered_backend& entry) { return entry.id == known.id; });
-        if (!listed) {
-            erase(known.id);
-        }
+    for (const backend_id& id : missing_from(entries)) {
+        erase(id);
     }
 }
 
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -87,6 +87,8 @@
     /// Whether this life of the server has said that it leaves.
     bool has_left(const registered_backend& backend) const;
     void erase(const backend_id& id);
+    /// Known servers that aren't among the entries.
+    std::vector<backend_id> missing_from(std::span<const registered_backend> entries) const;
 
     std::map<backend_id, record> backends_;
     /// Servers that said they leave, with the start of the life that does; kept after their entries
