--- a/bamboostream/src/Evacuation/move_plan.cpp
+++ b/bamboostream/src/Evacuation/move_plan.cpp
@@ -39,8 +39,7 @@
 }
 
 double most_full_after_move(const move_limits& limits, double average) {
-    const double way =
-        std::clamp((average - limits.easy) / (limits.brim - limits.easy), 0.0, 1.0);
+    const double way = std::clamp((average - limits.easy) / (limits.brim - limits.easy), 0.0, 1.0);
     return limits.most_full + way * (limits.most_full_at_brim - limits.most_full);
 }
 
--- a/bamboostream/src/Forwarding/active_streams.cpp
+++ b/bamboostream/src/Forwarding/active_streams.cpp
@@ -36,8 +36,8 @@
             continue;
         }
         stream->move_expected = true;
-        out.push_back({id, stream->prompt_tokens + stream->output_tokens,
-                       expected_tokens_left(*stream)});
+        out.push_back(
+            {id, stream->prompt_tokens + stream->output_tokens, expected_tokens_left(*stream)});
     }
     return out;
 }
--- a/bamboostream/src/Forwarding/active_streams.h
+++ b/bamboostream/src/Forwarding/active_streams.h
@@ -55,9 +55,9 @@
     boost::asio::steady_timer noticed;
 };
 
-/// Tokens that a request is expected to put out: its caller's estimate, or the most that the request
-/// allows where that is less. Some estimates are fifteen times over it, and a generation that counts
-/// with such a one finds no engine with room when its own leaves.
+/// Tokens that a request is expected to put out: its caller's estimate, or the most that the
+/// request allows where that is less. Some estimates are fifteen times over it, and a generation
+/// that counts with such a one finds no engine with room when its own leaves.
 std::int64_t likely_output_tokens(const forward_request& request);
 
 /// Tokens that a generation is expected to put out yet. Callers' estimates are right at the median
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -81,17 +81,17 @@
 void forwarded_call::log_send(const destination& to) const {
     const time_point now = monotonic_now();
     const backend_work work = state_.loads.total(to.backend.id, now);
-    log_event(events::request_sent,
-              "request={} route={} service={} backend={} address={} copy_of={} sends={} "
-              "configuration_version={} usable={} requests={} memory_tokens={} of_memory={} "
-              "unread_tokens={} prompt_tokens={} expected_tokens={} time_left_ms={:.0f} after_ms={:.0f}",
-              request_.id, route_->name, service_->id.text(), to.backend.id.text(),
-              to.backend.address, to.copy ? to.copy->holder : "none", history_.sends,
-              routes_->configuration().version, state_.registry.usable(service_->id).size(),
-              work.requests, work.memory_tokens,
-              service_->engine ? service_->engine->memory_tokens : 0, work.unread_tokens,
-              request_.prompt_tokens, request_.expected_output_tokens, to_milliseconds(deadline_ - now),
-              to_milliseconds(now - arrival_));
+    log_event(
+        events::request_sent,
+        "request={} route={} service={} backend={} address={} copy_of={} sends={} "
+        "configuration_version={} usable={} requests={} memory_tokens={} of_memory={} "
+        "unread_tokens={} prompt_tokens={} expected_tokens={} time_left_ms={:.0f} after_ms={:.0f}",
+        request_.id, route_->name, service_->id.text(), to.backend.id.text(), to.backend.address,
+        to.copy ? to.copy->holder : "none", history_.sends, routes_->configuration().version,
+        state_.registry.usable(service_->id).size(), work.requests, work.memory_tokens,
+        service_->engine ? service_->engine->memory_tokens : 0, work.unread_tokens,
+        request_.prompt_tokens, request_.expected_output_tokens, to_milliseconds(deadline_ - now),
+        to_milliseconds(now - arrival_));
 }
 
 asio::awaitable<std::optional<attempt_end>> forwarded_call::attempt(const destination& to) {
@@ -258,13 +258,14 @@
     co_await exchange_.end_stream();
     state_.picker.on_success(to.backend.id, monotonic_now());
     state_.counters.count(forward_result::answered);
-    log_event(events::request_ended,
-              "request={} route={} backend={} events={} sends={} first_ms={:.0f} objective_ms={:.0f} "
-              "longest_pause_ms={:.0f} pause_objective_ms={:.0f} after_ms={:.0f}",
-              request_.id, route_->name, to.backend.id.text(), splitter_.events(), history_.sends,
-              to_milliseconds(first_event_ - arrival_), to_milliseconds(route_->objective),
-              to_milliseconds(longest_pause_), to_milliseconds(route_->pause_objective),
-              to_milliseconds(monotonic_now() - arrival_));
+    log_event(
+        events::request_ended,
+        "request={} route={} backend={} events={} sends={} first_ms={:.0f} objective_ms={:.0f} "
+        "longest_pause_ms={:.0f} pause_objective_ms={:.0f} after_ms={:.0f}",
+        request_.id, route_->name, to.backend.id.text(), splitter_.events(), history_.sends,
+        to_milliseconds(first_event_ - arrival_), to_milliseconds(route_->objective),
+        to_milliseconds(longest_pause_), to_milliseconds(route_->pause_objective),
+        to_milliseconds(monotonic_now() - arrival_));
     co_return std::nullopt;
 }
 
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -12,8 +12,8 @@
 
 namespace bamboostream {
 
-// What gateways tell each other, between the product's types and the frames on their links. Times go
-// as what is left of them, since clocks of instances aren't compared.
+// What gateways tell each other, between the product's types and the frames on their links. Times
+// go as what is left of them, since clocks of instances aren't compared.
 
 std::unique_ptr<wire::BackendFactT> to_wire(const registered_backend& backend, time_point now);
 registered_backend from_wire(const wire::BackendFactT& fact, time_point now);
--- a/test/platform/system/gateway_test.cpp
+++ b/test/platform/system/gateway_test.cpp
@@ -167,10 +167,10 @@
     EXPECT_EQ(removed.requests().size(), before);
 }
 
-// The store is away for a moment, and the history in which a backend server was removed is gone when it
-// answers again. The two instances that read it wait 2.5 s for the server's entry and give it up; the
-// others, who were told of no record, must not keep it: it looks idle, and callers of theirs are
-// refused after several tries at servers that are gone.
+// The store is away for a moment, and the history in which a backend server was removed is gone
+// when it answers again. The two instances that read it wait 2.5 s for the server's entry and give
+// it up; the others, who were told of no record, must not keep it: it looks idle, and callers of
+// theirs are refused after several tries at servers that are gone.
 TEST_F(gateway_test, a_server_that_lapsed_in_an_outage_is_given_up_by_all) {
     configure(1, "k");
     add_sound_backend("i-1");
