Let the play of reclaimed engines fail without its rule; correct claims

Cause: evacuation_load compared the rule with targets filled to 0.95 by >= and <=, so it passed with the rule switched off; a comment claimed more than was run; lost_worth.py named an option that it hasn't and held a constant nobody used. Change: the play asks for a gain of 0.005 past the brim and for fewer late ones. Comments, documents and the script corrected; no decision changes.

--- a/test/platform/evacuation_load_test.cpp
+++ b/test/platform/evacuation_load_test.cpp
@@ -354,8 +354,9 @@
 struct load_row {
     std::string name;
     double long_a_second;
-    /// How much less of what is owed than with targets filled to 0.95 is borne.
-    double borne;
+    /// The least that callers must gain against targets filled to 0.95, in shares of what they are
+    /// owed; less than zero is a loss that is borne.
+    double least_gain;
 };
 
 void PrintTo(const load_row& row, std::ostream* out) {
@@ -374,8 +375,8 @@
 class evacuation_load : public testing::TestWithParam<load_row> {};
 
 INSTANTIATE_TEST_SUITE_P(table, evacuation_load,
-                         testing::Values(load_row{"past_the_brim", 0.80, 0.0},
-                                         load_row{"with_room", 0.56, 0.01}),
+                         testing::Values(load_row{"past_the_brim", 0.80, 0.005},
+                                         load_row{"with_room", 0.56, -0.01}),
                          [](const auto& info) { return info.param.name; });
 
 // Engines leave one after the other. Past the brim, moves that fill the others to the last token
@@ -389,8 +390,8 @@
     const outcome before = play(GetParam(), filled);
     const outcome after = play(GetParam(), {});
     RecordProperty("earned", fmt::format("{:.3f} before, {:.3f}", before.share(), after.share()));
-    EXPECT_GE(after.share(), before.share() - GetParam().borne);
-    EXPECT_LE(after.late, before.late);
+    EXPECT_GE(after.share(), before.share() + GetParam().least_gain);
+    EXPECT_LT(after.late, before.late);
 }
 
 } // namespace
--- a/tools/lost_worth.py
+++ b/tools/lost_worth.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Says where generations lost their worth, from the logs of all instances of one run.
 
-    tools/lost_worth.py LOG... [--fields REQUEST_FIELDS] [--html FILE]
+    tools/lost_worth.py LOG... [--html FILE]
 
 Reads the gateways' JSON lines, also with words before them. Each generation that ended late, was
 cut, refused or failed is in exactly one row; the rows sum to the loss. A generation counts as
@@ -19,8 +19,10 @@
 
 # What a late generation is still worth, as on the deployments' sheets (27 of 180, 26 of 170).
 LATE_PART = 0.15
-# A pause this soon after a move is the move's.
-MOVE_PAUSE_MS = 500
+# A long generation is worth so many briefs, as on the deployments' sheets (180 and 19).
+BRIEFS_A_LONG_ONE = 9.0
+# Tokens in one event, as on the deployments' sheets.
+TOKENS_AN_EVENT = 4
 # A generation with more output than this is long; briefs put out some 12 tokens.
 LONG_TOKENS = 60
 
@@ -54,7 +56,7 @@
 
     def output(self):
         if self.end and self.end[1].get("events", "0") != "0" and self.end[2] == "request_ended":
-            return int(self.end[1]["events"]) * 4
+            return int(self.end[1]["events"]) * TOKENS_AN_EVENT
         return int(self.sends[0][1]["expected_tokens"]) if self.sends else 0
 
     def size(self):
@@ -164,7 +166,7 @@
     for g in run.generations.values():
         worth = min(4.0, 0.3 + 0.7 * g.size() / means[g.sends[0][1]["route"]])
         is_long = int(g.sends[0][1]["expected_tokens"]) > LONG_TOKENS
-        worth *= 9.0 if is_long else 1.0
+        worth *= BRIEFS_A_LONG_ONE if is_long else 1.0
         owed += worth
         cause = run.row(g)
         if cause is None:
@@ -180,9 +182,9 @@
 def paces(run):
     out = []
     for g in run.generations.values():
-        if g.end and g.end[2] == "request_ended" and int(g.end[1]["events"]) > LONG_TOKENS // 4:
+        if g.end and g.end[2] == "request_ended" and int(g.end[1]["events"]) > LONG_TOKENS // TOKENS_AN_EVENT:
             fields = g.end[1]
-            tokens = 4 * (int(fields["events"]) - 1)
+            tokens = TOKENS_AN_EVENT * (int(fields["events"]) - 1)
             out.append((float(fields["after_ms"]) - float(fields["first_ms"])) / tokens)
     return out
 
