Wait for the request instead of ten milliseconds

Cause: a_resumable_stream_goes_on_at_another_server failed once beside a build ("no connection", 0 requests after 10 ms): the fixture was torn down 12 ms after it began, before the connection was accepted. Ruled out: the product; the connect was pending when the test gave up. Change: the test waits for the request itself (5 s at most), and the first server cuts the stream once the second is listed instead of after 20 ms. It checks the same and more strictly orders it.

--- a/test/platform/forwarding_test.cpp
+++ b/test/platform/forwarding_test.cpp
@@ -265,16 +265,21 @@
 // has, repeats one, and the caller sees one answer without a seam.
 TEST(forwarding, a_resumable_stream_goes_on_at_another_server) {
     forwarding_fixture f;
+    bool second_is_listed = false;
     scripted_backend& first = f.add(
         "i-1",
-        [](scripted_connection& c) -> asio::awaitable<void> {
+        [&second_is_listed](scripted_connection& c) -> asio::awaitable<void> {
             co_await c.send(stream_head(c) + stream_events(0, 2) + "7\r\nid: 3\nd\r\n");
-            co_await c.pause(20);
+            while (!second_is_listed) {
+                co_await c.pause(1);
+            }
             c.reset();
         },
         "engines");
     const auto view = f.ask("label", "a1");
-    f.run_for(milliseconds(10));
+    for (int ms = 0; first.requests().empty() && ms < 5'000; ++ms) {
+        f.run_for(milliseconds(1));
+    }
     ASSERT_EQ(first.requests().size(), 1u);
     scripted_backend& second = f.add(
         "i-2",
@@ -282,6 +287,7 @@
             co_await c.send(stream_head(c) + stream_events(2, 4) + stream_end);
         },
         "engines");
+    second_is_listed = true;
     f.finish(view);
     EXPECT_TRUE(view->complete()) << view->bytes;
     EXPECT_EQ(view->body(), events_text(0, 4));
