Tell the age of the view and the source of each change of backend servers

Cause: logs could not tell whether a request reached a leaving server because the view was old, because a removal was put off, or because a peer's list took it back. No decision goes by any of it.

--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -38,6 +38,8 @@
 inline constexpr event_kind backend_up{223, event_level::info, "backend_up", "A backend server answers again."};
 inline constexpr event_kind backend_loading{224, event_level::info, "backend_loading", "A backend server is loading a model; it gets no new work until it is done."};
 inline constexpr event_kind backend_restarted{225, event_level::info, "backend_restarted", "A backend server started again under the id that it had; nothing of its earlier life holds."};
+inline constexpr event_kind backend_lapsed{226, event_level::info, "backend_lapsed", "The entry of a backend server is missing; it is kept for a while, since entries lapse while the store is away."};
+inline constexpr event_kind backend_kept{227, event_level::info, "backend_kept", "A backend server whose entry was missing has one again."};
 inline constexpr event_kind configuration_in_force{300, event_level::info, "configuration_in_force", "A newer configuration version is in force here."};
 inline constexpr event_kind configuration_rejected{301, event_level::warning, "configuration_rejected", "A configuration record on the log lost its race or failed validation."};
 inline constexpr event_kind log_unavailable{310, event_level::warning, "log_unavailable", "The platform's log can't be read; the configuration in force stays."};
@@ -62,6 +64,8 @@
 inline constexpr event_kind record_rejected{330, event_level::warning, "record_rejected", "A record of the platform's store could not be read; what was known before stays."};
 inline constexpr event_kind store_unavailable{331, event_level::warning, "store_unavailable", "A topic of the platform's store can't be read; peers are asked instead."};
 inline constexpr event_kind store_available{332, event_level::info, "store_available", "A topic of the platform's store can be read again."};
+inline constexpr event_kind view_stale{333, event_level::warning, "view_stale", "Nobody has told this instance for a while what the store says of a topic."};
+inline constexpr event_kind view_fresh{334, event_level::info, "view_fresh", "This instance knows again what the store says of a topic."};
 inline constexpr event_kind reloaded{105, event_level::info, "reloaded", "The settings file was read again."};
 inline constexpr event_kind settings_bad{106, event_level::error, "settings_bad", "The settings can't be used; each mistake is named."};
 inline constexpr event_kind order_sent{500, event_level::info, "order_sent", "A placement order was sent to a backend server."};
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -7,6 +7,7 @@
 #include "bamboostream/src/Limits/come_back.h"
 #include "bamboostream/src/Limits/engine_admission.h"
 #include "bamboostream/src/Membership/backend_registry.h"
+#include "bamboostream/src/Membership/view_age.h"
 #include "bamboostream/src/Routing/backend_picker.h"
 #include "bamboostream/src/Routing/load_book.h"
 #include "bamboostream/src/Routing/route_table.h"
@@ -59,6 +60,9 @@
     /// Null until the first configuration has been read.
     std::shared_ptr<const route_table> routes;
     backend_registry registry;
+    /// How old what is known of the entries of backend servers and of the configuration is.
+    view_age entries_view;
+    view_age documents_view;
     load_book loads;
     window_budget budget;
     admission_rules admission;
--- a/bamboostream/src/Forwarding/latency_metrics.cpp
+++ b/bamboostream/src/Forwarding/latency_metrics.cpp
@@ -1,5 +1,6 @@
 #include "bamboostream/src/Forwarding/latency_metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/histogram/axis/variable.hpp>
 #include <boost/histogram/histogram.hpp>
@@ -27,9 +28,12 @@
 
 constexpr std::size_t stages = static_cast<std::size_t>(latency_stage::count_);
 constexpr std::array<std::string_view, stages> stage_names = {
-    "request_seconds", "first_event_seconds", "longest_pause_seconds"};
+    "request_seconds", "first_event_seconds", "longest_pause_seconds", "view_age_seconds"};
 constexpr std::array<std::string_view, 3> repeat_names = {"once", "repeatable", "resumable"};
 
+/// Longer times count as this one, so that the sum stays a number.
+constexpr duration longest_told = std::chrono::hours(1);
+
 struct one_series {
     distribution times = bh::make_histogram(axis(bounds_s));
     double sum_s = 0.0;
@@ -63,7 +67,7 @@
 void latency_metrics::record(latency_stage stage, repeat_rule repeats, duration took) {
     one_series& one =
         series_->all.at(static_cast<std::size_t>(stage)).at(static_cast<std::size_t>(repeats));
-    const double seconds_taken = to_milliseconds(took) / 1000.0;
+    const double seconds_taken = to_milliseconds(std::min(took, longest_told)) / 1000.0;
     one.times(seconds_taken);
     one.sum_s += seconds_taken;
 }
--- a/bamboostream/src/Forwarding/latency_metrics.h
+++ b/bamboostream/src/Forwarding/latency_metrics.h
@@ -17,6 +17,8 @@
     first_event,
     /// The longest pause between two events of a stream.
     longest_pause,
+    /// How old the view of the backend servers was when one was chosen.
+    view_age,
     count_,
 };
 
--- a/bamboostream/src/Gateway/deployment_state.cpp
+++ b/bamboostream/src/Gateway/deployment_state.cpp
@@ -2,6 +2,8 @@
 
 #include "bamboostream/src/Core/event_log.h"
 
+#include <array>
+
 namespace bamboostream {
 
 namespace {
@@ -14,6 +16,10 @@
         return events::backend_leaving;
     case registry_event::gone:
         return events::backend_down;
+    case registry_event::lapsed:
+        return events::backend_lapsed;
+    case registry_event::kept:
+        return events::backend_kept;
     case registry_event::restarted:
         break;
     }
@@ -22,6 +28,12 @@
 
 } // namespace
 
+std::string_view to_string(fact_source source) {
+    constexpr std::array<std::string_view, 5> names = {"store", "peer_list", "telling", "grace",
+                                                       "server"};
+    return names.at(static_cast<std::size_t>(source));
+}
+
 void deployment_state::take_configuration(std::string_view text, std::string_view origin) {
     if (text == document_) {
         return;
@@ -85,23 +97,27 @@
     if (all) {
         forwarding_.registry.learn_all(entries, unreadable, now);
     }
-    report_changes();
+    report_changes(fact_source::store, now);
 }
 
 void deployment_state::take_peer_backends(const std::vector<registered_backend>& entries,
                                           time_point now) {
     forwarding_.registry.learn_from_peer(entries, now);
-    report_changes();
+    report_changes(fact_source::peer_list, now);
 }
 
-void deployment_state::report_changes() {
+void deployment_state::report_changes(fact_source source, time_point now) {
     for (const registry_change& change : forwarding_.registry.take_changes()) {
         const registered_backend& backend = change.backend;
         log_event(event_of(change.event),
-                  "backend={} address={} service={} failure_domain={} started_ms={}",
+                  "backend={} address={} service={} failure_domain={} started_ms={} source={} "
+                  "position={} view_age_ms={:.0f}",
                   backend.id.text(), backend.address, backend.service.text(),
-                  backend.failure_domain.text(), backend.started_ms);
-        if (backend_listener_) {
+                  backend.failure_domain.text(), backend.started_ms, to_string(source),
+                  entries_.position(), to_milliseconds(forwarding_.entries_view.age(now)));
+        const bool is_settled =
+            change.event != registry_event::lapsed && change.event != registry_event::kept;
+        if (backend_listener_ && is_settled) {
             backend_listener_(change);
         }
     }
--- a/bamboostream/src/Gateway/deployment_state.h
+++ b/bamboostream/src/Gateway/deployment_state.h
@@ -4,11 +4,21 @@
 #include "bamboostream/src/Gateway/deployment_contract.h"
 #include "bamboostream/src/Gateway/store_duty.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace bamboostream {
 
+/// Who said what changed the view of the backend servers: the store itself, another instance's
+/// whole list, another instance's telling of changes, the end of the wait for a lapsed entry, or
+/// the server.
+enum class fact_source : std::uint8_t { store, peer_list, telling, grace, server };
+
+/// The name of a source in logs.
+std::string_view to_string(fact_source source);
+
 /// What an instance believes of the operator's configuration and the backend servers, from the
 /// store and from other instances. Lives on one thread.
 class deployment_state {
@@ -31,7 +41,7 @@
                       time_point now);
     void take_peer_backends(const std::vector<registered_backend>& entries, time_point now);
     /// Logs and passes on what has changed in the registry.
-    void report_changes();
+    void report_changes(fact_source source, time_point now);
 
     /// How far the entries of the store are known here.
     change_follower& entries() { return entries_; }
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -57,7 +57,7 @@
           forwarding(contracts.requests, failure_domain_id(settings.failure_domain),
                      settings.budget, seed),
           state(forwarding, contracts.records),
-          store(context, contracts.store, state, forwarding.registry, duty),
+          store(context, contracts.store, state, forwarding, duty),
           links(context, [this](std::unique_ptr<wire::FrameT> frame) {
               return peers->handle(std::move(frame));
           }) {}
@@ -137,7 +137,9 @@
         }
     });
     forwarding.on_generation_change = [this] { peers->note_load(); };
-    forwarding.on_registry_change = [this] { state.report_changes(); };
+    forwarding.on_registry_change = [this] {
+        state.report_changes(fact_source::server, monotonic_now());
+    };
 }
 
 void gateway::parts::take_configuration(const routing_configuration& configuration) const {
@@ -235,7 +237,7 @@
 
 asio::awaitable<void> gateway::parts::handle_metrics(http_exchange& exchange) const {
     co_await exchange.respond(200, "text/plain; version=0.0.4",
-                              exposition(forwarding, state.version()), {});
+                              exposition(forwarding, state.version(), monotonic_now()), {});
 }
 
 asio::awaitable<void> gateway::parts::handle_caller(http_exchange& exchange) {
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Core/event_log.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <iterator>
 
@@ -14,9 +15,16 @@
                    name, type, value);
 }
 
+/// An hour stands for what was never known.
+std::uint64_t told_age_ms(duration age) {
+    constexpr duration longest = std::chrono::hours(1);
+    return static_cast<std::uint64_t>(to_milliseconds(std::min(age, longest)));
+}
+
 } // namespace
 
-std::string exposition(const forwarding_state& state, std::int64_t configuration_version) {
+std::string exposition(const forwarding_state& state, std::int64_t configuration_version,
+                       time_point now) {
     const forward_counters& c = state.counters;
     std::string out = "# TYPE bamboostream_requests_total counter\n";
     for (std::size_t i = 0; i < c.results.size(); ++i) {
@@ -32,6 +40,8 @@
     append(out, "gauge", "idle_connections", state.channels.idle());
     append(out, "gauge", "backend_servers", state.registry.all().size());
     append(out, "gauge", "live_instances", state.live_instances);
+    append(out, "gauge", "entries_view_age_ms", told_age_ms(state.entries_view.age(now)));
+    append(out, "gauge", "documents_view_age_ms", told_age_ms(state.documents_view.age(now)));
     append(out, "gauge", "configuration_version",
            static_cast<std::uint64_t>(configuration_version));
     return out + state.latency.exposition();
--- a/bamboostream/src/Gateway/gateway_metrics.h
+++ b/bamboostream/src/Gateway/gateway_metrics.h
@@ -7,7 +7,8 @@
 
 namespace bamboostream {
 
-/// The counters of a gateway in the usual text exposition.
-std::string exposition(const forwarding_state& state, std::int64_t configuration_version);
+/// The counters of a gateway in the usual text exposition; `now` is what ages are told at.
+std::string exposition(const forwarding_state& state, std::int64_t configuration_version,
+                       time_point now);
 
 } // namespace bamboostream
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -2,11 +2,13 @@
 
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Control/periodic.h"
+#include "bamboostream/src/Core/event_log.h"
 #include "bamboostream/src/Gateway/peer_frames.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <limits>
 #include <map>
 
 namespace bamboostream {
@@ -28,9 +30,17 @@
 constexpr milliseconds peer_timeout{500};
 /// How often a reader of the store tells the others that its view is fresh; changes go out at once.
 constexpr milliseconds news_period{300};
+/// A view that is older than this is said to be stale: twice what it is at most while all is well.
+constexpr milliseconds stale_after{3'000};
 /// Generations of an instance that doesn't answer by then are not moved in this round.
 constexpr milliseconds gather_timeout{150};
 
+/// The longest that a frame can say stands for what was never known.
+std::uint32_t age_on_wire(duration age) {
+    constexpr milliseconds longest{std::numeric_limits<std::uint32_t>::max()};
+    return static_cast<std::uint32_t>(to_milliseconds(std::min(age, duration(longest))));
+}
+
 /// Answers of several peers that are asked at once.
 struct gathered_answers {
     explicit gathered_answers(asio::io_context& context) : complete(context) {}
@@ -117,6 +127,8 @@
         news.configuration_version = state_.version();
         news.previous = static_cast<std::uint64_t>(previous);
         news.sequence = static_cast<std::uint64_t>(told_position_);
+        news.entries_age_ms = age_on_wire(store_.own_age(record_topic::backend_entries, now));
+        news.documents_age_ms = age_on_wire(store_.own_age(record_topic::operator_documents, now));
         for (const registry_change& change : changes) {
             auto fact = to_wire(change.backend, now);
             fact->gone = change.event == registry_event::gone;
@@ -126,6 +138,31 @@
     }
 }
 
+/// What another instance knew some time ago is known here now that it has been told.
+void peer_exchange::note_ages(const wire::StoreNewsT& news, time_point now) {
+    if (static_cast<std::int64_t>(news.sequence) <= state_.entries().position()) {
+        forwarding_.entries_view.known(now - milliseconds(news.entries_age_ms));
+    }
+    if (news.configuration_version <= state_.version()) {
+        forwarding_.documents_view.known(now - milliseconds(news.documents_age_ms));
+    }
+}
+
+void peer_exchange::watch_view(time_point now) {
+    watch_topic("backend_entries", forwarding_.entries_view, entries_stale_, now);
+    watch_topic("operator_documents", forwarding_.documents_view, documents_stale_, now);
+}
+
+void peer_exchange::watch_topic(std::string_view topic, const view_age& view, bool& stale,
+                                time_point now) {
+    const duration age = view.age(now);
+    if (stale != (age > stale_after)) {
+        stale = !stale;
+        log_event(stale ? events::view_stale : events::view_fresh, "topic={} age_ms={:.0f}", topic,
+                  to_milliseconds(std::min(age, duration(std::chrono::hours(1)))));
+    }
+}
+
 void peer_exchange::hear_news(const std::string& sender, const wire::StoreNewsT& news) {
     const time_point now = monotonic_now();
     duty_.hear(news.fresh, news.configuration_version, now);
@@ -135,15 +172,17 @@
             forwarding_.registry.mark_leaving(backend_id(fact->id), fact->started_ms);
         }
     }
-    state_.report_changes();
+    state_.report_changes(fact_source::telling, now);
     // What the store is being asked for would take back what is applied meanwhile.
     if (reads_store() || !news.fresh || store_.reads_entries_again()) {
         return;
     }
-    switch (state_.entries().judge(static_cast<std::int64_t>(news.previous),
-                                   static_cast<std::int64_t>(news.sequence))) {
+    const auto verdict = state_.entries().judge(static_cast<std::int64_t>(news.previous),
+                                                static_cast<std::int64_t>(news.sequence));
+    note_ages(news, now);
+    switch (verdict) {
     case change_follower::verdict::known:
-        forget_removed(news);
+        forget_removed(news, now);
         return;
     case change_follower::verdict::ask_for_all:
         if (!store_.failing_since()) {
@@ -162,10 +201,10 @@
             forwarding_.registry.learn(from_wire(*fact, now), now);
         }
     }
-    state_.report_changes();
+    state_.report_changes(fact_source::telling, now);
 }
 
-void peer_exchange::forget_removed(const wire::StoreNewsT& news) {
+void peer_exchange::forget_removed(const wire::StoreNewsT& news, time_point now) {
     if (!state_.entries().removal_holds(static_cast<std::int64_t>(news.sequence))) {
         return;
     }
@@ -178,7 +217,7 @@
             forwarding_.registry.forget(backend_id(id));
         }
     }
-    state_.report_changes();
+    state_.report_changes(fact_source::telling, now);
 }
 
 std::string peer_exchange::peer_with_newer_configuration() const {
@@ -207,8 +246,10 @@
             co_await ask_backends(peer);
             co_await ask_configuration(peer);
         }
-        forwarding_.registry.expire(monotonic_now());
-        state_.report_changes();
+        const time_point now = monotonic_now();
+        forwarding_.registry.expire(now);
+        watch_view(now);
+        state_.report_changes(fact_source::grace, now);
         co_await pause_for(catch_up_period);
     }
 }
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -52,8 +52,13 @@
     boost::asio::awaitable<void> news_loop();
     void tell_news();
     void hear_news(const std::string& sender, const wire::StoreNewsT& news);
+    void note_ages(const wire::StoreNewsT& news, time_point now);
+    /// Logs when what is known of a topic has become old, and when it is known again.
+    void watch_view(time_point now);
+    static void watch_topic(std::string_view topic, const view_age& view, bool& stale,
+                            time_point now);
     /// Forgets the servers that a telling with no new record says are gone in the end.
-    void forget_removed(const wire::StoreNewsT& news);
+    void forget_removed(const wire::StoreNewsT& news, time_point now);
     boost::asio::awaitable<void> ask_configuration(std::string peer);
     boost::asio::awaitable<void> ask_backends(std::string peer);
     std::vector<std::string> usable_peers() const;
@@ -75,6 +80,8 @@
     std::int64_t told_position_ = 0;
     /// A peer has been asked for all its entries; more answers would only fill the links.
     bool asking_for_all_ = false;
+    bool entries_stale_ = true;
+    bool documents_stale_ = true;
     boost::asio::steady_timer news_due_;
     boost::asio::steady_timer load_due_;
     std::mt19937_64 random_{1};
--- a/bamboostream/src/Gateway/store_follower.cpp
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -41,6 +41,17 @@
     return documents_.failing_since ? documents_.failing_since : entries_.failing_since;
 }
 
+view_age& store_follower::shared_view(record_topic topic) {
+    return topic == record_topic::operator_documents ? forwarding_.documents_view
+                                                     : forwarding_.entries_view;
+}
+
+duration store_follower::own_age(record_topic topic, time_point now) const {
+    const topic_position& position =
+        topic == record_topic::operator_documents ? documents_ : entries_;
+    return position.own_view.age(now);
+}
+
 bool store_follower::fresh() const {
     return !failing_since();
 }
@@ -85,6 +96,10 @@
         page = co_await store_.read(position.topic, *position.next, read_wait, why);
     }
     const bool answered = page || why.code == store_error::gap;
+    if (page) {
+        position.own_view.known(monotonic_now());
+        shared_view(position.topic).known(monotonic_now());
+    }
     note_answer(position, answered, why);
     if (page) {
         position.next = page->next;
@@ -103,7 +118,8 @@
                                  const store_failure& why) {
     const time_point now = monotonic_now();
     if (position.topic == record_topic::backend_entries) {
-        answered ? registry_.store_answered(now) : registry_.store_failed(now);
+        backend_registry& registry = forwarding_.registry;
+        answered ? registry.store_answered(now) : registry.store_failed(now);
     }
     if (answered && position.failing_since) {
         log_event(events::store_available, "topic={} away_ms={:.0f}", name_of(position.topic),
--- a/bamboostream/src/Gateway/store_follower.h
+++ b/bamboostream/src/Gateway/store_follower.h
@@ -15,8 +15,8 @@
 class store_follower {
 public:
     store_follower(boost::asio::io_context& context, record_store& store, deployment_state& state,
-                   backend_registry& registry, const store_duty& duty)
-        : context_(context), store_(store), state_(state), registry_(registry), duty_(duty) {}
+                   forwarding_state& forwarding, const store_duty& duty)
+        : context_(context), store_(store), state_(state), forwarding_(forwarding), duty_(duty) {}
 
     /// `is_reader` tells whether this instance reads for all.
     void start(std::function<bool()> is_reader);
@@ -25,6 +25,8 @@
     bool reads_entries_again() const { return entries_wanted_; }
     /// True while this instance knows what the store says, by itself or through a reader.
     bool fresh() const;
+    /// How long ago the store last told this instance itself what the topic holds.
+    duration own_age(record_topic topic, time_point now) const;
     /// Since when a topic could not be read; nothing while all can be.
     std::optional<time_point> failing_since() const;
 
@@ -34,7 +36,10 @@
         /// Nothing until the newest records have been read.
         std::optional<std::int64_t> next;
         std::optional<time_point> failing_since;
+        /// By this instance's own reads.
+        view_age own_view;
     };
+    view_age& shared_view(record_topic topic);
     boost::asio::awaitable<void> follow(topic_position& position);
     bool may_rest(const topic_position& position) const;
     /// False when the store didn't answer.
@@ -44,12 +49,12 @@
     boost::asio::io_context& context_;
     record_store& store_;
     deployment_state& state_;
-    backend_registry& registry_;
+    forwarding_state& forwarding_;
     const store_duty& duty_;
     std::function<bool()> is_reader_;
     bool entries_wanted_ = false;
-    topic_position documents_{record_topic::operator_documents, std::nullopt, std::nullopt};
-    topic_position entries_{record_topic::backend_entries, std::nullopt, std::nullopt};
+    topic_position documents_{record_topic::operator_documents, std::nullopt, std::nullopt, {}};
+    topic_position entries_{record_topic::backend_entries, std::nullopt, std::nullopt, {}};
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -19,6 +19,9 @@
         changes_.push_back({registry_event::joined, heard});
     } else {
         const bool restarted = backend.started_ms > found->second.backend.started_ms;
+        if (found->second.removal_due) {
+            changes_.push_back({registry_event::kept, heard});
+        }
         found->second = {heard, std::nullopt};
         if (restarted) {
             changes_.push_back({registry_event::restarted, heard});
@@ -66,6 +69,9 @@
         return;
     }
     if (removals_wait(now) && !found->second.backend.leaving) {
+        if (!found->second.removal_due) {
+            changes_.push_back({registry_event::lapsed, found->second.backend});
+        }
         found->second.removal_due = store_returned_.value_or(now) + return_grace;
         return;
     }
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -30,8 +30,9 @@
 };
 
 /// A change that callers of the registry may want to log or act on.
-/// After `restarted` the server remembers nothing of before.
-enum class registry_event : std::uint8_t { joined, leaving, gone, restarted };
+/// After `restarted` the server remembers nothing of before. `lapsed`: its entry is missing, and
+/// whether that holds is waited for; `kept`: the entry is there again.
+enum class registry_event : std::uint8_t { joined, leaving, gone, restarted, lapsed, kept };
 struct registry_change {
     registry_event event = registry_event::joined;
     registered_backend backend;
