--- a/test/platform/standin_store.cpp
+++ b/test/platform/standin_store.cpp
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Control/periodic.h"
 
+#include <array>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/json.hpp>
 
@@ -13,6 +14,9 @@
 namespace {
 
 constexpr milliseconds poll_step{5};
+/// Callers give a silent call up long before.
+constexpr seconds silence{5};
+constexpr std::array<const char*, 2> topic_names = {"keyed.op", "keyed.servers"};
 
 std::string big_endian(std::uint64_t value, int bytes) {
     std::string out;
@@ -49,7 +53,24 @@
 }
 
 void standin_store::set_manner(const std::string& address, store_manner manner) {
-    manners_[address] = manner;
+    for (const char* topic : topic_names) {
+        set_manner(address, topic, manner);
+    }
+}
+
+void standin_store::set_manner(const std::string& address, const std::string& topic,
+                               store_manner manner) {
+    manners_[{address, topic}] = manner;
+}
+
+store_manner standin_store::manner_at(const place& where) const {
+    const auto found = manners_.find(where);
+    return found == manners_.end() ? store_manner::answers : found->second;
+}
+
+int standin_store::waiting_reads(const std::string& address, const std::string& topic) const {
+    const auto found = waiting_.find({address, topic});
+    return found == waiting_.end() ? 0 : found->second;
 }
 
 void standin_store::write(const std::string& topic, const std::string& key,
@@ -71,21 +92,26 @@
 
 asio::awaitable<void> standin_store::handle(http_exchange& exchange, const std::string& address) {
     ++calls_;
-    const store_manner manner = manners_[address];
-    if (manner == store_manner::is_silent) {
-        co_await pause_for(seconds(5));
-    }
+    const place where{address, exchange.request().parameter("topic").value_or("")};
+    const store_manner manner = manner_at(where);
     if (manner != store_manner::answers) {
-        co_await exchange.respond_json(503, "{}");
+        co_await turn_away(exchange, manner);
     } else if (exchange.request().path == "/log-newest") {
         co_await newest(exchange);
     } else if (exchange.request().path == "/log-read") {
-        co_await read(exchange);
+        co_await read(exchange, where);
     } else {
         co_await exchange.respond_json(404, "{}");
     }
 }
 
+asio::awaitable<void> standin_store::turn_away(http_exchange& exchange, store_manner manner) {
+    if (manner == store_manner::is_silent) {
+        co_await pause_for(silence);
+    }
+    co_await exchange.respond_json(503, "{}");
+}
+
 asio::awaitable<void> standin_store::newest(http_exchange& exchange) {
     const topic_state& t = topics_[exchange.request().parameter("topic").value_or("")];
     json::array items;
@@ -102,14 +128,21 @@
     co_await exchange.respond_json(200, json::serialize(answer));
 }
 
-asio::awaitable<void> standin_store::read(http_exchange& exchange) {
+asio::awaitable<void> standin_store::read(http_exchange& exchange, const place& where) {
     const http_request& request = exchange.request();
     const topic_state& t = topics_[request.parameter("topic").value_or("")];
     const std::int64_t from = request.number_parameter("from", 0);
     const time_point until = monotonic_now() + milliseconds(request.number_parameter("wait_ms", 0));
-    while (from >= t.end() && monotonic_now() < until) {
+    ++waiting_[where];
+    while (from >= t.end() && monotonic_now() < until &&
+           manner_at(where) == store_manner::answers) {
         co_await pause_for(poll_step);
     }
+    --waiting_[where];
+    if (const store_manner manner = manner_at(where); manner != store_manner::answers) {
+        co_await turn_away(exchange, manner);
+        co_return;
+    }
     if (from < t.first) {
         co_await exchange.respond_json(410, "{}");
         co_return;
--- a/test/platform/standin_store.h
+++ b/test/platform/standin_store.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bamboostream::test {
@@ -25,7 +26,12 @@
 
     /// One more address; the result names it in `set_manner`.
     std::string add_address();
+    /// Calls that wait there for a record are treated so from now on as well.
     void set_manner(const std::string& address, store_manner manner);
+    /// The same for the calls about one topic only.
+    void set_manner(const std::string& address, const std::string& topic, store_manner manner);
+    /// Reads of that topic that wait at the address for a record: who has one reads for all.
+    int waiting_reads(const std::string& address, const std::string& topic) const;
     /// Writes a record as the operator ("keyed.op") or a backend server ("keyed.servers") does; an
     /// empty value removes the key.
     void write(const std::string& topic, const std::string& key, const std::string& value);
@@ -45,12 +51,18 @@
         std::int64_t end() const { return first + static_cast<std::int64_t>(records.size()); }
     };
     boost::asio::awaitable<void> handle(http_exchange& exchange, const std::string& address);
-    boost::asio::awaitable<void> read(http_exchange& exchange);
+    using place = std::pair<std::string, std::string>;
+    store_manner manner_at(const place& where) const;
+    boost::asio::awaitable<void> read(http_exchange& exchange, const place& where);
     boost::asio::awaitable<void> newest(http_exchange& exchange);
+    /// A call that is not served: refused, or left without an answer.
+    boost::asio::awaitable<void> turn_away(http_exchange& exchange, store_manner manner);
 
     boost::asio::io_context& context_;
     std::vector<std::unique_ptr<http_server>> servers_;
-    std::map<std::string, store_manner> manners_;
+    /// By address and topic.
+    std::map<place, store_manner> manners_;
+    std::map<place, int> waiting_;
     std::map<std::string, topic_state> topics_;
     int calls_ = 0;
 };
