Judge by how old a view is, and let the newer position win, whoever tells

Cause: three of one class: a belief without its age or position. A reader called its view fresh until a read failed (2.1 s for a dead connection, 0.8 s more until others read). An instance took its own outage for the store's and put removals off for 2.5 s. A peer's list replaced what was known, also when it was older, which took back removals and erased new servers. The store counts as away when nobody heard of knows it for 1 s. Lists, tellings and pages are taken by their position in the store's topic; lapsed entries are told as such and waited for by each. Readers go by others' tellings too.

--- a/bamboostream/src/Gateway/deployment_state.cpp
+++ b/bamboostream/src/Gateway/deployment_state.cpp
@@ -58,7 +58,7 @@
     }
 }
 
-void deployment_state::take_records(record_topic topic, const std::vector<keyed_record>& records,
+void deployment_state::take_records(record_topic topic, std::span<const keyed_record> records,
                                     bool all, time_point now) {
     if (topic == record_topic::backend_entries) {
         take_entries(records, all, now);
@@ -71,7 +71,7 @@
     }
 }
 
-void deployment_state::take_entries(const std::vector<keyed_record>& records, bool all,
+void deployment_state::take_entries(std::span<const keyed_record> records, bool all,
                                     time_point now) {
     std::vector<registered_backend> entries;
     std::vector<backend_id> unreadable;
@@ -100,12 +100,43 @@
     report_changes(fact_source::store, now);
 }
 
-void deployment_state::take_peer_backends(const std::vector<registered_backend>& entries,
-                                          time_point now) {
-    forwarding_.registry.learn_from_peer(entries, now);
+void deployment_state::take_peer_backends(std::span<const peer_backend> entries,
+                                          std::int64_t position, time_point now) {
+    for (const peer_backend& entry : entries) {
+        if (entry.backend.leaving) {
+            forwarding_.registry.mark_leaving(entry.backend.id, entry.backend.started_ms);
+        }
+    }
+    const bool knows_nothing = forwarding_.registry.empty() && entries_.position() == 0;
+    if (!entries.empty() && (position > entries_.position() || knows_nothing)) {
+        entries_.caught_up(position);
+        forwarding_.registry.learn_from_peer(entries, now);
+    }
     report_changes(fact_source::peer_list, now);
 }
 
+void deployment_state::note_view(record_topic topic, time_point as_of, time_point now) {
+    if (topic == record_topic::operator_documents) {
+        forwarding_.documents_view.known(as_of);
+        return;
+    }
+    watch_outage(now);
+    forwarding_.entries_view.known(as_of);
+    watch_outage(now);
+}
+
+void deployment_state::watch_outage(time_point now) {
+    const view_age& view = forwarding_.entries_view;
+    if (!view.ever_known()) {
+        return;
+    }
+    if (view.age(now) > backend_registry::least_outage) {
+        forwarding_.registry.store_failed(now);
+    } else {
+        forwarding_.registry.store_answered(now);
+    }
+}
+
 void deployment_state::report_changes(fact_source source, time_point now) {
     for (const registry_change& change : forwarding_.registry.take_changes()) {
         const registered_backend& backend = change.backend;
@@ -115,9 +146,7 @@
                   backend.id.text(), backend.address, backend.service.text(),
                   backend.failure_domain.text(), backend.started_ms, to_string(source),
                   entries_.position(), to_milliseconds(forwarding_.entries_view.age(now)));
-        const bool is_settled =
-            change.event != registry_event::lapsed && change.event != registry_event::kept;
-        if (backend_listener_ && is_settled) {
+        if (backend_listener_) {
             backend_listener_(change);
         }
     }
--- a/bamboostream/src/Gateway/deployment_state.h
+++ b/bamboostream/src/Gateway/deployment_state.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -37,9 +38,16 @@
     /// store that has lost its newest records, or a peer that lags, must not bring an old one back.
     void take_configuration(std::string_view text, std::string_view origin);
     /// Takes records of a topic; `all` says that they are the newest of every key.
-    void take_records(record_topic topic, const std::vector<keyed_record>& records, bool all,
+    void take_records(record_topic topic, std::span<const keyed_record> records, bool all,
                       time_point now);
-    void take_peer_backends(const std::vector<registered_backend>& entries, time_point now);
+    /// Takes another instance's list of entries, which is complete up to `position` of the store's
+    /// topic. One that is no further than what is known here says nothing new.
+    void take_peer_backends(std::span<const peer_backend> entries, std::int64_t position,
+                            time_point now);
+    /// What the store said of the topic at `as_of` is known here.
+    void note_view(record_topic topic, time_point as_of, time_point now);
+    /// Judges by the age of the view whether the store is away.
+    void watch_outage(time_point now);
     /// Logs and passes on what has changed in the registry.
     void report_changes(fact_source source, time_point now);
 
@@ -52,7 +60,7 @@
     bool ready() const { return version_ > 0 && !forwarding_.registry.empty(); }
 
 private:
-    void take_entries(const std::vector<keyed_record>& records, bool all, time_point now);
+    void take_entries(std::span<const keyed_record> records, bool all, time_point now);
 
     forwarding_state& forwarding_;
     const record_codec& codec_;
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -56,8 +56,7 @@
           seed(stable_hash(random_id())),
           forwarding(contracts.requests, failure_domain_id(settings.failure_domain),
                      settings.budget, seed),
-          state(forwarding, contracts.records),
-          store(context, contracts.store, state, forwarding, duty),
+          state(forwarding, contracts.records), store(context, contracts.store, state, duty),
           links(context, [this](std::unique_ptr<wire::FrameT> frame) {
               return peers->handle(std::move(frame));
           }) {}
@@ -171,7 +170,7 @@
         return false;
     }
     membership->start();
-    store.start([this] { return peers->reads_store(); });
+    store.start(*peers);
     peers->start();
     evacuation->start();
     asio::co_spawn(context, housekeeping(), asio::detached);
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <limits>
 #include <map>
 
 namespace bamboostream {
@@ -28,19 +27,17 @@
 /// How often an instance looks whether it lags behind its peers.
 constexpr milliseconds catch_up_period{300};
 constexpr milliseconds peer_timeout{500};
-/// How often a reader of the store tells the others that its view is fresh; changes go out at once.
+/// How often an instance that reads the store tells the others how old its view is, when no answer
+/// of the store has made it tell before; changes go out at once.
 constexpr milliseconds news_period{300};
-/// A view that is older than this is said to be stale: twice what it is at most while all is well.
-constexpr milliseconds stale_after{3'000};
+/// Answers within this time are told together. While entries change ten times a second each would
+/// go to all instances otherwise.
+constexpr milliseconds news_gather{200};
+/// How often the age of the view is looked at.
+constexpr milliseconds watch_period{100};
 /// Generations of an instance that doesn't answer by then are not moved in this round.
 constexpr milliseconds gather_timeout{150};
 
-/// The longest that a frame can say stands for what was never known.
-std::uint32_t age_on_wire(duration age) {
-    constexpr milliseconds longest{std::numeric_limits<std::uint32_t>::max()};
-    return static_cast<std::uint32_t>(to_milliseconds(std::min(age, duration(longest))));
-}
-
 /// Answers of several peers that are asked at once.
 struct gathered_answers {
     explicit gathered_answers(asio::io_context& context) : complete(context) {}
@@ -61,6 +58,7 @@
     asio::co_spawn(context_, load_loop(), asio::detached);
     asio::co_spawn(context_, catch_up_loop(), asio::detached);
     asio::co_spawn(context_, news_loop(), asio::detached);
+    asio::co_spawn(context_, watch_loop(), asio::detached);
 }
 
 std::vector<std::string> peer_exchange::usable_peers() const {
@@ -90,9 +88,26 @@
     }
 }
 
-bool peer_exchange::reads_store() const {
-    const auto owners = membership_.owners("store", store_duty::readers);
-    return std::find(owners.begin(), owners.end(), membership_.own_address()) != owners.end();
+std::vector<std::string> peer_exchange::reading_order() const {
+    return membership_.owners("store", store_duty::order_length);
+}
+
+bool peer_exchange::must_read(record_topic topic, time_point now) const {
+    return duty_.must_read(topic, reading_order(), membership_.own_address(), now);
+}
+
+milliseconds peer_exchange::read_wait(record_topic topic, time_point now) const {
+    return duty_.read_wait(topic, reading_order(), membership_.own_address(), now);
+}
+
+reading_role peer_exchange::role() const {
+    return store_duty::role_of(reading_order(), membership_.own_address());
+}
+
+void peer_exchange::note_answer() {
+    if (monotonic_now() - told_at_ >= news_gather) {
+        news_due_.cancel();
+    }
 }
 
 void peer_exchange::note_change(const registry_change& change) {
@@ -115,15 +130,18 @@
 void peer_exchange::tell_news() {
     const std::int64_t previous = std::exchange(told_position_, state_.entries().position());
     const std::vector<registry_change> changes = std::exchange(untold_, {});
+    const time_point now = monotonic_now();
     // Without the store, whoever found out that an engine leaves tells it.
     const bool found_out = !changes.empty() && forwarding_.registry.store_away();
-    if (!reads_store() && !found_out) {
+    const bool reads = store_.reads_well(record_topic::backend_entries, now) ||
+                       store_.reads_well(record_topic::operator_documents, now);
+    if (!(reads && role() != reading_role::other) && !found_out) {
         return;
     }
-    const time_point now = monotonic_now();
+    told_at_ = now;
     for (const std::string& peer : usable_peers()) {
         wire::StoreNewsT news;
-        news.fresh = store_.fresh();
+        news.fresh = store_.reads_well(record_topic::backend_entries, now);
         news.configuration_version = state_.version();
         news.previous = static_cast<std::uint64_t>(previous);
         news.sequence = static_cast<std::uint64_t>(told_position_);
@@ -132,6 +150,7 @@
         for (const registry_change& change : changes) {
             auto fact = to_wire(change.backend, now);
             fact->gone = change.event == registry_event::gone;
+            fact->lapsed = change.event == registry_event::lapsed;
             news.changed.push_back(std::move(fact));
         }
         links_.send(peer, make_frame(std::move(news)));
@@ -140,32 +159,50 @@
 
 /// What another instance knew some time ago is known here now that it has been told.
 void peer_exchange::note_ages(const wire::StoreNewsT& news, time_point now) {
+    const time_point entries_as_of = now - milliseconds(news.entries_age_ms);
+    const time_point documents_as_of = now - milliseconds(news.documents_age_ms);
     if (static_cast<std::int64_t>(news.sequence) <= state_.entries().position()) {
-        forwarding_.entries_view.known(now - milliseconds(news.entries_age_ms));
+        state_.note_view(record_topic::backend_entries, entries_as_of, now);
     }
     if (news.configuration_version <= state_.version()) {
-        forwarding_.documents_view.known(now - milliseconds(news.documents_age_ms));
+        state_.note_view(record_topic::operator_documents, documents_as_of, now);
     }
 }
 
-void peer_exchange::watch_view(time_point now) {
-    watch_topic("backend_entries", forwarding_.entries_view, entries_stale_, now);
-    watch_topic("operator_documents", forwarding_.documents_view, documents_stale_, now);
+asio::awaitable<void> peer_exchange::watch_loop() {
+    while (true) {
+        co_await pause_for(watch_period);
+        const time_point now = monotonic_now();
+        state_.watch_outage(now);
+        forwarding_.registry.expire(now);
+        state_.report_changes(fact_source::grace, now);
+        watch_topic(record_topic::backend_entries, entries_stale_, now);
+        watch_topic(record_topic::operator_documents, documents_stale_, now);
+    }
 }
 
-void peer_exchange::watch_topic(std::string_view topic, const view_age& view, bool& stale,
-                                time_point now) {
-    const duration age = view.age(now);
-    if (stale != (age > stale_after)) {
+void peer_exchange::watch_topic(record_topic topic, bool& stale, time_point now) {
+    const bool entries = topic == record_topic::backend_entries;
+    const duration age =
+        entries ? forwarding_.entries_view.age(now) : forwarding_.documents_view.age(now);
+    if (stale != (age > times_of(topic).read_by_all)) {
         stale = !stale;
-        log_event(stale ? events::view_stale : events::view_fresh, "topic={} age_ms={:.0f}", topic,
-                  to_milliseconds(std::min(age, duration(std::chrono::hours(1)))));
+        log_event(stale ? events::view_stale : events::view_fresh, "topic={} age_ms={}",
+                  entries ? "backend_entries" : "operator_documents", age_on_wire(age));
     }
 }
 
+bool peer_exchange::is_stale(record_topic topic, time_point now) const {
+    const view_age& view = topic == record_topic::backend_entries ? forwarding_.entries_view
+                                                                  : forwarding_.documents_view;
+    return view.age(now) > times_of(topic).longest_view;
+}
+
 void peer_exchange::hear_news(const std::string& sender, const wire::StoreNewsT& news) {
     const time_point now = monotonic_now();
-    duty_.hear(news.fresh, news.configuration_version, now);
+    duty_.hear(sender, record_topic::backend_entries, now - milliseconds(news.entries_age_ms));
+    duty_.hear(sender, record_topic::operator_documents, now - milliseconds(news.documents_age_ms));
+    duty_.hear_version(news.configuration_version);
     // Leaving is believed from anyone: it is never taken back.
     for (const auto& fact : news.changed) {
         if (fact->leaving) {
@@ -173,10 +210,6 @@
         }
     }
     state_.report_changes(fact_source::telling, now);
-    // What the store is being asked for would take back what is applied meanwhile.
-    if (reads_store() || !news.fresh || store_.reads_entries_again()) {
-        return;
-    }
     const auto verdict = state_.entries().judge(static_cast<std::int64_t>(news.previous),
                                                 static_cast<std::int64_t>(news.sequence));
     note_ages(news, now);
@@ -185,11 +218,7 @@
         forget_removed(news, now);
         return;
     case change_follower::verdict::ask_for_all:
-        if (!store_.failing_since()) {
-            store_.read_entries_again();
-        } else {
-            asio::co_spawn(context_, ask_backends(sender), asio::detached);
-        }
+        fill_gap(sender, now);
         return;
     case change_follower::verdict::apply:
         break;
@@ -197,6 +226,8 @@
     for (const auto& fact : news.changed) {
         if (fact->gone) {
             forwarding_.registry.forget(backend_id(fact->id));
+        } else if (fact->lapsed) {
+            forwarding_.registry.remove(backend_id(fact->id), now);
         } else {
             forwarding_.registry.learn(from_wire(*fact, now), now);
         }
@@ -204,17 +235,31 @@
     state_.report_changes(fact_source::telling, now);
 }
 
+/// A telling was missed. Who follows the store itself finds what it was about there.
+void peer_exchange::fill_gap(const std::string& teller, time_point now) {
+    if (store_.reads_well(record_topic::backend_entries, now)) {
+        return;
+    }
+    if (store_.failing_since()) {
+        asio::co_spawn(context_, ask_backends(teller), asio::detached);
+    } else {
+        store_.read_entries_again();
+    }
+}
+
 void peer_exchange::forget_removed(const wire::StoreNewsT& news, time_point now) {
     if (!state_.entries().removal_holds(static_cast<std::int64_t>(news.sequence))) {
         return;
     }
-    std::map<std::string, bool> removed;
+    std::map<std::string, const wire::BackendFactT*> last;
     for (const auto& fact : news.changed) {
-        removed[fact->id] = fact->gone;
+        last[fact->id] = fact.get();
     }
-    for (const auto& [id, gone] : removed) {
-        if (gone) {
+    for (const auto& [id, fact] : last) {
+        if (fact->gone) {
             forwarding_.registry.forget(backend_id(id));
+        } else if (fact->lapsed) {
+            forwarding_.registry.remove(backend_id(id), now);
         }
     }
     state_.report_changes(fact_source::telling, now);
@@ -238,18 +283,17 @@
         if (!ahead.empty()) {
             co_await ask_configuration(ahead);
         }
-        const auto failing = store_.failing_since();
         const std::vector<std::string> peers = usable_peers();
-        if (failing && monotonic_now() - *failing > catch_up_period && !peers.empty()) {
+        if (!peers.empty()) {
             std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
             const std::string& peer = peers[any(random_)];
-            co_await ask_backends(peer);
-            co_await ask_configuration(peer);
+            if (is_stale(record_topic::backend_entries, monotonic_now())) {
+                co_await ask_backends(peer);
+            }
+            if (is_stale(record_topic::operator_documents, monotonic_now())) {
+                co_await ask_configuration(peer);
+            }
         }
-        const time_point now = monotonic_now();
-        forwarding_.registry.expire(now);
-        watch_view(now);
-        state_.report_changes(fact_source::grace, now);
         co_await pause_for(catch_up_period);
     }
 }
@@ -280,28 +324,27 @@
         co_return;
     }
     const wire::BackendListT& list = *reply->message.AsBackendList();
-    // Without the store a peer knows no more than this instance, unless this one knows nothing.
-    if (!list.fresh && !forwarding_.registry.empty()) {
-        co_return;
-    }
     const time_point now = monotonic_now();
-    std::vector<registered_backend> entries;
+    std::vector<peer_backend> entries;
     for (const auto& fact : list.entries) {
-        entries.push_back(from_wire(*fact, now));
+        entries.push_back({from_wire(*fact, now), fact->lapsed});
     }
-    if (!entries.empty()) {
-        state_.take_peer_backends(entries, now);
-        state_.entries().caught_up(static_cast<std::int64_t>(list.sequence));
+    const auto position = static_cast<std::int64_t>(list.sequence);
+    state_.take_peer_backends(entries, position, now);
+    if (position <= state_.entries().position()) {
+        state_.note_view(record_topic::backend_entries, now - milliseconds(list.age_ms), now);
     }
 }
 
 std::unique_ptr<wire::FrameT> peer_exchange::answer_backends() const {
     wire::BackendListT list;
-    list.fresh = store_.fresh();
-    list.sequence = static_cast<std::uint64_t>(state_.entries().position());
     const time_point now = monotonic_now();
+    list.fresh = !is_stale(record_topic::backend_entries, now);
+    list.age_ms = age_on_wire(forwarding_.entries_view.age(now));
+    list.sequence = static_cast<std::uint64_t>(state_.entries().position());
     for (const registered_backend& backend : forwarding_.registry.all()) {
         list.entries.push_back(to_wire(backend, now));
+        list.entries.back()->lapsed = forwarding_.registry.has_lapsed(backend.id);
     }
     return make_reply(std::move(list));
 }
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -21,7 +21,7 @@
 
 /// What instances of the gateway tell each other: work under way, configuration and backend servers
 /// for whom the store refuses, and generations that move. Lives on one thread.
-class peer_exchange final : public evacuation_peers {
+class peer_exchange final : public evacuation_peers, public reading_plan {
 public:
     peer_exchange(boost::asio::io_context& context, link_hub& links, membership_service& membership,
                   forwarding_state& forwarding, deployment_state& state, store_follower& store,
@@ -32,8 +32,11 @@
     boost::asio::awaitable<std::unique_ptr<wire::FrameT>>
     handle(std::unique_ptr<wire::FrameT> frame);
 
-    /// True when this instance reads the platform's store for all.
-    bool reads_store() const;
+    bool must_read(record_topic topic, time_point now) const override;
+    milliseconds read_wait(record_topic topic, time_point now) const override;
+    reading_role role() const override;
+    /// The others are told how fresh this instance's view is.
+    void note_answer() override;
     /// A change of the registry or the configuration, which the others are told when this instance
     /// reads for them.
     void note_change(const registry_change& change);
@@ -53,10 +56,14 @@
     void tell_news();
     void hear_news(const std::string& sender, const wire::StoreNewsT& news);
     void note_ages(const wire::StoreNewsT& news, time_point now);
+    /// Those that read the store for all, first choice first.
+    std::vector<std::string> reading_order() const;
+    /// Carries out what depends on the age of the view alone.
+    boost::asio::awaitable<void> watch_loop();
     /// Logs when what is known of a topic has become old, and when it is known again.
-    void watch_view(time_point now);
-    static void watch_topic(std::string_view topic, const view_age& view, bool& stale,
-                            time_point now);
+    void watch_topic(record_topic topic, bool& stale, time_point now);
+    bool is_stale(record_topic topic, time_point now) const;
+    void fill_gap(const std::string& teller, time_point now);
     /// Forgets the servers that a telling with no new record says are gone in the end.
     void forget_removed(const wire::StoreNewsT& news, time_point now);
     boost::asio::awaitable<void> ask_configuration(std::string peer);
@@ -78,6 +85,7 @@
     /// Changes that the others have not been told of.
     std::vector<registry_change> untold_;
     std::int64_t told_position_ = 0;
+    time_point told_at_{};
     /// A peer has been asked for all its entries; more answers would only fill the links.
     bool asking_for_all_ = false;
     bool entries_stale_ = true;
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -1,6 +1,7 @@
 #include "bamboostream/src/Gateway/peer_frames.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace bamboostream {
 
@@ -31,6 +32,11 @@
     return out;
 }
 
+std::uint32_t age_on_wire(duration age) {
+    constexpr milliseconds longest{std::numeric_limits<std::uint32_t>::max()};
+    return static_cast<std::uint32_t>(to_milliseconds(std::min(age, duration(longest))));
+}
+
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report) {
     std::vector<backend_work_entry> out;
     for (const wire::WorkEntry& entry : report.entries) {
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -5,6 +5,7 @@
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Routing/load_book.h"
 
+#include <cstdint>
 #include <memory>
 #include <span>
 #include <string>
@@ -17,6 +18,8 @@
 
 std::unique_ptr<wire::BackendFactT> to_wire(const registered_backend& backend, time_point now);
 registered_backend from_wire(const wire::BackendFactT& fact, time_point now);
+/// Ages go as milliseconds; the longest that a frame can say stands for what was never known.
+std::uint32_t age_on_wire(duration age);
 
 wire::LoadReportT to_wire(std::span<const backend_work_entry> own);
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report);
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -1,7 +1,6 @@
 #include "bamboostream/src/Membership/backend_registry.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace bamboostream {
@@ -90,36 +89,48 @@
     }
 }
 
-std::vector<backend_id>
-backend_registry::missing_from(std::span<const registered_backend> entries) const {
-    std::set<backend_id> missing;
+std::vector<backend_id> backend_registry::missing_from(const std::set<backend_id>& listed) const {
+    std::vector<backend_id> missing;
     for (const auto& [id, record] : backends_) {
-        missing.insert(id);
-    }
-    for (const registered_backend& entry : entries) {
-        missing.erase(entry.id);
+        if (!listed.contains(id)) {
+            missing.push_back(id);
+        }
     }
-    return {missing.begin(), missing.end()};
+    return missing;
+}
+
+bool backend_registry::has_lapsed(const backend_id& id) const {
+    const auto found = backends_.find(id);
+    return found != backends_.end() && found->second.removal_due;
 }
 
 void backend_registry::learn_all(std::span<const registered_backend> entries,
                                  std::span<const backend_id> unreadable, time_point now) {
+    std::set<backend_id> listed(unreadable.begin(), unreadable.end());
     for (const registered_backend& backend : entries) {
+        listed.insert(backend.id);
         learn(backend, now);
     }
-    for (const backend_id& id : missing_from(entries)) {
-        if (std::find(unreadable.begin(), unreadable.end(), id) == unreadable.end()) {
-            remove(id, now);
-        }
+    for (const backend_id& id : missing_from(listed)) {
+        remove(id, now);
     }
 }
 
-void backend_registry::learn_from_peer(std::span<const registered_backend> entries,
-                                       time_point now) {
-    for (const registered_backend& backend : entries) {
-        learn(backend, now);
+void backend_registry::learn_from_peer(std::span<const peer_backend> entries, time_point now) {
+    const bool knows_nothing = empty();
+    std::set<backend_id> listed;
+    for (const peer_backend& entry : entries) {
+        listed.insert(entry.backend.id);
+        if (!entry.lapsed) {
+            learn(entry.backend, now);
+        } else if (knows_nothing) {
+            learn(entry.backend, now);
+            backends_.at(entry.backend.id).removal_due = now + return_grace;
+        } else {
+            remove(entry.backend.id, now);
+        }
     }
-    for (const backend_id& id : missing_from(entries)) {
+    for (const backend_id& id : missing_from(listed)) {
         erase(id);
     }
 }
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -38,6 +39,13 @@
     registered_backend backend;
 };
 
+/// A server as another instance lists it.
+struct peer_backend {
+    registered_backend backend;
+    /// The store has no entry of it any more; the other instance waits for one.
+    bool lapsed = false;
+};
+
 /// The backend servers that registered in the platform's store.
 ///
 /// Leaving is sticky for one life of a server: the store may repeat an older entry after a gap in
@@ -48,6 +56,12 @@
 public:
     /// Servers that live are registered again about two seconds after the store's return.
     static constexpr milliseconds return_grace{2'500};
+    /// The store counts as away when no instance that is heard of knows what it says for so long.
+    /// Not shorter: until the substitutes of those that read for all have read, some 0.7 s pass
+    /// though the store is well. An instance that took its own outage for the store's put the
+    /// removal of a server off, and requests reached it 3.1 s after it had gone. Not longer: an
+    /// entry lapses after three of its heartbeats, each of 1.2 s, have failed.
+    static constexpr milliseconds least_outage{1'000};
 
     /// An entry from the store.
     void learn(const registered_backend& backend, time_point now);
@@ -57,8 +71,9 @@
     /// entries that are there and say nothing; what is known of such a server stays.
     void learn_all(std::span<const registered_backend> entries,
                    std::span<const backend_id> unreadable, time_point now);
-    /// Entries as another instance believes them, which has already waited for lapsed ones.
-    void learn_from_peer(std::span<const registered_backend> entries, time_point now);
+    /// Entries as another instance believes them that knows more than this one. What lapsed there
+    /// is no reason to list a server that isn't listed here, unless nothing is.
+    void learn_from_peer(std::span<const peer_backend> entries, time_point now);
     /// Another instance believes that the server is gone.
     void forget(const backend_id& id);
     /// The server itself or another instance says that it leaves.
@@ -76,6 +91,8 @@
     /// Whether the server is still listed, leaving or not; null when it isn't.
     const registered_backend* find(const backend_id& id) const;
     std::vector<registered_backend> all() const;
+    /// Whether its entry is missing and waited for.
+    bool has_lapsed(const backend_id& id) const;
     bool empty() const { return backends_.empty(); }
     std::vector<registry_change> take_changes();
 
@@ -88,8 +105,8 @@
     /// Whether this life of the server has said that it leaves.
     bool has_left(const registered_backend& backend) const;
     void erase(const backend_id& id);
-    /// Known servers that aren't among the entries.
-    std::vector<backend_id> missing_from(std::span<const registered_backend> entries) const;
+    /// Known servers that aren't among those listed.
+    std::vector<backend_id> missing_from(const std::set<backend_id>& listed) const;
 
     std::map<backend_id, record> backends_;
     /// Servers that said they leave, with the start of the life that does; kept after their entries
--- a/bamboostream/src/Membership/view_age.h
+++ b/bamboostream/src/Membership/view_age.h
@@ -18,6 +18,7 @@
     void known(time_point as_of) {
         known_until_ = known_until_ ? std::max(*known_until_, as_of) : as_of;
     }
+    bool ever_known() const { return known_until_.has_value(); }
     /// The longest duration there is while nothing was ever known.
     duration age(time_point now) const {
         return known_until_ ? std::max(duration{}, now - *known_until_) : duration::max();
