Give a move's target up when it begins to leave before the stream stops

Cause: engines leave in series; a first copy takes up to 1.5 s and the last part as long, so a stream could be sent to a target 3 s after that had said that it leaves. Change: the target is looked up again before it is tried and before the stream is stopped. What is left: the last part itself takes up to 1.5 s, under the 2 s.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -122,6 +122,11 @@
     }
 }
 
+bool evacuation_service::is_usable(const backend_id& id) const {
+    const registered_backend* known = state_.registry.find(id);
+    return known != nullptr && !known->leaving;
+}
+
 std::vector<move_target> evacuation_service::targets(const service_id& service) const {
     std::vector<move_target> out;
     const service_rule* rule = state_.routes->find_service(service);
@@ -149,6 +154,9 @@
                choose_target(candidate.generation, source.failure_domain, speed, open)) {
         const registered_backend target = open[*index].backend;
         open.erase(open.begin() + static_cast<std::ptrdiff_t>(*index));
+        if (!is_usable(target.id)) {
+            continue;
+        }
         receiving_.insert(target.id);
         const move_error error = co_await move_to(source, target, candidate);
         receiving_.erase(target.id);
@@ -173,6 +181,14 @@
                   source.id.text(), target.id.text(), why.text);
         co_return why.code;
     }
+    // A first copy takes up to 1.5 s, time enough for the target to say that it leaves too. The
+    // stream would go there up to 3 s after that word, when the target is gone; until it is stopped
+    // it may still go elsewhere, and after the check only the rest is copied.
+    if (!is_usable(target.id)) {
+        log_event(events::move_failed, "request={} source={} target={} reason=target leaves", id,
+                  source.id.text(), target.id.text());
+        co_return move_error::refused;
+    }
     const auto last =
         co_await mover_.move(source.address, id, target.address, true, last_timeout, why);
     const bool source_gone = !last && why.code == move_error::unreachable;
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -36,6 +36,9 @@
         most_at_one_target_ = std::max(most_at_one_target_, users);
         co_await pause_for(milliseconds(5));
         --receiving_[target];
+        if (on_copied_) {
+            on_copied_(target, last);
+        }
         const auto error = errors_.find(generation + (last ? "/last" : "/first"));
         if (error != errors_.end()) {
             why.set(error->second, "scripted");
@@ -49,6 +52,7 @@
     int questions_ = 0;
     std::vector<move_call> calls_;
     std::map<std::string, move_error> errors_;
+    std::function<void(const std::string& target, bool last)> on_copied_;
     bool not_copied_ = false;
     int most_at_one_target_ = 0;
 
@@ -214,6 +218,27 @@
     EXPECT_EQ(peers_.told_.size(), 1u);
 }
 
+// Engines leave in series: the target of a copy says that it leaves while the copy is under way. To
+// stop the generation then would send its stream to an engine on its way out, up to three seconds
+// after its word, and it would be cut there. It runs on at its source and moves elsewhere.
+TEST_F(evacuation_test, a_target_that_begins_to_leave_is_given_up_before_the_stream_stops) {
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    std::string left;
+    mover_.on_copied_ = [&](const std::string& target, bool) {
+        if (left.empty()) {
+            left = target;
+            state_.registry.mark_leaving(backend_id("i-" + target.substr(7, 1)));
+        }
+    };
+    leave("i-1");
+    run_for(milliseconds(60));
+    ASSERT_EQ(peers_.told_.size(), 1u);
+    EXPECT_NE(peers_.told_[0].notice.target_address, left);
+    for (const move_call& call : mover_.calls_) {
+        EXPECT_FALSE(call.last && call.target == left);
+    }
+}
+
 // Another instance evacuates the engine and dies in the middle. Its engine still lives; the next
 // owner moves the generations that are left, and their callers notice nothing.
 TEST_F(evacuation_test, the_next_owner_takes_over_from_a_dead_one) {
