Hold the soak to a store that serves some, compare waits with the platform's bounds

Change: while the store serves one instance a fault of the store excuses nobody; half of the instances can be turned away at once, entries can be removed without a word before. At the start the sum of all waits is compared with the platform's bounds (bound_too_short); a row with a real gateway.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -40,6 +40,7 @@
         store_available,
         view_stale,
         view_fresh,
+        bound_too_short,
         generation_lost,
         stream_resumed,
         foreign_event_dropped,
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -80,6 +80,7 @@
     bool start();
     bool serve(const std::string& address, http_handler handler);
     void build(const std::string& peer_address);
+    void compare_with_bounds() const;
     void take_configuration(const routing_configuration& configuration) const;
     void apply(const gateway_settings& changed);
     asio::awaitable<void> watch_settings();
@@ -147,6 +148,21 @@
     peers->note_configuration();
 }
 
+/// A platform with shorter bounds than the waits were chosen for is served all the same; the line
+/// says why callers may then find servers gone.
+void gateway::parts::compare_with_bounds() const {
+    const auto compare = [](std::string_view name, record_topic topic,
+                            std::optional<milliseconds> bound) {
+        const milliseconds longest = longest_learning(topic);
+        if (bound && longest > *bound) {
+            log_event(events::bound_too_short, "bound={} bound_ms={} longest_ms={}", name,
+                      bound->count(), longest.count());
+        }
+    };
+    compare("leaving", record_topic::backend_entries, settings.leaving_bound);
+    compare("configuration", record_topic::operator_documents, settings.configuration_bound);
+}
+
 bool gateway::parts::start() {
     std::string why;
     forwarding.admission = settings.admission;
@@ -169,6 +185,7 @@
          !serve(settings.metrics_listen, bind(&parts::handle_metrics)))) {
         return false;
     }
+    compare_with_bounds();
     membership->start();
     store.start(*peers);
     peers->start();
--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -35,6 +35,10 @@
     admission_rules admission;
     /// Between the signal to end and the kill.
     milliseconds grace{8'000};
+    /// From the store's word that a server leaves until no request may reach it, and from that of a
+    /// configuration until it must hold; nothing when the platform doesn't say.
+    std::optional<milliseconds> leaving_bound;
+    std::optional<milliseconds> configuration_bound;
     /// How long callers may keep a directory answer.
     milliseconds directory_validity{2'000};
 };
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -181,7 +181,7 @@
     }
 }
 
-void peer_exchange::watch_topic(record_topic topic, bool& stale, time_point now) {
+void peer_exchange::watch_topic(record_topic topic, bool& stale, time_point now) const {
     const bool entries = topic == record_topic::backend_entries;
     const duration age =
         entries ? forwarding_.entries_view.age(now) : forwarding_.documents_view.age(now);
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -61,7 +61,7 @@
     /// Carries out what depends on the age of the view alone.
     boost::asio::awaitable<void> watch_loop();
     /// Logs when what is known of a topic has become old, and when it is known again.
-    void watch_topic(record_topic topic, bool& stale, time_point now);
+    void watch_topic(record_topic topic, bool& stale, time_point now) const;
     bool is_stale(record_topic topic, time_point now) const;
     void fill_gap(const std::string& teller, time_point now);
     /// Forgets the servers that a telling with no new record says are gone in the end.
--- a/test/platform/soak_plan.h
+++ b/test/platform/soak_plan.h
@@ -23,6 +23,10 @@
     link_cut,
     link_loses_answers,
     link_refuses,
+    /// A server's entry is removed without a word before; it goes on serving.
+    server_removed,
+    /// Half of the instances at once are turned away by the store without an answer.
+    store_is_silent_to_half,
     count_,
 };
 
--- a/test/platform/system/gateway_test.cpp
+++ b/test/platform/system/gateway_test.cpp
@@ -194,6 +194,21 @@
     }
 }
 
+// The platform's bound is shorter than what becoming known can take. The instance serves all the
+// same and says so once, for whoever wonders later why a request reached a server that had gone.
+TEST_F(gateway_test, a_bound_that_cannot_be_kept_is_said_at_the_start) {
+    configure(1, "k");
+    add_sound_backend("i-1");
+    instance_under_test it{nullptr, ip_of(0), folder_ + "/0.conf", folder_ + "/0.log"};
+    write_settings(it, 0, good_store_);
+    std::ofstream(it.settings, std::ios::app)
+        << "bounds.drain_ms=500\nbounds.config_apply_ms=2000\n";
+    start(it);
+    EXPECT_TRUE(serves(it, "k"));
+    EXPECT_TRUE(has_logged(it, "bound_too_short", "bound=leaving bound_ms=500"));
+    EXPECT_FALSE(has_logged(it, "bound_too_short", "bound=configuration"));
+}
+
 TEST_F(gateway_test, bad_settings_are_all_named_and_end_with_code_two) {
     const std::string settings = folder_ + "/bad.conf";
     const std::string log = folder_ + "/bad.log";
--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -143,10 +143,9 @@
     void begin(const soak_step& step) {
         const std::size_t i = step.target % instances_.size();
         soak_server& server = *servers_[step.target % servers_.size()];
-        const bool disturbs_hearing = step.fault <= soak_fault::store_is_silent;
+        const bool disturbs_hearing = step.fault <= soak_fault::pause;
         if (disturbs_hearing) {
-            const time_point end = monotonic_now() + std::max(step.lasts, restart_after_term);
-            hearing_disturbed_until_ = std::max(hearing_disturbed_until_, end);
+            excuse_until(monotonic_now() + std::max(step.lasts, restart_after_term));
         }
         switch (step.fault) {
         case soak_fault::kill:
@@ -161,10 +160,14 @@
             break;
         case soak_fault::store_refuses:
         case soak_fault::store_is_silent:
-            store_.set_manner(stores_[i], step.fault == soak_fault::store_refuses
-                                              ? store_manner::refuses
-                                              : store_manner::is_silent);
-            later(step.lasts, [this, i] { store_.set_manner(stores_[i], store_manner::answers); });
+            turn_away(i, step.lasts,
+                      step.fault == soak_fault::store_refuses ? store_manner::refuses
+                                                              : store_manner::is_silent);
+            break;
+        case soak_fault::store_is_silent_to_half:
+            for (std::size_t n = 0; n < instances_.size() / 2; ++n) {
+                turn_away((i + n) % instances_.size(), step.lasts, store_manner::is_silent);
+            }
             break;
         case soak_fault::store_forgets:
             store_.forget_history("keyed.op");
@@ -174,7 +177,10 @@
             configure(++version_, "k");
             break;
         case soak_fault::server_leaves:
-            leave(server);
+            leave(server, "draining");
+            break;
+        case soak_fault::server_removed:
+            leave(server, "");
             break;
         case soak_fault::server_joins:
             add_server();
@@ -218,13 +224,40 @@
         call(control, make_request("POST", "/control", command));
     }
 
-    void leave(soak_server& server) {
+    void excuse_until(time_point end) {
+        hearing_disturbed_until_ = std::max(hearing_disturbed_until_, end);
+    }
+
+    /// The store turns one instance away. While it serves another one, all must still hear what
+    /// servers say in time, so that alone excuses nobody.
+    void turn_away(std::size_t i, milliseconds lasts, store_manner manner) {
+        const time_point now = monotonic_now();
+        store_.set_manner(stores_[i], manner);
+        turned_away_until_[i] = std::max(turned_away_until_[i], now + lasts);
+        later(lasts, [this, i] {
+            if (monotonic_now() >= turned_away_until_[i]) {
+                store_.set_manner(stores_[i], store_manner::answers);
+            }
+        });
+        const time_point first_served =
+            *std::min_element(turned_away_until_.begin(), turned_away_until_.end());
+        if (first_served > now) {
+            excuse_until(first_served + restart_after_term);
+        }
+    }
+
+    /// An empty state removes the entry.
+    void leave(soak_server& server, const std::string& state) {
         const auto listed = std::count_if(servers_.begin(), servers_.end(),
                                           [](const auto& s) { return s->listed && !s->left; });
         if (listed < 2 || server.left) {
             return;
         }
-        write_entry(server, "draining");
+        if (state.empty()) {
+            store_.write("keyed.servers", server.id, "");
+        } else {
+            write_entry(server, state);
+        }
         server.left = monotonic_now();
     }
 
@@ -398,6 +431,7 @@
     std::mt19937_64 random_{GetParam()};
     soak_audit audit_;
     std::vector<std::string> stores_;
+    std::vector<time_point> turned_away_until_ = std::vector<time_point>(instance_count);
     std::vector<std::unique_ptr<soak_server>> servers_;
     /// Instances that this test has told to end.
     std::vector<bool> ending_;
--- a/test/platform/translation_test.cpp
+++ b/test/platform/translation_test.cpp
@@ -173,6 +173,17 @@
     EXPECT_EQ(s->store_address, "1.2.3.9:7");
 }
 
+TEST(settings_file_test, reads_bounds_where_they_are_stated) {
+    std::vector<std::string> mistakes;
+    EXPECT_FALSE(parse_settings(good_settings, mistakes)->gateway.leaving_bound);
+    const auto s = parse_settings(
+        good_settings + "bounds.drain_ms=3000\nbounds.config_apply_ms=2000\n", mistakes);
+    ASSERT_TRUE(s);
+    EXPECT_EQ(s->gateway.leaving_bound, milliseconds(3'000));
+    EXPECT_EQ(s->gateway.configuration_bound, milliseconds(2'000));
+    EXPECT_FALSE(parse_settings(good_settings + "bounds.drain_ms=soon\n", mistakes));
+}
+
 TEST(settings_file_test, names_all_mistakes_at_once) {
     std::vector<std::string> mistakes;
     EXPECT_FALSE(parse_settings("listen.front=nonsense\nbounds.grace_s=-3\nseeds=x\n", mistakes));
