Row for answers that tellings overtake; a sharper soak; more rows of prove

Change: the store's silence to half of the instances lasts 4 s or more and a server leaves in it; the bound is the deployments' 2.0 s. store_follower_test with a store whose answers arrive late.

--- a/test/platform/soak_plan.h
+++ b/test/platform/soak_plan.h
@@ -25,7 +25,8 @@
     link_refuses,
     /// A server's entry is removed without a word before; it goes on serving.
     server_removed,
-    /// Half of the instances at once are turned away by the store without an answer.
+    /// Half of the instances at once are turned away by the store without an answer, and a server
+    /// leaves.
     store_is_silent_to_half,
     count_,
 };
--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -19,9 +19,12 @@
 constexpr int instance_count = 4;
 constexpr int caller_count = 12;
 constexpr int events_a_stream = 6;
-/// A server that left may get what was chosen before its leaving was known; the bound of the
-/// deployments is 2 s, and a paused instance learns of it when it goes on.
-constexpr milliseconds leaving_bound{2'500};
+/// The bound of the deployments. The design promises 1.2 s; the rest is for a busy machine.
+constexpr milliseconds leaving_bound{2'000};
+/// Long enough that instances which the store turns away cannot wait for its return.
+constexpr milliseconds shortest_half_outage{4'000};
+/// A server leaves so long after the store has fallen silent, when all reads are under way.
+constexpr milliseconds leaves_after{200};
 /// The grace of these instances and a little more.
 constexpr milliseconds restart_after_term{5'000};
 /// After the last fault everything must serve again.
@@ -165,9 +168,8 @@
                                                               : store_manner::is_silent);
             break;
         case soak_fault::store_is_silent_to_half:
-            for (std::size_t n = 0; n < instances_.size() / 2; ++n) {
-                turn_away((i + n) % instances_.size(), step.lasts, store_manner::is_silent);
-            }
+            turn_half_away(i, step.lasts + shortest_half_outage);
+            later(leaves_after, [this, &server] { leave(server, "draining"); });
             break;
         case soak_fault::store_forgets:
             store_.forget_history("keyed.op");
@@ -246,6 +248,13 @@
         }
     }
 
+    /// Half of the instances hear nothing from the store; both that read for all may be among them.
+    void turn_half_away(std::size_t first, milliseconds lasts) {
+        for (std::size_t n = 0; n < instances_.size() / 2; ++n) {
+            turn_away((first + n) % instances_.size(), lasts, store_manner::is_silent);
+        }
+    }
+
     /// An empty state removes the entry.
     void leave(soak_server& server, const std::string& state) {
         const auto listed = std::count_if(servers_.begin(), servers_.end(),
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -73,7 +73,7 @@
 prove early_answer $s/Http/http_channel.cpp 'const bool all_read = out_.size() <= surely_read_bytes;' 'const bool all_read = true;' 'an_answer_before_the_body'
 prove driver_takeover $s/Evacuation/evacuation_service.cpp 'take_over(monotonic_now());' '' 'the_next_owner_takes_over'
 prove return_after_outage $s/Limits/come_back.cpp 'if (request.cause == refusal_cause::nothing_known && request.patience) {' 'if (false) {' 'return_time'
-prove store_pause_grows $s/Gateway/store_duty.cpp 'if (is_reader) {' 'if (true) {' 'store_pause'
+prove store_pause_grows $s/Gateway/store_duty.cpp 'if (role == reading_role::reader) {' 'if (true) {' 'store_pause'
 prove workspace_rank $s/Forwarding/forwarded_call.cpp 'priority_ = workspace->priority.value_or(route_->priority);' '' 'workspace_s_rank'
 prove log_flood $s/Core/log_limit.cpp 'if (kind.lines < 1.0) {' 'if (false) {' 'bounds_a_flood'
 prove log_never_blocks $s/Core/event_log.cpp 'if (!reader_has_room() || write' 'if (write' 'a_reader_that_stands_still'
@@ -83,4 +83,15 @@
 prove foreign_entries platform/record_translation.cpp 'if (!entry || !is_sound_entry(key, *entry, why)) {' 'if (!entry) {' 'foreign_entry'
 prove unreadable_neighbour $s/Gateway/deployment_state.cpp 'unreadable.emplace_back(record.key);' '' 'spoiled_neighbour'
 prove room_at_the_brim $s/Evacuation/move_plan.h 'double most_full_at_brim = 0.65;' 'double most_full_at_brim = 0.95;' 'room_is_kept'
+prove substitutes_read $s/Gateway/store_duty.cpp 'return !is_covered(topic, order, self, times.longest_view, now);' 'return false;' 'reading_duty|readers_turned_away'
+prove old_views_count_as_old $s/Gateway/store_duty.cpp 'now - found->second <= limit;' 'true;' 'reading_duty|learning_budget'
+prove short_waits $s/Gateway/store_duty.cpp 'times.longest_view, now) ? relaxed_wait : times.wait;' 'times.longest_view, now) ? relaxed_wait : relaxed_wait;' 'only_one_proves|leaving_view|readers_turned_away'
+prove older_list $s/Gateway/deployment_state.cpp '(position > entries_.position() || knows_nothing)' 'true' 'peer_list'
+prove lapsed_is_not_listed $s/Membership/backend_registry.cpp 'if (!entry.lapsed) {' 'if (true) {' 'peer_list'
+prove own_outage $s/Membership/backend_registry.h 'least_outage{1' 'least_outage{0' 'outage|an_outage_of_one_reader'
+prove overtaken_list $s/Gateway/store_follower.cpp 'if (page.next < known && (!all || known_before <= page.next)) {' 'if (false) {' 'store_follower_test'
+prove overtaken_page $s/Gateway/store_follower.cpp 'if (!all) {' 'if (false) {' 'store_follower_test'
+prove target_leaves $s/Evacuation/evacuation_service.cpp 'if (!is_usable(target.id)) {
+        log' 'if (false) {
+        log' 'a_target_that_begins'
 exit $bad
