--- a/bamboostream/src/Control/membership_service.cpp
+++ b/bamboostream/src/Control/membership_service.cpp
@@ -214,6 +214,16 @@
     return make_directory_answer(members_, near_domain, random_);
 }
 
+std::vector<std::string> membership_service::usable_peers() const {
+    std::vector<std::string> out;
+    for (const member_facts& facts : members_.usable()) {
+        if (facts.id.address != own_address()) {
+            out.push_back(facts.id.address);
+        }
+    }
+    return out;
+}
+
 std::vector<std::string> membership_service::owners(std::string_view key, std::size_t count) const {
     std::vector<rendezvous_node> nodes;
     for (const member_facts& facts : members_.usable()) {
--- a/bamboostream/src/Control/membership_service.h
+++ b/bamboostream/src/Control/membership_service.h
@@ -58,6 +58,8 @@
     directory_answer directory(std::string_view near_domain);
     /// Owners of a key among the usable instances.
     std::vector<std::string> owners(std::string_view key, std::size_t count) const;
+    /// Addresses of the other instances that are live and don't leave.
+    std::vector<std::string> usable_peers() const;
     const std::string& own_address() const { return members_.self().id.address; }
     /// A backend server's answer or failure, seen on a traffic thread and posted here.
     void observe(const std::string& backend, wall_time start_stamp, backend_state state);
--- a/bamboostream/src/Gateway/deployment_state.h
+++ b/bamboostream/src/Gateway/deployment_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "bamboostream/src/Forwarding/forwarding_state.h"
+#include "bamboostream/src/Gateway/change_follower.h"
 #include "bamboostream/src/Gateway/deployment_contract.h"
-#include "bamboostream/src/Gateway/store_duty.h"
 
 #include <cstdint>
 #include <functional>
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -71,6 +71,7 @@
     store_follower store;
     link_hub links;
     std::unique_ptr<membership_service> membership;
+    std::unique_ptr<store_news> news;
     std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<evacuation_service> evacuation;
     std::vector<std::unique_ptr<http_server>> servers;
@@ -119,12 +120,13 @@
     membership = std::make_unique<membership_service>(context, links,
                                                       std::make_unique<seed_list>(settings.seeds),
                                                       self, membership_service::timing{}, seed);
-    peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, state, store,
-                                            duty);
+    news =
+        std::make_unique<store_news>(context, links, *membership, forwarding, state, store, duty);
+    peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news);
     evacuation = std::make_unique<evacuation_service>(context, forwarding, contracts.mover, *peers);
     state.on_new_configuration([this](const routing_configuration& c) { take_configuration(c); });
     state.on_backend_change([this](const registry_change& change) {
-        peers->note_change(change);
+        news->note_change(change);
         if (change.event == registry_event::leaving || change.event == registry_event::gone) {
             evacuation->on_leaving(change.backend);
         }
@@ -145,7 +147,7 @@
 void gateway::parts::take_configuration(const routing_configuration& configuration) const {
     callers->set_limits(configuration.caller_limits);
     membership->members().update_self(0, configuration.version);
-    peers->note_configuration();
+    news->note_configuration();
 }
 
 /// A platform with shorter bounds than the waits were chosen for is served all the same; the line
@@ -187,7 +189,8 @@
     }
     compare_with_bounds();
     membership->start();
-    store.start(*peers);
+    store.start(*news);
+    news->start();
     peers->start();
     evacuation->start();
     asio::co_spawn(context, housekeeping(), asio::detached);
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -2,13 +2,11 @@
 
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Control/periodic.h"
-#include "bamboostream/src/Core/event_log.h"
 #include "bamboostream/src/Gateway/peer_frames.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <map>
 
 namespace bamboostream {
 
@@ -24,17 +22,6 @@
 /// Repeats what was told, for instances that have joined or lost a frame, and tells of plain calls,
 /// which end before the news of them would arrive.
 constexpr milliseconds load_period{400};
-/// How often an instance looks whether it lags behind its peers.
-constexpr milliseconds catch_up_period{300};
-constexpr milliseconds peer_timeout{500};
-/// How often an instance that reads the store tells the others how old its view is, when no answer
-/// of the store has made it tell before; changes go out at once.
-constexpr milliseconds news_period{300};
-/// Answers within this time are told together. While entries change ten times a second each would
-/// go to all instances otherwise.
-constexpr milliseconds news_gather{200};
-/// How often the age of the view is looked at.
-constexpr milliseconds watch_period{100};
 /// Generations of an instance that doesn't answer by then are not moved in this round.
 constexpr milliseconds gather_timeout{150};
 
@@ -50,32 +37,19 @@
 
 peer_exchange::peer_exchange(asio::io_context& context, link_hub& links,
                              membership_service& membership, forwarding_state& forwarding,
-                             deployment_state& state, store_follower& store, store_duty& duty)
+                             store_news& news)
     : context_(context), links_(links), membership_(membership), forwarding_(forwarding),
-      state_(state), store_(store), duty_(duty), news_due_(context), load_due_(context) {}
+      news_(news), load_due_(context) {}
 
 void peer_exchange::start() {
     asio::co_spawn(context_, load_loop(), asio::detached);
-    asio::co_spawn(context_, catch_up_loop(), asio::detached);
-    asio::co_spawn(context_, news_loop(), asio::detached);
-    asio::co_spawn(context_, watch_loop(), asio::detached);
-}
-
-std::vector<std::string> peer_exchange::usable_peers() const {
-    std::vector<std::string> out;
-    for (const member_facts& facts : membership_.members().usable()) {
-        if (facts.id.address != membership_.own_address()) {
-            out.push_back(facts.id.address);
-        }
-    }
-    return out;
 }
 
 asio::awaitable<void> peer_exchange::load_loop() {
     bool told_none = true;
     while (true) {
         const std::vector<backend_work_entry> own = forwarding_.loads.own();
-        const std::vector<std::string> peers = usable_peers();
+        const std::vector<std::string> peers = membership_.usable_peers();
         forwarding_.live_instances = peers.size() + 1;
         if (!own.empty() || !told_none) {
             for (const std::string& peer : peers) {
@@ -88,276 +62,6 @@
     }
 }
 
-std::vector<std::string> peer_exchange::reading_order() const {
-    return membership_.owners("store", store_duty::order_length);
-}
-
-bool peer_exchange::must_read(record_topic topic, time_point now) const {
-    return duty_.must_read(topic, reading_order(), membership_.own_address(), now);
-}
-
-milliseconds peer_exchange::read_wait(record_topic topic, time_point now) const {
-    return duty_.read_wait(topic, reading_order(), membership_.own_address(), now);
-}
-
-reading_role peer_exchange::role() const {
-    return store_duty::role_of(reading_order(), membership_.own_address());
-}
-
-void peer_exchange::note_answer() {
-    if (monotonic_now() - told_at_ >= news_gather) {
-        news_due_.cancel();
-    }
-}
-
-void peer_exchange::note_change(const registry_change& change) {
-    untold_.push_back(change);
-    news_due_.cancel();
-}
-
-void peer_exchange::note_configuration() {
-    news_due_.cancel();
-}
-
-/// A change goes out at once: a leaving engine's generations have some 2 s to move.
-asio::awaitable<void> peer_exchange::news_loop() {
-    while (true) {
-        co_await wait_on(news_due_, monotonic_now() + news_period);
-        tell_news();
-    }
-}
-
-void peer_exchange::tell_news() {
-    const std::int64_t previous = std::exchange(told_position_, state_.entries().position());
-    const std::vector<registry_change> changes = std::exchange(untold_, {});
-    const time_point now = monotonic_now();
-    // Without the store, whoever found out that an engine leaves tells it.
-    const bool found_out = !changes.empty() && forwarding_.registry.store_away();
-    const bool reads = store_.reads_well(record_topic::backend_entries, now) ||
-                       store_.reads_well(record_topic::operator_documents, now);
-    if (!(reads && role() != reading_role::other) && !found_out) {
-        return;
-    }
-    told_at_ = now;
-    for (const std::string& peer : usable_peers()) {
-        wire::StoreNewsT news;
-        news.fresh = store_.reads_well(record_topic::backend_entries, now);
-        news.configuration_version = state_.version();
-        news.previous = static_cast<std::uint64_t>(previous);
-        news.sequence = static_cast<std::uint64_t>(told_position_);
-        news.entries_age_ms = age_on_wire(store_.own_age(record_topic::backend_entries, now));
-        news.documents_age_ms = age_on_wire(store_.own_age(record_topic::operator_documents, now));
-        for (const registry_change& change : changes) {
-            auto fact = to_wire(change.backend, now);
-            fact->gone = change.event == registry_event::gone;
-            fact->lapsed = change.event == registry_event::lapsed;
-            news.changed.push_back(std::move(fact));
-        }
-        links_.send(peer, make_frame(std::move(news)));
-    }
-}
-
-/// What another instance knew some time ago is known here now that it has been told.
-void peer_exchange::note_ages(const wire::StoreNewsT& news, time_point now) {
-    const time_point entries_as_of = now - milliseconds(news.entries_age_ms);
-    const time_point documents_as_of = now - milliseconds(news.documents_age_ms);
-    if (static_cast<std::int64_t>(news.sequence) <= state_.entries().position()) {
-        state_.note_view(record_topic::backend_entries, entries_as_of, now);
-    }
-    if (news.configuration_version <= state_.version()) {
-        state_.note_view(record_topic::operator_documents, documents_as_of, now);
-    }
-}
-
-asio::awaitable<void> peer_exchange::watch_loop() {
-    while (true) {
-        co_await pause_for(watch_period);
-        const time_point now = monotonic_now();
-        state_.watch_outage(now);
-        forwarding_.registry.expire(now);
-        state_.report_changes(fact_source::grace, now);
-        watch_topic(record_topic::backend_entries, entries_stale_, now);
-        watch_topic(record_topic::operator_documents, documents_stale_, now);
-    }
-}
-
-void peer_exchange::watch_topic(record_topic topic, bool& stale, time_point now) const {
-    const bool entries = topic == record_topic::backend_entries;
-    const duration age =
-        entries ? forwarding_.entries_view.age(now) : forwarding_.documents_view.age(now);
-    if (stale != (age > times_of(topic).read_by_all)) {
-        stale = !stale;
-        log_event(stale ? events::view_stale : events::view_fresh, "topic={} age_ms={}",
-                  entries ? "backend_entries" : "operator_documents", age_on_wire(age));
-    }
-}
-
-bool peer_exchange::is_stale(record_topic topic, time_point now) const {
-    const view_age& view = topic == record_topic::backend_entries ? forwarding_.entries_view
-                                                                  : forwarding_.documents_view;
-    return view.age(now) > times_of(topic).longest_view;
-}
-
-void peer_exchange::hear_news(const std::string& sender, const wire::StoreNewsT& news) {
-    const time_point now = monotonic_now();
-    duty_.hear(sender, record_topic::backend_entries, now - milliseconds(news.entries_age_ms));
-    duty_.hear(sender, record_topic::operator_documents, now - milliseconds(news.documents_age_ms));
-    duty_.hear_version(news.configuration_version);
-    // Leaving is believed from anyone: it is never taken back.
-    for (const auto& fact : news.changed) {
-        if (fact->leaving) {
-            forwarding_.registry.mark_leaving(backend_id(fact->id), fact->started_ms);
-        }
-    }
-    state_.report_changes(fact_source::telling, now);
-    const auto verdict = state_.entries().judge(static_cast<std::int64_t>(news.previous),
-                                                static_cast<std::int64_t>(news.sequence));
-    note_ages(news, now);
-    switch (verdict) {
-    case change_follower::verdict::known:
-        forget_removed(news, now);
-        return;
-    case change_follower::verdict::ask_for_all:
-        fill_gap(sender, now);
-        return;
-    case change_follower::verdict::apply:
-        break;
-    }
-    for (const auto& fact : news.changed) {
-        if (fact->gone) {
-            forwarding_.registry.forget(backend_id(fact->id));
-        } else if (fact->lapsed) {
-            forwarding_.registry.remove(backend_id(fact->id), now);
-        } else {
-            forwarding_.registry.learn(from_wire(*fact, now), now);
-        }
-    }
-    state_.report_changes(fact_source::telling, now);
-}
-
-/// A telling was missed. Who follows the store itself finds what it was about there.
-void peer_exchange::fill_gap(const std::string& teller, time_point now) {
-    if (store_.reads_well(record_topic::backend_entries, now)) {
-        return;
-    }
-    if (store_.failing_since()) {
-        asio::co_spawn(context_, ask_backends(teller), asio::detached);
-    } else {
-        store_.read_entries_again();
-    }
-}
-
-void peer_exchange::forget_removed(const wire::StoreNewsT& news, time_point now) {
-    if (!state_.entries().removal_holds(static_cast<std::int64_t>(news.sequence))) {
-        return;
-    }
-    std::map<std::string, const wire::BackendFactT*> last;
-    for (const auto& fact : news.changed) {
-        last[fact->id] = fact.get();
-    }
-    for (const auto& [id, fact] : last) {
-        if (fact->gone) {
-            forwarding_.registry.forget(backend_id(id));
-        } else if (fact->lapsed) {
-            forwarding_.registry.remove(backend_id(id), now);
-        }
-    }
-    state_.report_changes(fact_source::telling, now);
-}
-
-std::string peer_exchange::peer_with_newer_configuration() const {
-    std::string best;
-    std::int64_t version = state_.version();
-    for (const member_facts& facts : membership_.members().others()) {
-        if (facts.configuration_version > version && facts.state == liveness::live) {
-            version = facts.configuration_version;
-            best = facts.id.address;
-        }
-    }
-    return best;
-}
-
-asio::awaitable<void> peer_exchange::catch_up_loop() {
-    while (true) {
-        const std::string ahead = peer_with_newer_configuration();
-        if (!ahead.empty()) {
-            co_await ask_configuration(ahead);
-        }
-        const std::vector<std::string> peers = usable_peers();
-        if (!peers.empty()) {
-            std::uniform_int_distribution<std::size_t> any(0, peers.size() - 1);
-            const std::string& peer = peers[any(random_)];
-            if (is_stale(record_topic::backend_entries, monotonic_now())) {
-                co_await ask_backends(peer);
-            }
-            if (is_stale(record_topic::operator_documents, monotonic_now())) {
-                co_await ask_configuration(peer);
-            }
-        }
-        co_await pause_for(catch_up_period);
-    }
-}
-
-asio::awaitable<void> peer_exchange::ask_configuration(std::string peer) {
-    wire::ConfigurationRequestT request;
-    request.newer_than = state_.version();
-    link_failure why;
-    const auto reply = co_await links_.call(peer, make_frame(request), peer_timeout, why);
-    if (reply && reply->message.type == wire::Message::ConfigurationReply) {
-        const wire::ConfigurationReplyT& answer = *reply->message.AsConfigurationReply();
-        if (answer.version > state_.version()) {
-            state_.take_configuration(answer.state, peer);
-        }
-    }
-}
-
-asio::awaitable<void> peer_exchange::ask_backends(std::string peer) {
-    if (asking_for_all_) {
-        co_return;
-    }
-    asking_for_all_ = true;
-    link_failure why;
-    const auto reply =
-        co_await links_.call(peer, make_frame(wire::BackendListRequestT{}), peer_timeout, why);
-    asking_for_all_ = false;
-    if (!reply || reply->message.type != wire::Message::BackendList) {
-        co_return;
-    }
-    const wire::BackendListT& list = *reply->message.AsBackendList();
-    const time_point now = monotonic_now();
-    std::vector<peer_backend> entries;
-    for (const auto& fact : list.entries) {
-        entries.push_back({from_wire(*fact, now), fact->lapsed});
-    }
-    const auto position = static_cast<std::int64_t>(list.sequence);
-    state_.take_peer_backends(entries, position, now);
-    if (position <= state_.entries().position()) {
-        state_.note_view(record_topic::backend_entries, now - milliseconds(list.age_ms), now);
-    }
-}
-
-std::unique_ptr<wire::FrameT> peer_exchange::answer_backends() const {
-    wire::BackendListT list;
-    const time_point now = monotonic_now();
-    list.fresh = !is_stale(record_topic::backend_entries, now);
-    list.age_ms = age_on_wire(forwarding_.entries_view.age(now));
-    list.sequence = static_cast<std::uint64_t>(state_.entries().position());
-    for (const registered_backend& backend : forwarding_.registry.all()) {
-        list.entries.push_back(to_wire(backend, now));
-        list.entries.back()->lapsed = forwarding_.registry.has_lapsed(backend.id);
-    }
-    return make_reply(std::move(list));
-}
-
-std::unique_ptr<wire::FrameT> peer_exchange::answer_configuration(std::int64_t newer_than) const {
-    wire::ConfigurationReplyT answer;
-    answer.version = state_.version();
-    if (state_.version() > newer_than) {
-        answer.state = state_.document();
-    }
-    return make_reply(std::move(answer));
-}
-
 std::unique_ptr<wire::FrameT> peer_exchange::answer_movable(const backend_id& backend) {
     return make_reply(to_wire(forwarding_.streams.claim_movable(backend)));
 }
@@ -368,9 +72,9 @@
     case wire::Message::Probe:
         co_return co_await membership_.handle_probe(*frame->message.AsProbe(), frame->sender);
     case wire::Message::ConfigurationRequest:
-        co_return answer_configuration(frame->message.AsConfigurationRequest()->newer_than);
+        co_return news_.answer_configuration(frame->message.AsConfigurationRequest()->newer_than);
     case wire::Message::BackendListRequest:
-        co_return answer_backends();
+        co_return news_.answer_backends();
     case wire::Message::LoadReport:
         forwarding_.loads.hear(frame->sender, from_wire(*frame->message.AsLoadReport()),
                                monotonic_now());
@@ -378,7 +82,7 @@
     case wire::Message::MovableRequest:
         co_return answer_movable(backend_id(frame->message.AsMovableRequest()->backend));
     case wire::Message::StoreNews:
-        hear_news(frame->sender, *frame->message.AsStoreNews());
+        news_.hear(frame->sender, *frame->message.AsStoreNews());
         co_return nullptr;
     case wire::Message::MoveNotice: {
         const wire::MoveNoticeT& notice = *frame->message.AsMoveNotice();
@@ -397,7 +101,7 @@
 
 asio::awaitable<std::vector<move_candidate>> peer_exchange::gather(backend_id backend) {
     auto answers = std::make_shared<gathered_answers>(context_);
-    const std::vector<std::string> peers = usable_peers();
+    const std::vector<std::string> peers = membership_.usable_peers();
     answers->missing = peers.size();
     for (const std::string& peer : peers) {
         wire::MovableRequestT request;
--- a/bamboostream/src/Gateway/store_duty.cpp
+++ b/bamboostream/src/Gateway/store_duty.cpp
@@ -69,15 +69,4 @@
     return std::min(pause, longest_pause);
 }
 
-change_follower::verdict change_follower::judge(std::int64_t previous, std::int64_t next) {
-    if (next <= position_) {
-        return verdict::known;
-    }
-    if (previous > position_) {
-        return verdict::ask_for_all;
-    }
-    position_ = next;
-    return verdict::apply;
-}
-
 } // namespace bamboostream
--- a/bamboostream/src/Gateway/store_duty.h
+++ b/bamboostream/src/Gateway/store_duty.h
@@ -22,10 +22,10 @@
     /// answer proves that the store still answers, so the age of the view grows to this and one
     /// round trip while all is well.
     milliseconds wait;
-    /// A view older than this is nobody's duty done: the next in order reads. Above it are a read,
-    /// the pause after it, and a telling that is late or lost.
+    /// When the views of all before a substitute in the order are older than this, it reads. Room
+    /// for a read's wait, the pause after it, and one telling that is late.
     milliseconds longest_view;
-    /// Whoever is not in the order reads when all of those in it have been silent for so long.
+    /// When the views of all in the order are older than this, everybody else reads.
     milliseconds read_by_all;
 };
 
@@ -111,30 +111,4 @@
     std::int64_t told_version_ = 0;
 };
 
-/// How far this instance knows the entries of backend servers, as a position in the store's topic.
-///
-/// The position means the same to all instances, so one that has read the store itself goes on with
-/// what any reader tells, without asking for everything first. When each instance asked its readers
-/// for all entries after a start, 100 instances with 1,000 engines did not serve again within 30 s,
-/// and the busiest instance held 102 MB.
-class change_follower {
-public:
-    enum class verdict : std::uint8_t { apply, known, ask_for_all };
-    /// What to do with the changes between the positions `previous` and `next`. After `apply` they
-    /// count as known.
-    verdict judge(std::int64_t previous, std::int64_t next);
-    /// Whether a removal that a reader tells at position `next` holds here. A reader gives up a
-    /// server whose entry lapsed in an outage some time after the last record, so such a removal
-    /// moves no position. When it went unheard, 69 of 71 instances kept engines that had gone for
-    /// the rest of the day: they look idle, and 335 of 2,231 generations were refused after six
-    /// connections in vain.
-    bool removal_holds(std::int64_t next) const { return next >= position_; }
-    /// Everything up to `position` is known.
-    void caught_up(std::int64_t position) { position_ = position; }
-    std::int64_t position() const { return position_; }
-
-private:
-    std::int64_t position_ = 0;
-};
-
 } // namespace bamboostream
--- /dev/null
+++ b/bamboostream/src/Gateway/store_news.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "bamboostream/src/Control/membership_service.h"
+#include "bamboostream/src/Gateway/store_follower.h"
+#include "bamboostream/src/Links/link.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bamboostream::wire {
+struct StoreNewsT;
+}
+
+namespace bamboostream {
+
+/// What instances tell each other of the platform's store: configuration, backend servers, and how
+/// old the view of these is. Lives on one thread. See also `store_duty`.
+class store_news final : public reading_plan {
+public:
+    store_news(boost::asio::io_context& context, link_hub& links, membership_service& membership,
+               forwarding_state& forwarding, deployment_state& state, store_follower& store,
+               store_duty& duty);
+
+    void start();
+
+    bool must_read(record_topic topic, time_point now) const override;
+    milliseconds read_wait(record_topic topic, time_point now) const override;
+    reading_role role() const override;
+    /// The others are told how fresh this instance's view is.
+    void note_answer() override;
+    /// A change of the registry or the configuration, which the others are told when this instance
+    /// reads for them.
+    void note_change(const registry_change& change);
+    void note_configuration();
+
+    /// Takes the telling of another instance.
+    void hear(const std::string& sender, const wire::StoreNewsT& news);
+    std::unique_ptr<wire::FrameT> answer_backends() const;
+    std::unique_ptr<wire::FrameT> answer_configuration(std::int64_t newer_than) const;
+
+private:
+    /// Those that read the store for all, first choice first.
+    std::vector<std::string> reading_order() const;
+    boost::asio::awaitable<void> tell_loop();
+    void tell();
+    void note_ages(const wire::StoreNewsT& news, time_point now);
+    /// Takes what a telling with no new record says of entries that have lapsed or are given up.
+    void forget_removed(const wire::StoreNewsT& news, time_point now);
+    void fill_gap(const std::string& teller, time_point now);
+
+    /// Asks peers for what this instance has missed.
+    boost::asio::awaitable<void> catch_up_loop();
+    boost::asio::awaitable<void> ask_configuration(std::string peer);
+    boost::asio::awaitable<void> ask_backends(std::string peer);
+    /// A peer that has a newer configuration than this instance.
+    std::string peer_with_newer_configuration() const;
+    bool is_stale(record_topic topic, time_point now) const;
+
+    /// Carries out what depends on the age of the view alone.
+    boost::asio::awaitable<void> watch_loop();
+    /// Logs when what is known of a topic has become old, and when it is known again.
+    void watch_topic(record_topic topic, bool& stale, time_point now) const;
+
+    boost::asio::io_context& context_;
+    link_hub& links_;
+    membership_service& membership_;
+    forwarding_state& forwarding_;
+    deployment_state& state_;
+    store_follower& store_;
+    store_duty& duty_;
+    /// Changes that the others have not been told of.
+    std::vector<registry_change> untold_;
+    std::int64_t told_position_ = 0;
+    time_point told_at_{};
+    /// A peer has been asked for all its entries; more answers would only fill the links.
+    bool asking_for_all_ = false;
+    bool entries_stale_ = true;
+    bool documents_stale_ = true;
+    boost::asio::steady_timer due_;
+    std::mt19937_64 random_{1};
+};
+
+} // namespace bamboostream
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -71,7 +71,7 @@
      "if (state_.registry.store_away() && state_.routes) {", "if (false) {"),
     ("two readers of the store", "Gateway/store_duty.h",
      "static constexpr std::size_t readers = 2;", "static constexpr std::size_t readers = 999;"),
-    ("removals that readers conclude", "Gateway/store_duty.h",
+    ("removals that readers conclude", "Gateway/change_follower.h",
      "return next >= position_;", "return next > position_ && next < 0;"),
     ("further sends", "Forwarding/attempt_policy.cpp",
      "return repeats != repeat_rule::once || (nothing_ran && !history.may_have_run);",
