Follow an old notice of a move only to an engine that stays

The same class: a belief without its age. Ruled out: late knowledge; the sender had known of the leaving for 6.2 s. Change: a notice has a time; one older than 0.4 s is followed only to an engine that is listed and doesn't leave. A fresh one is followed as before: the copy is all that the caller has. Left: a stream with an old notice isn't moved again.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -212,7 +212,7 @@
               candidate.instance.empty() ? "here" : candidate.instance,
               candidate.generation.memory_tokens);
     if (candidate.instance.empty()) {
-        state_.streams.notify(candidate.generation.id, notice);
+        state_.streams.notify(candidate.generation.id, notice, monotonic_now());
     } else {
         peers_.tell(candidate.instance, candidate.generation.id, notice);
     }
--- a/bamboostream/src/Forwarding/active_streams.cpp
+++ b/bamboostream/src/Forwarding/active_streams.cpp
@@ -42,12 +42,13 @@
     return out;
 }
 
-bool active_streams::notify(const std::string& id, move_notice notice) {
+bool active_streams::notify(const std::string& id, move_notice notice, time_point now) {
     const auto found = streams_.find(id);
     if (found == streams_.end()) {
         return false;
     }
     found->second->moved = std::move(notice);
+    found->second->noticed_at = now;
     found->second->noticed.cancel();
     return true;
 }
--- a/bamboostream/src/Forwarding/active_streams.h
+++ b/bamboostream/src/Forwarding/active_streams.h
@@ -51,6 +51,7 @@
     /// Somebody has asked for it in order to move it.
     bool move_expected = false;
     std::optional<move_notice> moved;
+    time_point noticed_at{};
     /// Cancelled when `moved` is set.
     boost::asio::steady_timer noticed;
 };
@@ -73,7 +74,7 @@
     /// The generations at one engine that have begun and can be moved. Marks them as about to move.
     std::vector<movable_generation> claim_movable(const backend_id& backend);
     /// Tells a stream where it goes on; false when it has ended meanwhile.
-    bool notify(const std::string& id, move_notice notice);
+    bool notify(const std::string& id, move_notice notice, time_point now);
     std::size_t size() const { return streams_.size(); }
 
 private:
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -29,6 +29,10 @@
 /// The last part of a move takes some 10 ms after the stream has stopped, much more when the link
 /// is shared; beyond this it has failed.
 constexpr milliseconds move_wait{1'600};
+/// A notice that is no older than this is followed whatever its target says: the target was usable
+/// when the last part began, at most 1.5 s before the notice, so the send is within the 2 s for
+/// which a leaving engine still takes what was on its way.
+constexpr milliseconds fresh_notice{400};
 /// Answers kept whole; larger ones are no answers of plain services.
 constexpr std::size_t answer_limit = 8 * 1024 * 1024;
 
@@ -284,12 +288,25 @@
     co_return stream_->moved.has_value();
 }
 
+/// A stream whose source couldn't be reached may go on there for seconds after its notice. One such
+/// stream was sent to its target 6.2 s after this had said that it leaves.
+bool forwarded_call::may_follow(const move_notice& notice, time_point now) const {
+    const registered_backend* target = state_.registry.find(notice.target);
+    const bool stays = target != nullptr && !target->leaving;
+    return stays || now - stream_->noticed_at <= fresh_notice;
+}
+
 /// Goes on where the generation was moved to, as often as it is moved. A target that doesn't take
 /// the copy leaves the generation at the engine that stopped it, which still has its memory.
 asio::awaitable<std::optional<attempt_end>> forwarded_call::follow_moves(attempt_end end) {
     while (!left_ && co_await await_move()) {
         const move_notice notice = *stream_->moved;
         stream_->moved.reset();
+        if (!may_follow(notice, monotonic_now())) {
+            log_event(events::move_failed, "request={} source={} target={} reason=target left",
+                      request_.id, notice.copy.holder, notice.target.text());
+            co_return end;
+        }
         const registered_backend* known = state_.registry.find(notice.target);
         registered_backend target;
         target.id = notice.target;
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -68,6 +68,8 @@
                                                              answer_facts facts);
     boost::asio::awaitable<bool> pass_on(std::string_view events, int status);
     boost::asio::awaitable<bool> await_move();
+    /// Whether the engine that the stream is told to go on at may still be sent to.
+    bool may_follow(const move_notice& notice, time_point now) const;
     boost::asio::awaitable<std::optional<attempt_end>> follow_moves(attempt_end end);
     attempt_end fail(const destination& to, attempt_end end, std::string_view reason);
     bool try_again(attempt_end end);
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -86,7 +86,7 @@
         co_return nullptr;
     case wire::Message::MoveNotice: {
         const wire::MoveNoticeT& notice = *frame->message.AsMoveNotice();
-        forwarding_.streams.notify(notice.generation, from_wire(notice));
+        forwarding_.streams.notify(notice.generation, from_wire(notice), monotonic_now());
         co_return nullptr;
     }
     default:
--- a/bamboostream/src/Gateway/store_duty.h
+++ b/bamboostream/src/Gateway/store_duty.h
@@ -52,8 +52,9 @@
 /// What an instance does for the others as to the store.
 enum class reading_role : std::uint8_t { reader, substitute, other };
 
-/// The longest time from the store's word to the last instance that reaches the store or somebody
-/// who does, whoever of the others is cut off, dead or silent.
+/// The longest time from the store's word to the last instance that the store answers or that
+/// somebody in the order tells, whoever of the others is cut off, dead or silent. An instance that
+/// neither reaches asks a peer each 0.3 s.
 constexpr milliseconds longest_learning(record_topic topic) {
     return times_of(topic).read_by_all + look_pause + slow_answer + slow_telling;
 }
--- a/test/platform/forwarding_test.cpp
+++ b/test/platform/forwarding_test.cpp
@@ -334,8 +334,8 @@
     ASSERT_EQ(movable.size(), 1u);
     EXPECT_EQ(movable.front(), (movable_generation{"a1", 100 + 16, 40 - 16}));
     f.run_for(milliseconds(notice_first ? 1 : 120));
-    f.state().streams.notify("a1",
-                             {backend_id("i-2"), target.address(), {"10.0.0.1:80", "handle-7"}});
+    f.state().streams.notify(
+        "a1", {backend_id("i-2"), target.address(), {"10.0.0.1:80", "handle-7"}}, monotonic_now());
     f.finish(view);
     EXPECT_TRUE(view->complete()) << view->bytes;
     EXPECT_EQ(view->body(), events_text(0, 6));
@@ -345,6 +345,56 @@
     EXPECT_NE(sent.find("\r\nLast-Event-Id: 3\r\n"), std::string::npos) << sent;
 }
 
+/// How old the news of a move is when the stream stops, and whether its target leaves by then.
+struct old_move_row {
+    std::string name;
+    int age_ms;
+    bool target_leaves;
+    std::size_t sends;
+};
+
+class old_move : public testing::TestWithParam<old_move_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, old_move,
+                         testing::Values(old_move_row{"fresh", 0, false, 1},
+                                         old_move_row{"fresh_target_leaves", 0, true, 1},
+                                         old_move_row{"old", 5'000, false, 1},
+                                         old_move_row{"old_target_leaves", 5'000, true, 0}),
+                         [](const auto& info) { return info.param.name; });
+
+// A copy is complete when its source can't be reached any more; the stream is told to go on at the
+// target, but its source lives and goes on for ten seconds. When it stops the target has long said
+// that it leaves: a request would reach it after all have been promised that none does.
+TEST_P(old_move, is_followed_only_to_an_engine_that_stays) {
+    const old_move_row& row = GetParam();
+    forwarding_fixture f;
+    f.add(
+        "i-1",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(0, 3));
+            co_await c.pause(60);
+            c.close();
+        },
+        "engines");
+    const auto view = f.ask("long", "a1");
+    f.run_for(milliseconds(30));
+    scripted_backend& target = f.add(
+        "i-2",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(4, 6) + stream_end);
+        },
+        "engines");
+    if (row.target_leaves) {
+        f.state().registry.mark_leaving(backend_id("i-2"));
+    }
+    f.state().streams.notify("a1",
+                             {backend_id("i-2"), target.address(), {"10.0.0.1:80", "handle-7"}},
+                             monotonic_now() - milliseconds(row.age_ms));
+    f.finish(view);
+    EXPECT_EQ(target.requests().size(), row.sends);
+    EXPECT_EQ(view->complete(), row.sends == 1);
+}
+
 // A server answers before it has read a long body, and keeps the connection. The caller has that
 // answer; the connection, on which the rest of the body is still due, carries no other request:
 // its bytes would be read as that body.
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -94,4 +94,5 @@
 prove target_leaves $s/Evacuation/evacuation_service.cpp 'if (!is_usable(target.id)) {
         log' 'if (false) {
         log' 'a_target_that_begins'
+prove old_notice $s/Forwarding/forwarded_attempt.cpp 'if (!may_follow(notice, monotonic_now())) {' 'if (false) {' 'old_move'
 exit $bad
