Take an age that was never known for no word at all

Cause: read in review: an instance that has read nothing tells the longest age there is; taken as a moment 49 days ago it makes the hearer's view known and old, so the store counts as away, and removals wait for 2.5 s after the first read. Change: moment_of gives nothing for it; tellings and lists without an age change no view.

--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -37,6 +37,13 @@
     return static_cast<std::uint32_t>(to_milliseconds(std::min(age, duration(longest))));
 }
 
+std::optional<time_point> moment_of(std::uint32_t age_on_wire, time_point now) {
+    if (age_on_wire == std::numeric_limits<std::uint32_t>::max()) {
+        return std::nullopt;
+    }
+    return now - milliseconds(age_on_wire);
+}
+
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report) {
     std::vector<backend_work_entry> out;
     for (const wire::WorkEntry& entry : report.entries) {
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
 registered_backend from_wire(const wire::BackendFactT& fact, time_point now);
 /// Ages go as milliseconds; the longest that a frame can say stands for what was never known.
 std::uint32_t age_on_wire(duration age);
+/// The moment of which a frame that is heard now tells; nothing when it tells of none. Taken as a
+/// moment long ago it would look like an outage of the store.
+std::optional<time_point> moment_of(std::uint32_t age_on_wire, time_point now);
 
 wire::LoadReportT to_wire(std::span<const backend_work_entry> own);
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report);
--- a/bamboostream/src/Gateway/store_news.cpp
+++ b/bamboostream/src/Gateway/store_news.cpp
@@ -111,13 +111,13 @@
 
 /// What another instance knew some time ago is known here now that it has been told.
 void store_news::note_ages(const wire::StoreNewsT& news, time_point now) {
-    const time_point entries_as_of = now - milliseconds(news.entries_age_ms);
-    const time_point documents_as_of = now - milliseconds(news.documents_age_ms);
-    if (static_cast<std::int64_t>(news.sequence) <= state_.entries().position()) {
-        state_.note_view(record_topic::backend_entries, entries_as_of, now);
+    const auto entries_as_of = moment_of(news.entries_age_ms, now);
+    const auto documents_as_of = moment_of(news.documents_age_ms, now);
+    if (entries_as_of && static_cast<std::int64_t>(news.sequence) <= state_.entries().position()) {
+        state_.note_view(record_topic::backend_entries, *entries_as_of, now);
     }
-    if (news.configuration_version <= state_.version()) {
-        state_.note_view(record_topic::operator_documents, documents_as_of, now);
+    if (documents_as_of && news.configuration_version <= state_.version()) {
+        state_.note_view(record_topic::operator_documents, *documents_as_of, now);
     }
 }
 
@@ -152,8 +152,12 @@
 
 void store_news::hear(const std::string& sender, const wire::StoreNewsT& news) {
     const time_point now = monotonic_now();
-    duty_.hear(sender, record_topic::backend_entries, now - milliseconds(news.entries_age_ms));
-    duty_.hear(sender, record_topic::operator_documents, now - milliseconds(news.documents_age_ms));
+    if (const auto as_of = moment_of(news.entries_age_ms, now)) {
+        duty_.hear(sender, record_topic::backend_entries, *as_of);
+    }
+    if (const auto as_of = moment_of(news.documents_age_ms, now)) {
+        duty_.hear(sender, record_topic::operator_documents, *as_of);
+    }
     duty_.hear_version(news.configuration_version);
     // Leaving is believed from anyone: it is never taken back.
     for (const auto& fact : news.changed) {
@@ -283,8 +287,9 @@
     }
     const auto position = static_cast<std::int64_t>(list.sequence);
     state_.take_peer_backends(entries, position, now);
-    if (position <= state_.entries().position()) {
-        state_.note_view(record_topic::backend_entries, now - milliseconds(list.age_ms), now);
+    const auto as_of = moment_of(list.age_ms, now);
+    if (as_of && position <= state_.entries().position()) {
+        state_.note_view(record_topic::backend_entries, *as_of, now);
     }
 }
 
--- a/test/platform/store_view_test.cpp
+++ b/test/platform/store_view_test.cpp
@@ -2,6 +2,7 @@
 // without a network.
 
 #include "bamboostream/Gateway"
+#include "bamboostream/src/Gateway/peer_frames.h"
 #include "platform/record_translation.h"
 #include "platform/request_translation.h"
 #include "test/platform/decision_helpers.h"
@@ -442,6 +443,15 @@
     EXPECT_EQ(known(), row.put_off ? "ab" : "b");
 }
 
+// An instance that has read nothing yet tells something, or is asked. Its word on ages says
+// nothing: taken as a moment long ago it would look like an outage, and removals would wait at
+// every start.
+TEST(peer_frames_test, an_age_that_was_never_known_names_no_moment) {
+    const view_age never;
+    EXPECT_EQ(moment_of(age_on_wire(never.age(start)), start), std::nullopt);
+    EXPECT_EQ(moment_of(age_on_wire(milliseconds(250)), start), start - milliseconds(250));
+}
+
 // --- how far the entries are known
 
 // A telling is lost. Applying later ones would leave out the lost change for good: a server that
