Prove that a page is taken from what is known on

Cause: prove.sh: the row for pages passed without the safeguard; its page was dropped whole, so the safeguard was never reached. Change: a second row, with a page that reaches beyond the telling; the first keeps its check under a name that says what it shows. Result: red without the safeguard (a server was told to be gone once more), green with it.

--- a/test/platform/store_follower_test.cpp
+++ b/test/platform/store_follower_test.cpp
@@ -115,9 +115,9 @@
     EXPECT_FALSE(came_back("a", milliseconds(200)));
 }
 
-// A page of records is on its way; its last record is the entry of a server that another instance
-// has told to be gone since. Only what follows the telling is taken.
-TEST_F(store_follower_test, a_page_is_taken_from_what_is_known_on) {
+// A page is on its way with the entry of a server that another instance has told to be gone since.
+// Nothing of it is taken; the next page has what follows the telling.
+TEST_F(store_follower_test, a_page_that_a_telling_has_overtaken_brings_nothing_back) {
     store_.log_ = {entry_of("b")};
     store_.newest_ = store_.log_;
     follower_.start(plan_);
@@ -134,6 +134,33 @@
     EXPECT_NE(forwarding_.registry.find(backend_id("c")), nullptr);
 }
 
+// A page on its way says that a server has gone and is back, which another instance has told
+// already, and that one has come. Taken from its beginning it would take the server for gone once
+// more: its connections are closed and its generations moved away. Only what follows the telling is
+// taken.
+TEST_F(store_follower_test, a_page_is_taken_from_what_is_known_on) {
+    store_.log_ = {entry_of("b")};
+    store_.newest_ = store_.log_;
+    follower_.start(plan_);
+    run_for(milliseconds(150));
+    std::vector<std::string> gone;
+    state_.on_backend_change([&gone](const registry_change& change) {
+        if (change.event == registry_event::gone) {
+            gone.push_back(change.backend.id.text());
+        }
+    });
+    store_.log_.push_back({"b", ""});
+    store_.log_.push_back(entry_of("b"));
+    store_.log_.push_back(entry_of("c"));
+    while (!store_.has_page_on_the_way_) {
+        run_for(milliseconds(1));
+    }
+    ASSERT_EQ(state_.entries().judge(1, 3), change_follower::verdict::apply);
+    run_for(milliseconds(150));
+    EXPECT_TRUE(gone.empty());
+    EXPECT_NE(forwarding_.registry.find(backend_id("c")), nullptr);
+}
+
 // The store has lost its newest records and answers with an earlier position. It is believed: what
 // it holds now is all that anybody can know.
 TEST_F(store_follower_test, a_store_that_went_back_is_believed) {
