Keep the sum of work at each server as tellings come in

Cause: a choice adds up what all instances told for each candidate, 130 x 294 look-ups a request at 295 instances. Ruled out: the hash of the server's id (it is 0.02 us); the random choice among the best. Figures (decision-bench, choice_by_view, 130 engines): 18, 184, 893 and 4,210 us at 10, 100, 300 and 1,100 instances before; 3.7, 4.5, 4.4 and 4.5 us after. Conclusion: a choice costs the same at any number of instances. The sums are compared with adding up anew over 2,000 random tellings, silences included.

--- a/bamboostream/src/Routing/backend_picker.h
+++ b/bamboostream/src/Routing/backend_picker.h
@@ -34,7 +34,7 @@
 
     /// Null when no server may get the request.
     const registered_backend* pick(std::span<const registered_backend* const> servers,
-                                   const load_book& loads, const placement_request& request,
+                                   load_book& loads, const placement_request& request,
                                    time_point now);
     /// No connection came about. The server is passed over for a while, unless nothing else is
     /// left: while the store is away engines go without their entries, and with 44 engines of which
--- a/bamboostream/src/Routing/load_book.cpp
+++ b/bamboostream/src/Routing/load_book.cpp
@@ -2,8 +2,33 @@
 
 #include "bamboostream/src/Core/digest.h"
 
+#include <algorithm>
+
 namespace bamboostream {
 
+namespace {
+
+backend_work negative(const backend_work& work) {
+    return {-work.requests, -work.memory_tokens, -work.unread_tokens};
+}
+
+/// Adds to one server's entry and drops it when nothing is left.
+void adjust(std::unordered_map<std::uint64_t, backend_work>& sums, std::uint64_t key,
+            const backend_work& change) {
+    const auto entry = sums.try_emplace(key).first;
+    entry->second += change;
+    if (entry->second == backend_work{}) {
+        sums.erase(entry);
+    }
+}
+
+backend_work at(const std::unordered_map<std::uint64_t, backend_work>& sums, std::uint64_t key) {
+    const auto found = sums.find(key);
+    return found == sums.end() ? backend_work{} : found->second;
+}
+
+} // namespace
+
 backend_work& backend_work::operator+=(const backend_work& other) {
     requests += other.requests;
     memory_tokens += other.memory_tokens;
@@ -16,42 +41,59 @@
 }
 
 void load_book::add(const backend_id& id, const backend_work& work) {
-    own_[work_key(id)] += work;
+    adjust(own_, work_key(id), work);
 }
 
 void load_book::subtract(const backend_id& id, const backend_work& work) {
-    const std::uint64_t key = work_key(id);
-    backend_work& mine = own_[key];
-    mine += {-work.requests, -work.memory_tokens, -work.unread_tokens};
-    if (mine == backend_work{}) {
-        own_.erase(key);
+    adjust(own_, work_key(id), negative(work));
+}
+
+void load_book::forget(told_list::iterator old) {
+    for (const backend_work_entry& entry : old->entries) {
+        adjust(sums_, entry.backend, negative(entry.work));
+    }
+    by_peer_.erase(old->peer);
+    told_.erase(old);
+}
+
+void load_book::expire(time_point now) {
+    while (!told_.empty() && now - told_.front().at > peer_validity) {
+        forget(told_.begin());
     }
 }
 
 void load_book::hear(const std::string& peer, std::span<const backend_work_entry> entries,
                      time_point now) {
-    heard& from = peers_[peer];
-    from.at = now;
-    from.work.clear();
+    expire(now);
+    if (const auto known = by_peer_.find(peer); known != by_peer_.end()) {
+        forget(known->second);
+    }
     for (const backend_work_entry& entry : entries) {
-        from.work[entry.backend] = entry.work;
+        adjust(sums_, entry.backend, entry.work);
     }
-    std::erase_if(peers_, [now](const auto& item) { return now - item.second.at > peer_validity; });
+    told_.push_back({peer, now, {entries.begin(), entries.end()}});
+    by_peer_.emplace(peer, std::prev(told_.end()));
 }
 
-backend_work load_book::total(const backend_id& id, time_point now) const {
-    backend_work sum;
+backend_work load_book::total(const backend_id& id, time_point now) {
+    expire(now);
     const std::uint64_t key = work_key(id);
-    if (const auto mine = own_.find(key); mine != own_.end()) {
-        sum += mine->second;
-    }
-    for (const auto& [peer, from] : peers_) {
-        const auto found = from.work.find(key);
-        if (found != from.work.end() && now - from.at <= peer_validity) {
-            sum += found->second;
+    backend_work sum = at(own_, key);
+    sum += at(sums_, key);
+    return sum;
+}
+
+std::vector<std::string> load_book::holders(const backend_id& id, time_point now) {
+    expire(now);
+    const std::uint64_t key = work_key(id);
+    std::vector<std::string> out;
+    for (const heard& from : told_) {
+        if (std::any_of(from.entries.begin(), from.entries.end(),
+                        [key](const backend_work_entry& e) { return e.backend == key; })) {
+            out.push_back(from.peer);
         }
     }
-    return sum;
+    return out;
 }
 
 std::vector<backend_work_entry> load_book::own() const {
--- a/bamboostream/src/Routing/load_book.h
+++ b/bamboostream/src/Routing/load_book.h
@@ -4,7 +4,7 @@
 #include "bamboostream/src/Core/identities.h"
 
 #include <cstdint>
-#include <map>
+#include <list>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -38,6 +38,10 @@
 /// What is under way at the backend servers: this instance's own work to the moment, and what the
 /// other instances told of theirs a moment ago. Together they are fresher than the reports of the
 /// backend servers, and they cost no status check.
+///
+/// The sum at each server is kept as tellings come in, since it is asked for every candidate of
+/// every choice: adding up 300 instances for 130 engines took 0.89 ms a choice and 1,100 of them
+/// 4.2 ms; by the sums it takes 4.5 us at any number (decision-bench, "choice_by_view").
 class load_book {
 public:
     /// Work that a dead instance told of is forgotten after this: its requests are cut by then.
@@ -48,17 +52,29 @@
     /// Replaces what `peer` told before.
     void hear(const std::string& peer, std::span<const backend_work_entry> entries, time_point now);
     /// All work at one server.
-    backend_work total(const backend_id& id, time_point now) const;
+    backend_work total(const backend_id& id, time_point now);
+    /// The instances that have told of work at one server.
+    std::vector<std::string> holders(const backend_id& id, time_point now);
     /// This instance's own work, for the others.
     std::vector<backend_work_entry> own() const;
 
 private:
     struct heard {
+        std::string peer;
         time_point at;
-        std::unordered_map<std::uint64_t, backend_work> work;
+        std::vector<backend_work_entry> entries;
     };
+    using told_list = std::list<heard>;
+
+    void forget(told_list::iterator old);
+    void expire(time_point now);
+
     std::unordered_map<std::uint64_t, backend_work> own_;
-    std::map<std::string, heard> peers_;
+    /// What the others told, the longest ago first.
+    told_list told_;
+    std::unordered_map<std::string, told_list::iterator> by_peer_;
+    /// The sums of what the others told.
+    std::unordered_map<std::uint64_t, backend_work> sums_;
 };
 
 } // namespace bamboostream
--- a/test/platform/routing_decisions_test.cpp
+++ b/test/platform/routing_decisions_test.cpp
@@ -9,6 +9,9 @@
 #include <boost/asio/io_context.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <map>
+#include <random>
+#include <set>
 
 namespace bamboostream {
 namespace {
@@ -227,6 +230,48 @@
     EXPECT_EQ(picker.pick(servers, loads, request, start + seconds(3))->id, b.id);
 }
 
+// Instances tell of their work again and again, fall silent and come back. Whatever the order, the
+// work at a server is what each of those heard of lately told last, and this instance's own.
+TEST(load_book_test, sums_are_those_of_the_latest_tellings) {
+    constexpr int peers = 12;
+    constexpr int servers = 5;
+    std::mt19937_64 random(5);
+    load_book loads;
+    struct telling {
+        time_point at;
+        std::vector<backend_work_entry> entries;
+    };
+    std::map<std::string, telling> latest;
+    time_point now = start;
+    for (int round = 0; round < 2'000; ++round) {
+        now += milliseconds(random() % 300);
+        const std::string peer = std::to_string(random() % peers);
+        telling told{now, {}};
+        for (int s = 0; s < servers; ++s) {
+            if (random() % 2 == 0) {
+                const auto tokens = static_cast<std::int64_t>(random() % 4'000);
+                told.entries.push_back({work_key(backend_id(std::to_string(s))), {1, tokens, 7}});
+            }
+        }
+        loads.hear(peer, told.entries, now);
+        latest[peer] = told;
+        const backend_id asked(std::to_string(random() % servers));
+        backend_work expected;
+        std::set<std::string> holders;
+        for (const auto& [name, from] : latest) {
+            for (const backend_work_entry& entry : from.entries) {
+                if (now - from.at <= load_book::peer_validity && entry.backend == work_key(asked)) {
+                    expected += entry.work;
+                    holders.insert(name);
+                }
+            }
+        }
+        ASSERT_EQ(loads.total(asked, now), expected) << round;
+        const auto found = loads.holders(asked, now);
+        ASSERT_EQ(std::set<std::string>(found.begin(), found.end()), holders) << round;
+    }
+}
+
 TEST(backend_picker_test, queued_prompts_weigh_more_than_memory) {
     backend_picker picker(1);
     load_book loads;
@@ -271,7 +316,7 @@
 // another, and nobody tries the gone one again for a while, unless nothing else is left.
 TEST(backend_picker_test, an_unreachable_server_is_passed_over_for_a_while) {
     backend_picker picker(1);
-    const load_book loads;
+    load_book loads;
     const registered_backend a = backend("a");
     const registered_backend b = backend("b");
     const std::vector<const registered_backend*> both = {&a, &b};
