--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -8,6 +8,7 @@
 #include "bamboostream/Limits"
 #include "bamboostream/Links"
 #include "bamboostream/Membership"
+#include "bamboostream/Routing"
 #include "bamboostream/Streams"
 #include "bamboostream/src/Control/frames.h"
 
@@ -117,6 +118,35 @@
     return out;
 }
 
+/// One choice among 130 engines by what all instances have told of their work.
+slope choice_by_view() {
+    slope out{"choice_by_view", "us", "instance that tells of its work", {}, {}};
+    constexpr std::uint64_t engines = 130;
+    constexpr std::uint64_t entries_a_peer = 6;
+    std::vector<registered_backend> all(engines);
+    std::vector<const registered_backend*> servers;
+    for (std::uint64_t i = 0; i < engines; ++i) {
+        all[i].id = backend_id(fmt::format("i-{:010x}", i));
+        servers.push_back(&all[i]);
+    }
+    placement_request request;
+    request.server_memory_tokens = 33'000;
+    for (const std::uint64_t peers : {10, 100, 300, 1'100}) {
+        load_book loads;
+        backend_picker picker(1);
+        for (std::uint64_t p = 0; p < peers; ++p) {
+            std::vector<backend_work_entry> told;
+            for (std::uint64_t e = 0; e < entries_a_peer; ++e) {
+                told.push_back({work_key(all[(p * 7 + e * 19) % engines].id), {1, 3'000, 0}});
+            }
+            loads.hear(fmt::format("10.0.{}.{}:7200", p / 250, p % 250), told, start);
+        }
+        out.sizes.push_back(static_cast<double>(peers));
+        out.values.push_back(best_us(30, [&] { picker.pick(servers, loads, request, start); }));
+    }
+    return out;
+}
+
 slope admission() {
     slope out{"admission_decision", "us", "workspace with waiting requests", {}, {}};
     for (const int workspaces : {10, 40, 160, 640}) {
@@ -169,12 +199,8 @@
     slope memory{"member_memory", "bytes", "member", {}, {}};
 };
 
-std::string encode_probe(member_table& table, time_point now) {
-    wire::ProbeT probe;
-    for (const member_facts& f : table.facts_to_tell(now)) {
-        probe.members.push_back(to_wire(f));
-    }
-    return encode_frame(make_frame(std::move(probe)));
+std::string encode_probe(const member_gossip& gossip) {
+    return encode_frame(make_frame(to_wire(gossip)));
 }
 
 gossip_figures gossip() {
@@ -205,16 +231,20 @@
                 const auto at = static_cast<std::size_t>(
                     std::find(seeds.begin(), seeds.end(), peer) - seeds.begin());
                 member_table& other = *tables[at];
-                for (member_table* from : {&own, &other}) {
-                    member_table& to = from == &own ? other : own;
-                    const std::string frame = encode_probe(*from, now);
+                const auto carry = [&](const member_gossip& told, member_table& from,
+                                       member_table& to) {
+                    const std::string frame = encode_probe(told);
                     bytes += static_cast<double>(frame.size()) + headers;
                     frames += 1;
                     const auto decoded = decode_frame(std::string_view(frame).substr(4));
-                    for (const auto& fact : decoded->message.AsProbe()->members) {
-                        const member_facts f = from_wire(*fact);
-                        to.merge(f, f.id.address == from->self().id.address, now);
-                    }
+                    member_gossip heard = from_wire(*decoded->message.AsProbe());
+                    to.hear(heard, from.self().id.address, now);
+                    return heard;
+                };
+                const member_gossip asked = carry(own.gossip_to_tell(), own, other);
+                const member_gossip answer = carry(other.answer_to(asked), other, own);
+                if (const auto missing = own.missing_at(answer)) {
+                    carry(*missing, own, other);
                 }
                 own.probe_answered(peer, now);
             }
@@ -405,12 +435,12 @@
     const gossip_figures g = gossip();
     const configuration_figures c = configuration();
     const ledger_figures l = ledger();
-    std::vector<slope> all = {routing(),       admission(),      forecast_refresh(),
-                              g.bytes,         g.messages,       g.time,
-                              g.memory,        c.apply,          c.size,
-                              c.adopt,         l.apply,          l.memory,
-                              l.bytes,         lengths_memory(), handles(),
-                              authentication()};
+    std::vector<slope> all = {
+        routing(),       choice_by_view(), admission(),      forecast_refresh(),
+        g.bytes,         g.messages,       g.time,           g.memory,
+        c.apply,         c.size,           c.adopt,          l.apply,
+        l.memory,        l.bytes,          lengths_memory(), handles(),
+        authentication()};
     json::array rows;
     for (slope& row : all) {
         row.fit();
