With many instances an owner chooses the engines for all

Change: beyond 96 other instances the owner of a service and its deputy in another failure domain are told of work, and generations ask them where to go; the owner counts its choice at once. Without an answer in 75 ms the deputy is asked, then each chooses by itself.

--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -167,41 +167,55 @@
     }
 }
 
-std::optional<forwarded_call::destination> forwarded_call::choose() {
-    const auto servers = state_.registry.usable(service_->id);
+asio::awaitable<std::optional<forwarded_call::destination>> forwarded_call::choose() {
+    if (service_->engine && !begun_) {
+        co_return co_await choose_for_generation();
+    }
     placement_request wanted;
     wanted.avoid = avoid_;
     wanted.near = state_.here;
     wanted.server_memory_tokens = service_->engine ? service_->engine->memory_tokens : 0;
+    const auto servers = state_.registry.usable(service_->id);
     const registered_backend* chosen =
         state_.picker.pick(servers, state_.loads, wanted, monotonic_now());
-    if (chosen == nullptr) {
-        return std::nullopt;
+    co_return chosen ? std::optional(destination{*chosen, std::nullopt}) : std::nullopt;
+}
+
+asio::awaitable<std::optional<forwarded_call::destination>>
+forwarded_call::choose_for_generation() {
+    engine_request wanted;
+    wanted.service = service_->id;
+    wanted.work = expected_work();
+    wanted.engine_memory_tokens = service_->engine->memory_tokens;
+    wanted.priority = priority_;
+    wanted.objective = route_->objective;
+    wanted.avoid = avoid_;
+    wanted.near = state_.here;
+    std::optional<engine_choice> choice;
+    if (state_.scheduler != nullptr) {
+        choice = co_await state_.scheduler->choose(wanted);
+    }
+    if (!choice) {
+        choice = choose_engine(state_, wanted, monotonic_now());
+    }
+    if (!choice->engine) {
+        co_return std::nullopt;
     }
-    if (!admitted(*chosen)) {
+    if (choice->verdict != admission_verdict::admit) {
         turned_away_ = true;
-        return std::nullopt;
+        log_turned_away(*choice);
+        co_return std::nullopt;
     }
-    return destination{*chosen, std::nullopt};
+    co_return destination{*choice->engine, std::nullopt};
 }
 
-bool forwarded_call::admitted(const registered_backend& backend) const {
-    if (!service_->engine || begun_) {
-        return true;
-    }
-    const backend_work work = state_.loads.total(backend.id, monotonic_now());
-    const admission_verdict verdict = judge_admission(
-        state_.admission, work, service_->engine->memory_tokens, priority_, route_->objective);
-    if (verdict == admission_verdict::admit) {
-        return true;
-    }
+void forwarded_call::log_turned_away(const engine_choice& choice) const {
     log_event(events::request_refused,
               "request={} reason={} route={} backend={} memory_tokens={} unread_tokens={} of={}",
               request_.id,
-              verdict == admission_verdict::memory_full ? "memory_full" : "prompts_queued",
-              route_->name, backend.id.text(), work.memory_tokens, work.unread_tokens,
-              service_->engine->memory_tokens);
-    return false;
+              choice.verdict == admission_verdict::memory_full ? "memory_full" : "prompts_queued",
+              route_->name, choice.engine->id.text(), choice.work.memory_tokens,
+              choice.work.unread_tokens, service_->engine->memory_tokens);
 }
 
 asio::awaitable<void> forwarded_call::run() {
@@ -223,9 +237,9 @@
     });
     state_.budget.on_request(service_->id, arrival_);
     while (true) {
-        const auto to = choose();
+        const auto to = co_await choose();
         std::optional<attempt_end> end = attempt_end::not_sent;
-        if (to) {
+        if (to && !left_) {
             end = co_await attempt(*to);
         }
         if (end && !left_) {
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -52,10 +52,10 @@
     boost::asio::awaitable<void> reject(rejection why);
     duration return_time(refusal_cause cause) const;
     refusal_cause cause_of_not_run() const;
-    std::optional<destination> choose();
+    boost::asio::awaitable<std::optional<destination>> choose();
+    boost::asio::awaitable<std::optional<destination>> choose_for_generation();
     backend_work expected_work() const;
-    /// Whether the generation may go to that engine now; always true for plain calls.
-    bool admitted(const registered_backend& backend) const;
+    void log_turned_away(const engine_choice& choice) const;
     /// Sends once; nothing when the caller has got its whole answer.
     boost::asio::awaitable<std::optional<attempt_end>> attempt(const destination& to);
     void log_send(const destination& to) const;
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Forwarding/active_streams.h"
 #include "bamboostream/src/Forwarding/backend_contract.h"
+#include "bamboostream/src/Forwarding/engine_choice.h"
 #include "bamboostream/src/Forwarding/latency_metrics.h"
 #include "bamboostream/src/Http/http_channel_pool.h"
 #include "bamboostream/src/Limits/come_back.h"
@@ -44,6 +45,10 @@
     std::uint64_t new_connections = 0;
     std::uint64_t moved = 0;
     std::uint64_t open = 0;
+    /// Generations whose engine another instance chose, and questions to such that it didn't answer
+    /// in time.
+    std::uint64_t placed_by_owner = 0;
+    std::uint64_t owners_silent = 0;
 
     void count(forward_result result) { ++results[static_cast<std::size_t>(result)]; }
 };
@@ -72,6 +77,8 @@
     std::mt19937_64 random;
     forward_counters counters;
     latency_metrics latency;
+    /// Asked for the engine of a generation first; null when there is nobody to ask.
+    engine_scheduler* scheduler = nullptr;
     /// Live instances, this one included; shares of common budgets are counted by it.
     std::size_t live_instances = 1;
     /// A graceful shutdown has begun: connections close after their answer.
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -72,6 +72,7 @@
     link_hub links;
     std::unique_ptr<membership_service> membership;
     std::unique_ptr<store_news> news;
+    std::unique_ptr<pool_owner> owner;
     std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<evacuation_service> evacuation;
     std::vector<std::unique_ptr<http_server>> servers;
@@ -123,7 +124,9 @@
                                                       self, membership_service::timing{}, seed);
     news =
         std::make_unique<store_news>(context, links, *membership, forwarding, state, store, duty);
-    peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news);
+    owner = std::make_unique<pool_owner>(links, *membership, forwarding);
+    forwarding.scheduler = owner.get();
+    peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news, *owner);
     evacuation = std::make_unique<evacuation_service>(context, forwarding, contracts.mover, *peers);
     state.on_new_configuration([this](const routing_configuration& c) { take_configuration(c); });
     state.on_backend_change([this](const registry_change& change) {
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -34,6 +34,8 @@
     append(out, "counter", "sends_total", c.sends);
     append(out, "counter", "new_connections_total", c.new_connections);
     append(out, "counter", "moved_generations_total", c.moved);
+    append(out, "counter", "placed_by_owner_total", c.placed_by_owner);
+    append(out, "counter", "owners_silent_total", c.owners_silent);
     append(out, "counter", "dropped_log_lines_total", dropped_log_lines());
     append(out, "gauge", "open_requests", c.open);
     append(out, "gauge", "open_streams", state.streams.size());
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -37,9 +37,9 @@
 
 peer_exchange::peer_exchange(asio::io_context& context, link_hub& links,
                              membership_service& membership, forwarding_state& forwarding,
-                             store_news& news)
+                             store_news& news, pool_owner& owner)
     : context_(context), links_(links), membership_(membership), forwarding_(forwarding),
-      news_(news), load_due_(context) {}
+      news_(news), owner_(owner), load_due_(context) {}
 
 void peer_exchange::start() {
     asio::co_spawn(context_, load_loop(), asio::detached);
@@ -49,10 +49,9 @@
     bool told_none = true;
     while (true) {
         const std::vector<backend_work_entry> own = forwarding_.loads.own();
-        const std::vector<std::string> peers = membership_.usable_peers();
-        forwarding_.live_instances = peers.size() + 1;
+        forwarding_.live_instances = membership_.usable_peers().size() + 1;
         if (!own.empty() || !told_none) {
-            for (const std::string& peer : peers) {
+            for (const std::string& peer : owner_.told_of_work()) {
                 links_.send(peer, make_frame(to_wire(own)));
             }
         }
@@ -79,6 +78,8 @@
         forwarding_.loads.hear(frame->sender, from_wire(*frame->message.AsLoadReport()),
                                monotonic_now());
         co_return nullptr;
+    case wire::Message::AdmitRequest:
+        co_return owner_.answer(*frame->message.AsAdmitRequest(), frame->sender);
     case wire::Message::MovableRequest:
         co_return answer_movable(backend_id(frame->message.AsMovableRequest()->backend));
     case wire::Message::StoreNews:
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Control/membership_service.h"
 #include "bamboostream/src/Evacuation/evacuation_service.h"
+#include "bamboostream/src/Gateway/pool_owner.h"
 #include "bamboostream/src/Gateway/store_news.h"
 #include "bamboostream/src/Links/link.h"
 
@@ -19,7 +20,7 @@
 class peer_exchange final : public evacuation_peers {
 public:
     peer_exchange(boost::asio::io_context& context, link_hub& links, membership_service& membership,
-                  forwarding_state& forwarding, store_news& news);
+                  forwarding_state& forwarding, store_news& news, pool_owner& owner);
 
     void start();
     /// Answers a frame of another instance.
@@ -43,6 +44,7 @@
     membership_service& membership_;
     forwarding_state& forwarding_;
     store_news& news_;
+    pool_owner& owner_;
     boost::asio::steady_timer load_due_;
 };
 
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -5,6 +5,15 @@
 
 namespace bamboostream {
 
+namespace {
+
+std::uint32_t tokens_on_wire(std::int64_t tokens) {
+    constexpr std::int64_t most = std::numeric_limits<std::int32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(tokens, 0, most));
+}
+
+} // namespace
+
 std::unique_ptr<wire::BackendFactT> to_wire(const registered_backend& backend, time_point now) {
     auto out = std::make_unique<wire::BackendFactT>();
     out->id = backend.id.text();
@@ -63,6 +72,48 @@
     return report;
 }
 
+wire::AdmitRequestT to_wire(const engine_request& request) {
+    wire::AdmitRequestT out;
+    out.pool = request.service.text();
+    out.priority = static_cast<std::uint8_t>(std::clamp(request.priority, 0, 255));
+    out.prompt_tokens = tokens_on_wire(request.work.unread_tokens);
+    out.max_tokens = tokens_on_wire(request.work.memory_tokens - request.work.unread_tokens);
+    out.objective_ms = age_on_wire(request.objective);
+    out.failure_domain = request.near.text();
+    for (const backend_id& id : request.avoid) {
+        out.avoid.push_back(id.text());
+    }
+    return out;
+}
+
+engine_request from_wire(const wire::AdmitRequestT& request) {
+    engine_request out;
+    out.service = service_id(request.pool);
+    out.priority = request.priority;
+    out.work.requests = 1;
+    out.work.unread_tokens = request.prompt_tokens;
+    out.work.memory_tokens = std::int64_t{request.prompt_tokens} + request.max_tokens;
+    out.objective = milliseconds(request.objective_ms);
+    out.near = failure_domain_id(request.failure_domain);
+    for (const std::string& id : request.avoid) {
+        out.avoid.emplace_back(id);
+    }
+    return out;
+}
+
+wire::AdmitReplyT to_wire(const engine_choice& choice) {
+    wire::AdmitReplyT out;
+    out.granted = choice.engine && choice.verdict == admission_verdict::admit;
+    out.backend = choice.engine ? choice.engine->id.text() : std::string();
+    out.reason = static_cast<std::uint8_t>(choice.verdict);
+    return out;
+}
+
+admission_verdict from_wire(const wire::AdmitReplyT& reply) {
+    constexpr auto last = static_cast<std::uint8_t>(admission_verdict::prompts_queued);
+    return static_cast<admission_verdict>(std::min(reply.reason, last));
+}
+
 wire::MovableReplyT to_wire(std::span<const movable_generation> generations) {
     wire::MovableReplyT reply;
     for (const movable_generation& generation : generations) {
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostream/src/Forwarding/active_streams.h"
+#include "bamboostream/src/Forwarding/engine_choice.h"
 #include "bamboostream/src/Links/generated/wire_generated.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Routing/load_book.h"
@@ -28,6 +29,12 @@
 wire::LoadReportT to_wire(std::span<const backend_work_entry> own);
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report);
 
+wire::AdmitRequestT to_wire(const engine_request& request);
+/// Without the engines' memory, which the receiver's own configuration says.
+engine_request from_wire(const wire::AdmitRequestT& request);
+wire::AdmitReplyT to_wire(const engine_choice& choice);
+admission_verdict from_wire(const wire::AdmitReplyT& reply);
+
 wire::MovableReplyT to_wire(std::span<const movable_generation> generations);
 std::vector<movable_generation> from_wire(const wire::MovableReplyT& reply);
 
--- /dev/null
+++ b/bamboostream/src/Gateway/pool_owner.cpp
@@ -0,0 +1,104 @@
+#include "bamboostream/src/Gateway/pool_owner.h"
+
+#include "bamboostream/src/Control/frames.h"
+#include "bamboostream/src/Gateway/peer_frames.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bamboostream {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The owner and one that takes over at once when it doesn't answer.
+constexpr std::size_t owners_a_service = 2;
+/// An owner answers in some 2 ms; one that is busy, or behind a lost packet, is not worth a
+/// twentieth of the 1.5 s in which callers expect their first event.
+constexpr milliseconds answer_timeout{75};
+/// An owner that didn't answer is asked again after this. Its death is known by then.
+constexpr milliseconds passed_over_for{1'000};
+
+} // namespace
+
+std::vector<std::string> pool_owner::owners(const service_id& service) const {
+    return membership_.owners(service.text(), owners_a_service);
+}
+
+bool pool_owner::is_silent(const std::string& owner, time_point now) const {
+    const auto found = silent_until_.find(owner);
+    return found != silent_until_.end() && now < found->second;
+}
+
+std::vector<std::string> pool_owner::told_of_work() const {
+    if (!is_used()) {
+        return membership_.usable_peers();
+    }
+    std::set<std::string> out;
+    if (forwarding_.routes) {
+        for (const service_rule& service : forwarding_.routes->configuration().services) {
+            if (service.engine) {
+                const std::vector<std::string> told = owners(service.id);
+                out.insert(told.begin(), told.end());
+            }
+        }
+    }
+    out.erase(membership_.own_address());
+    return {out.begin(), out.end()};
+}
+
+asio::awaitable<std::optional<engine_choice>> pool_owner::choose(const engine_request& request) {
+    if (!is_used()) {
+        co_return std::nullopt;
+    }
+    // The owner may not have tried those yet.
+    engine_request asked = request;
+    const std::vector<backend_id> unreachable = forwarding_.picker.unreachable(monotonic_now());
+    asked.avoid.insert(asked.avoid.end(), unreachable.begin(), unreachable.end());
+    for (const std::string& owner : owners(request.service)) {
+        if (owner == membership_.own_address()) {
+            co_return std::nullopt;
+        }
+        if (is_silent(owner, monotonic_now())) {
+            continue;
+        }
+        link_failure why;
+        const auto reply =
+            co_await links_.call(owner, make_frame(to_wire(asked)), answer_timeout, why);
+        if (!reply || reply->message.type != wire::Message::AdmitReply) {
+            silent_until_[owner] = monotonic_now() + passed_over_for;
+            ++forwarding_.counters.owners_silent;
+            continue;
+        }
+        const wire::AdmitReplyT& answer = *reply->message.AsAdmitReply();
+        // An engine that is not known here, or that is known to leave, isn't sent to on the word of
+        // another, whose view may be older.
+        const registered_backend* engine = forwarding_.registry.find(backend_id(answer.backend));
+        if (engine == nullptr || engine->leaving) {
+            co_return std::nullopt;
+        }
+        ++forwarding_.counters.placed_by_owner;
+        co_return engine_choice{*engine, from_wire(answer), {}};
+    }
+    co_return std::nullopt;
+}
+
+std::unique_ptr<wire::FrameT> pool_owner::answer(const wire::AdmitRequestT& request,
+                                                 const std::string& sender) {
+    const time_point now = monotonic_now();
+    engine_request wanted = from_wire(request);
+    const service_rule* service =
+        forwarding_.routes ? forwarding_.routes->find_service(wanted.service) : nullptr;
+    if (service == nullptr || !service->engine) {
+        return make_reply(wire::AdmitReplyT{});
+    }
+    wanted.engine_memory_tokens = service->engine->memory_tokens;
+    const engine_choice choice = choose_engine(forwarding_, wanted, now);
+    if (choice.engine && choice.verdict == admission_verdict::admit) {
+        forwarding_.loads.expect(sender, {work_key(choice.engine->id), wanted.work}, now);
+    }
+    return make_reply(to_wire(choice));
+}
+
+} // namespace bamboostream
--- a/bamboostream/src/Routing/backend_picker.cpp
+++ b/bamboostream/src/Routing/backend_picker.cpp
@@ -90,6 +90,16 @@
     unreachable_until_[id] = now + unreachable_for;
 }
 
+std::vector<backend_id> backend_picker::unreachable(time_point now) const {
+    std::vector<backend_id> out;
+    for (const auto& [id, until] : unreachable_until_) {
+        if (now < until) {
+            out.push_back(id);
+        }
+    }
+    return out;
+}
+
 void backend_picker::on_success(const backend_id& id, time_point now) {
     outliers_.on_success(id.text(), now);
     if (const auto found = failing_.find(id); found != failing_.end()) {
--- a/bamboostream/src/Routing/backend_picker.h
+++ b/bamboostream/src/Routing/backend_picker.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace bamboostream {
 
@@ -40,6 +41,8 @@
     /// left: while the store is away engines go without their entries, and with 44 engines of which
     /// eight had gone, three connections in a row failed for one request in fifteen.
     void on_unreachable(const backend_id& id, time_point now);
+    /// The servers that could not be reached a moment ago.
+    std::vector<backend_id> unreachable(time_point now) const;
     void on_success(const backend_id& id, time_point now);
     /// `group_size` counts the servers of the same service.
     void on_failure(const backend_id& id, std::size_t group_size, time_point now);
--- a/bamboostream/src/Routing/load_book.cpp
+++ b/bamboostream/src/Routing/load_book.cpp
@@ -75,6 +75,17 @@
     by_peer_.emplace(peer, std::prev(told_.end()));
 }
 
+void load_book::expect(const std::string& peer, const backend_work_entry& entry, time_point now) {
+    expire(now);
+    const auto [known, is_new] = by_peer_.try_emplace(peer);
+    if (is_new) {
+        told_.push_back({peer, now, {}});
+        known->second = std::prev(told_.end());
+    }
+    known->second->entries.push_back(entry);
+    adjust(sums_, entry.backend, entry.work);
+}
+
 backend_work load_book::total(const backend_id& id, time_point now) {
     expire(now);
     const std::uint64_t key = work_key(id);
--- a/bamboostream/src/Routing/load_book.h
+++ b/bamboostream/src/Routing/load_book.h
@@ -51,6 +51,8 @@
     void subtract(const backend_id& id, const backend_work& work);
     /// Replaces what `peer` told before.
     void hear(const std::string& peer, std::span<const backend_work_entry> entries, time_point now);
+    /// Adds work that `peer` is about to have, until it tells again.
+    void expect(const std::string& peer, const backend_work_entry& entry, time_point now);
     /// All work at one server.
     backend_work total(const backend_id& id, time_point now);
     /// The instances that have told of work at one server.
