Relays pass on what the readers of the store tell; ages count the time under way

Cause: each of two readers tells all 294 others itself, up to five times a second: 3,000 frames a second from two machines, each encoded anew. Each new configuration is read from the store by every instance, 295 calls a change. Ruled out: fewer tellings (the age of the view is what a leaving server's requests go by). Change: beyond 96 others, a reader tells its own failure domain and one relay in each other one, a different one for each reader; a frame for many is encoded once. A telling carries the teller's clock, and what the difference to one's own exceeds its least value by is added to its ages: a relay that was frozen can't make old facts look fresh.

--- a/bamboostream/src/Control/membership_service.cpp
+++ b/bamboostream/src/Control/membership_service.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <fmt/format.h>
+#include <iterator>
 
 namespace bamboostream {
 
@@ -220,6 +221,7 @@
     orders_.clear();
     usable_peers_.clear();
     nodes_.clear();
+    failure_domains_.clear();
     const std::vector<member_facts> usable = members_.usable();
     std::uint32_t largest = 0;
     for (const member_facts& facts : usable) {
@@ -229,6 +231,7 @@
         if (facts.id.address != own_address()) {
             usable_peers_.push_back(facts.id.address);
         }
+        failure_domains_.insert(facts.failure_domain.text());
         nodes_.push_back({facts.id.address, facts.failure_domain.text(),
                           2 * std::uint64_t{facts.capacity} >= largest});
     }
@@ -240,8 +243,20 @@
 }
 
 std::vector<std::string> membership_service::owners(std::string_view key, std::size_t count) const {
+    return remembered_owners(key, count, {});
+}
+
+std::vector<std::string> membership_service::owners_in(const std::string& failure_domain,
+                                                       std::string_view key,
+                                                       std::size_t count) const {
+    return remembered_owners(key, count, failure_domain);
+}
+
+std::vector<std::string>
+membership_service::remembered_owners(std::string_view key, std::size_t count,
+                                      std::string_view failure_domain) const {
     refresh_views();
-    std::string name = fmt::format("{} {}", count, key);
+    std::string name = fmt::format("{} {} {}", count, failure_domain, key);
     const auto known = orders_.find(name);
     if (known != orders_.end()) {
         return known->second;
@@ -249,7 +264,30 @@
     if (orders_.size() >= most_orders_kept) {
         orders_.clear();
     }
-    return orders_.emplace(std::move(name), rendezvous_owners(key, nodes_, count)).first->second;
+    std::vector<rendezvous_node> candidates;
+    std::copy_if(nodes_.begin(), nodes_.end(), std::back_inserter(candidates),
+                 [&](const rendezvous_node& node) {
+                     return failure_domain.empty() || node.failure_domain == failure_domain;
+                 });
+    return orders_.emplace(std::move(name), rendezvous_owners(key, candidates, count))
+        .first->second;
+}
+
+const std::set<std::string>& membership_service::failure_domains() const {
+    refresh_views();
+    return failure_domains_;
+}
+
+std::vector<std::string>
+membership_service::usable_peers_in(std::string_view failure_domain) const {
+    refresh_views();
+    std::vector<std::string> out;
+    for (const rendezvous_node& node : nodes_) {
+        if (node.failure_domain == failure_domain && node.name != own_address()) {
+            out.push_back(node.name);
+        }
+    }
+    return out;
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Control/membership_service.h
+++ b/bamboostream/src/Control/membership_service.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -33,6 +34,12 @@
         milliseconds list_timeout{1'000};
         milliseconds watch_period{500};
         milliseconds watch_timeout{800};
+        /// Up to so many others are told directly of what changes; with more, owners and relays
+        /// pass it on. Told by all to all at each change, a generation makes three frames for each
+        /// other instance: at 295 instances and 171 generations a second 500 a second for each to
+        /// take, on 0.12 of a core. Up to here that is less than a tenth of it, and nobody depends
+        /// on another's answer.
+        std::size_t most_told_directly = 96;
     };
     /// Called with each status of an engine.
     using status_listener = std::function<void(const backend_facts&, const engine_status&)>;
@@ -62,6 +69,16 @@
     /// Machines with at least half the capacity of the largest come first: an owner reads the store
     /// or places generations for all others, which can fill the link of a small one.
     std::vector<std::string> owners(std::string_view key, std::size_t count) const;
+    /// The same among the usable instances of one failure domain.
+    std::vector<std::string> owners_in(const std::string& failure_domain, std::string_view key,
+                                       std::size_t count) const;
+    /// The failure domains in which there are usable instances.
+    const std::set<std::string>& failure_domains() const;
+    /// The other usable instances of one failure domain.
+    std::vector<std::string> usable_peers_in(std::string_view failure_domain) const;
+    /// Whether there are more than are told directly of what changes.
+    bool has_many_peers() const { return usable_peers().size() > times_.most_told_directly; }
+    const failure_domain_id& own_failure_domain() const { return members_.self().failure_domain; }
     /// Addresses of the other instances that are live and don't leave; valid until these change.
     const std::vector<std::string>& usable_peers() const;
     const std::string& own_address() const { return members_.self().id.address; }
@@ -76,6 +93,8 @@
     boost::asio::awaitable<void> list_loop();
     boost::asio::awaitable<void> watch_loop();
     boost::asio::awaitable<void> watch_one(backend_facts backend);
+    std::vector<std::string> remembered_owners(std::string_view key, std::size_t count,
+                                               std::string_view failure_domain) const;
     /// Drops what was worked out from members that have changed since.
     void refresh_views() const;
     void report_changes();
@@ -98,6 +117,7 @@
     mutable bool views_known_ = false;
     mutable std::vector<std::string> usable_peers_;
     mutable std::vector<rendezvous_node> nodes_;
+    mutable std::set<std::string> failure_domains_;
     mutable std::map<std::string, std::vector<std::string>, std::less<>> orders_;
 };
 
--- a/bamboostream/src/Core/clock.h
+++ b/bamboostream/src/Core/clock.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace bamboostream {
 
@@ -29,6 +30,15 @@
         .count();
 }
 
+/// Milliseconds since this machine started, those in which it was suspended included. Same rule as
+/// `monotonic_now`.
+inline milliseconds machine_now() {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::duration_cast<milliseconds>(seconds(now.tv_sec) +
+                                                    std::chrono::nanoseconds(now.tv_nsec));
+}
+
 /// A duration as a floating number of milliseconds.
 inline double to_milliseconds(duration d) {
     return std::chrono::duration<double, std::milli>(d).count();
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -51,9 +51,7 @@
         const std::vector<backend_work_entry> own = forwarding_.loads.own();
         forwarding_.live_instances = membership_.usable_peers().size() + 1;
         if (!own.empty() || !told_none) {
-            for (const std::string& peer : owner_.told_of_work()) {
-                links_.send(peer, make_frame(to_wire(own)));
-            }
+            links_.send_to_each(owner_.told_of_work(), make_frame(to_wire(own)));
         }
         told_none = own.empty();
         co_await wait_on(load_due_, monotonic_now() + load_period);
@@ -83,7 +81,7 @@
     case wire::Message::MovableRequest:
         co_return answer_movable(backend_id(frame->message.AsMovableRequest()->backend));
     case wire::Message::StoreNews:
-        news_.hear(frame->sender, *frame->message.AsStoreNews());
+        news_.hear(frame->sender, frame->sender_start_stamp, *frame->message.AsStoreNews());
         co_return nullptr;
     case wire::Message::MoveNotice: {
         const wire::MoveNoticeT& notice = *frame->message.AsMoveNotice();
--- a/bamboostream/src/Gateway/pool_owner.cpp
+++ b/bamboostream/src/Gateway/pool_owner.cpp
@@ -32,7 +32,7 @@
 }
 
 std::vector<std::string> pool_owner::told_of_work() const {
-    if (!is_used()) {
+    if (!membership_.has_many_peers()) {
         return membership_.usable_peers();
     }
     std::set<std::string> out;
@@ -49,7 +49,7 @@
 }
 
 asio::awaitable<std::optional<engine_choice>> pool_owner::choose(const engine_request& request) {
-    if (!is_used()) {
+    if (!membership_.has_many_peers()) {
         co_return std::nullopt;
     }
     // The owner may not have tried those yet.
--- a/bamboostream/src/Gateway/pool_owner.h
+++ b/bamboostream/src/Gateway/pool_owner.h
@@ -17,14 +17,8 @@
 
 namespace bamboostream {
 
-/// With more other instances than this, one of them chooses the engines of a service for all;
-/// with fewer, each tells all others of its work and chooses by itself. Told at each change, a
-/// generation makes three frames for each other instance: at 295 instances and 171 generations a
-/// second 500 a second for each to take, on 0.12 of a core, where an owner takes five a generation.
-/// Up to here choosing by oneself costs less than a tenth of that and needs no one's answer.
-inline constexpr std::size_t most_told_by_all = 96;
-
-/// Who chooses the engines of a service.
+/// Who chooses the engines of a service: with many instances one of them for all, with few each for
+/// itself.
 ///
 /// The owner, and a deputy in another failure domain, are told of all work at the engines; whoever
 /// has a generation to place asks the owner, then the deputy. The owner counts each choice at once,
@@ -32,17 +26,14 @@
 /// chooses by its own work alone, which spreads generations at random.
 class pool_owner final : public engine_scheduler {
 public:
-    pool_owner(link_hub& links, membership_service& membership, forwarding_state& forwarding,
-               std::size_t most_told = most_told_by_all)
-        : links_(links), membership_(membership), forwarding_(forwarding), most_told_(most_told) {}
+    pool_owner(link_hub& links, membership_service& membership, forwarding_state& forwarding)
+        : links_(links), membership_(membership), forwarding_(forwarding) {}
 
     boost::asio::awaitable<std::optional<engine_choice>>
     choose(const engine_request& request) override;
     /// Chooses for another instance.
     std::unique_ptr<wire::FrameT> answer(const wire::AdmitRequestT& request,
                                          const std::string& sender);
-    /// Whether owners choose, by the number of instances.
-    bool is_used() const { return membership_.usable_peers().size() > most_told_; }
     /// The instances that must know of work at the engines; this one excluded.
     std::vector<std::string> told_of_work() const;
 
@@ -54,7 +45,6 @@
     link_hub& links_;
     membership_service& membership_;
     forwarding_state& forwarding_;
-    std::size_t most_told_;
     /// Owners that have not answered in time, and until when they are passed over.
     std::unordered_map<std::string, time_point> silent_until_;
 };
--- a/bamboostream/src/Gateway/store_follower.cpp
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -45,11 +45,12 @@
 
 /// Somebody else reads, and what has been read there is known here.
 bool store_follower::may_rest(const topic_position& position) const {
-    if (plan_->must_read(position.topic, monotonic_now())) {
+    const time_point now = monotonic_now();
+    if (plan_->must_read(position.topic, now)) {
         return false;
     }
     const bool entries = position.topic == record_topic::backend_entries;
-    return entries ? !entries_wanted_ : duty_.told_version() <= state_.version();
+    return entries ? !entries_wanted_ : !duty_.must_fetch(state_.version(), now);
 }
 
 asio::awaitable<void> store_follower::follow(topic_position& position) {
--- a/bamboostream/src/Gateway/store_news.cpp
+++ b/bamboostream/src/Gateway/store_news.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <limits>
 #include <map>
 
 namespace bamboostream {
@@ -26,6 +27,20 @@
 constexpr milliseconds news_gather{200};
 /// How often the age of the view is looked at.
 constexpr milliseconds watch_period{100};
+/// With many instances, one in each failure domain passes a reader's tellings on: two readers that
+/// tell each of 294 others five times a second send 3,000 frames a second. Each reader has a relay
+/// of its own there, so that one that is frozen or cut off takes away the word of one reader only.
+constexpr std::size_t relays_a_domain = 2;
+/// A relay has a new configuration a moment after it has told of it.
+constexpr int most_fetches = 5;
+constexpr milliseconds fetch_pause{40};
+
+/// A telling that left later than it says is that much older.
+std::uint32_t older(std::uint32_t age_ms, milliseconds by) {
+    constexpr std::uint32_t unknown = std::numeric_limits<std::uint32_t>::max();
+    return age_ms == unknown ? unknown : age_ms + static_cast<std::uint32_t>(by.count());
+}
+
 } // namespace
 
 store_news::store_news(asio::io_context& context, link_hub& links, membership_service& membership,
@@ -91,22 +106,51 @@
         return;
     }
     told_at_ = now;
-    for (const std::string& peer : membership_.usable_peers()) {
-        wire::StoreNewsT news;
-        news.fresh = store_.reads_well(record_topic::backend_entries, now);
-        news.configuration_version = state_.version();
-        news.previous = static_cast<std::uint64_t>(previous);
-        news.sequence = static_cast<std::uint64_t>(told_position_);
-        news.entries_age_ms = age_on_wire(store_.own_age(record_topic::backend_entries, now));
-        news.documents_age_ms = age_on_wire(store_.own_age(record_topic::operator_documents, now));
-        for (const registry_change& change : changes) {
-            auto fact = to_wire(change.backend, now);
-            fact->gone = change.event == registry_event::gone;
-            fact->lapsed = change.event == registry_event::lapsed;
-            news.changed.push_back(std::move(fact));
+    wire::StoreNewsT news;
+    news.fresh = store_.reads_well(record_topic::backend_entries, now);
+    news.configuration_version = state_.version();
+    news.previous = static_cast<std::uint64_t>(previous);
+    news.sequence = static_cast<std::uint64_t>(told_position_);
+    news.entries_age_ms = age_on_wire(store_.own_age(record_topic::backend_entries, now));
+    news.documents_age_ms = age_on_wire(store_.own_age(record_topic::operator_documents, now));
+    for (const registry_change& change : changes) {
+        auto fact = to_wire(change.backend, now);
+        fact->gone = change.event == registry_event::gone;
+        fact->lapsed = change.event == registry_event::lapsed;
+        news.changed.push_back(std::move(fact));
+    }
+    news.told_at_ms = machine_now().count();
+    send_to_all(std::move(news));
+}
+
+void store_news::send_to_all(wire::StoreNewsT news) {
+    if (!membership_.has_many_peers()) {
+        links_.send_to_each(membership_.usable_peers(), make_frame(std::move(news)));
+        return;
+    }
+    const std::string& here = membership_.own_failure_domain().text();
+    links_.send_to_each(membership_.usable_peers_in(here), make_frame(wire::StoreNewsT(news)));
+    const std::vector<std::string> order = reading_order();
+    const bool first = !order.empty() && order.front() == membership_.own_address();
+    std::vector<std::string> relays;
+    for (const std::string& domain : membership_.failure_domains()) {
+        const auto candidates = membership_.owners_in(domain, "relay", relays_a_domain);
+        if (domain != here) {
+            relays.push_back(first ? candidates.front() : candidates.back());
         }
-        links_.send(peer, make_frame(std::move(news)));
     }
+    news.pass_on = true;
+    links_.send_to_each(relays, make_frame(std::move(news)));
+}
+
+/// The ages stay as they were told: whoever hears it finds out by the teller's clock how long it
+/// was under way.
+void store_news::pass_on(const std::string& sender, std::int64_t stamp, wire::StoreNewsT news) {
+    news.pass_on = false;
+    news.teller = sender;
+    news.teller_stamp = stamp;
+    links_.send_to_each(membership_.usable_peers_in(membership_.own_failure_domain().text()),
+                        make_frame(std::move(news)));
 }
 
 /// What another instance knew some time ago is known here now that it has been told.
@@ -150,15 +194,37 @@
     return view.age(now) > times_of(topic).longest_view;
 }
 
-void store_news::hear(const std::string& sender, const wire::StoreNewsT& news) {
-    const time_point now = monotonic_now();
+void store_news::hear(const std::string& sender, std::int64_t stamp, const wire::StoreNewsT& news) {
+    if (news.pass_on) {
+        pass_on(sender, stamp, news);
+    }
+    const bool relayed = !news.teller.empty();
+    const std::string& teller = relayed ? news.teller : sender;
+    if (news.told_at_ms == 0) {
+        take(sender, news, monotonic_now());
+        return;
+    }
+    const milliseconds late = delays_.beyond_least(teller, relayed ? news.teller_stamp : stamp,
+                                                   milliseconds(news.told_at_ms), machine_now());
+    wire::StoreNewsT aged = news;
+    aged.entries_age_ms = older(news.entries_age_ms, late);
+    aged.documents_age_ms = older(news.documents_age_ms, late);
+    take(sender, aged, monotonic_now());
+}
+
+void store_news::take(const std::string& sender, const wire::StoreNewsT& news, time_point now) {
+    const std::string& teller = news.teller.empty() ? sender : news.teller;
     if (const auto as_of = moment_of(news.entries_age_ms, now)) {
-        duty_.hear(sender, record_topic::backend_entries, *as_of);
+        duty_.hear(teller, record_topic::backend_entries, *as_of);
     }
     if (const auto as_of = moment_of(news.documents_age_ms, now)) {
-        duty_.hear(sender, record_topic::operator_documents, *as_of);
+        duty_.hear(teller, record_topic::operator_documents, *as_of);
+    }
+    duty_.hear_version(news.configuration_version, now);
+    if (news.configuration_version > state_.version() && !fetching_configuration_) {
+        asio::co_spawn(context_, fetch_configuration(sender, news.configuration_version),
+                       asio::detached);
     }
-    duty_.hear_version(news.configuration_version);
     // Leaving is believed from anyone: it is never taken back.
     for (const auto& fact : news.changed) {
         if (fact->leaving) {
@@ -267,6 +333,17 @@
     }
 }
 
+asio::awaitable<void> store_news::fetch_configuration(std::string peer, std::int64_t version) {
+    fetching_configuration_ = true;
+    for (int i = 0; i < most_fetches && state_.version() < version; ++i) {
+        co_await ask_configuration(peer);
+        if (state_.version() < version) {
+            co_await pause_for(fetch_pause);
+        }
+    }
+    fetching_configuration_ = false;
+}
+
 asio::awaitable<void> store_news::ask_backends(std::string peer) {
     if (asking_for_all_) {
         co_return;
--- a/bamboostream/src/Gateway/store_news.h
+++ b/bamboostream/src/Gateway/store_news.h
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Control/membership_service.h"
 #include "bamboostream/src/Gateway/store_follower.h"
+#include "bamboostream/src/Gateway/telling_delay.h"
 #include "bamboostream/src/Links/link.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -38,8 +39,9 @@
     void note_change(const registry_change& change);
     void note_configuration();
 
-    /// Takes the telling of another instance.
-    void hear(const std::string& sender, const wire::StoreNewsT& news);
+    /// Takes the telling of another instance, in the life that began at `stamp`, and passes it on
+    /// when asked to.
+    void hear(const std::string& sender, std::int64_t stamp, const wire::StoreNewsT& news);
     std::unique_ptr<wire::FrameT> answer_backends() const;
     std::unique_ptr<wire::FrameT> answer_configuration(std::int64_t newer_than) const;
 
@@ -48,7 +50,13 @@
     std::vector<std::string> reading_order() const;
     boost::asio::awaitable<void> tell_loop();
     void tell();
+    /// Sends to all others: directly, or with many of them by one in each other failure domain.
+    void send_to_all(wire::StoreNewsT news);
+    void pass_on(const std::string& sender, std::int64_t stamp, wire::StoreNewsT news);
+    void take(const std::string& sender, const wire::StoreNewsT& news, time_point now);
     void note_ages(const wire::StoreNewsT& news, time_point now);
+    /// Fetches a configuration that the sender has told of.
+    boost::asio::awaitable<void> fetch_configuration(std::string peer, std::int64_t version);
     /// Takes what a telling with no new record says of entries that have lapsed or are given up.
     void forget_removed(const wire::StoreNewsT& news, time_point now);
     void fill_gap(const std::string& teller, time_point now);
@@ -79,6 +87,8 @@
     time_point told_at_{};
     /// A peer has been asked for all its entries; more answers would only fill the links.
     bool asking_for_all_ = false;
+    bool fetching_configuration_ = false;
+    telling_delay delays_;
     bool entries_stale_ = true;
     bool documents_stale_ = true;
     boost::asio::steady_timer due_;
--- /dev/null
+++ b/bamboostream/src/Gateway/telling_delay.cpp
@@ -0,0 +1,25 @@
+#include "bamboostream/src/Gateway/telling_delay.h"
+
+#include <algorithm>
+
+namespace bamboostream {
+
+milliseconds telling_delay::beyond_least(const std::string& teller, std::int64_t stamp,
+                                         milliseconds told_at, milliseconds heard_at) {
+    const milliseconds difference = heard_at - told_at;
+    const auto [found, is_new] = by_teller_.try_emplace(teller);
+    auto& [known_stamp, d] = found->second;
+    if (is_new || known_stamp != stamp) {
+        found->second = {stamp, {heard_at, difference, std::nullopt}};
+        return milliseconds{0};
+    }
+    if (heard_at - d.span_began >= span) {
+        d.least_before = d.least;
+        d.least = difference;
+        d.span_began = heard_at;
+    }
+    d.least = std::min(d.least, difference);
+    return difference - std::min(d.least, d.least_before.value_or(d.least));
+}
+
+} // namespace bamboostream
--- a/bamboostream/src/Links/link.cpp
+++ b/bamboostream/src/Links/link.cpp
@@ -319,6 +319,14 @@
     state_->send_to(peer, encode_frame(frame));
 }
 
+void link_hub::send_to_each(std::span<const std::string> peers, wire::FrameT frame) {
+    state_->stamp(frame);
+    const std::string bytes = encode_frame(frame);
+    for (const std::string& peer : peers) {
+        state_->send_to(peer, bytes);
+    }
+}
+
 asio::awaitable<std::unique_ptr<wire::FrameT>>
 link_hub::call(std::string peer, wire::FrameT frame, milliseconds timeout, link_failure& why) {
     auto state = state_;
--- a/bamboostream/src/Links/link.h
+++ b/bamboostream/src/Links/link.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace bamboostream::wire {
@@ -61,6 +62,8 @@
     void set_identity(instance_id self);
     /// Sends without expecting a reply.
     void send(const std::string& peer, wire::FrameT frame);
+    /// The same to several peers; the frame is encoded once.
+    void send_to_each(std::span<const std::string> peers, wire::FrameT frame);
     /// Sends and waits for the reply, at most `timeout`.
     boost::asio::awaitable<std::unique_ptr<wire::FrameT>>
     call(std::string peer, wire::FrameT frame, milliseconds timeout, link_failure& why);
--- /dev/null
+++ b/test/platform/news_relay_test.cpp
@@ -0,0 +1,89 @@
+// What the readers of the store tell reaches many instances through relays, over real links.
+
+#include "test/platform/peer_group.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <numeric>
+
+namespace bamboostream::test {
+namespace {
+
+constexpr int domains = 3;
+constexpr int instances_a_domain = 4;
+
+class news_relay : public testing::Test {
+protected:
+    news_relay() {
+        add_server("i-0");
+        for (const auto& it : group_.all) {
+            it->follower.start(*it->news);
+            it->news->start();
+        }
+        group_.run_for(milliseconds(1'500));
+    }
+    void add_server(const std::string& id) {
+        group_.records.append({id, fmt::format(R"({{"service":"s","address":"10.0.0.1:80",
+"zone":"z","version":"v","slots":6,"state":"ready","cold_left_ms":0,"sequence":1}})")});
+    }
+    bool knows(const peer_instance& it, const std::string& id) const {
+        return it.forwarding.registry.find(backend_id(id)) != nullptr;
+    }
+    /// How many of those that are alive know the server.
+    int knowing(const std::string& id) const {
+        return static_cast<int>(
+            std::count_if(group_.all.begin(), group_.all.end(),
+                          [&](const auto& it) { return it.get() != dead_ && knows(*it, id); }));
+    }
+    std::vector<peer_instance*> relays(const std::string& domain) const {
+        std::vector<peer_instance*> out;
+        for (const std::string& address :
+             group_.all.front()->membership->owners_in(domain, "relay", 2)) {
+            out.push_back(&group_.at(address));
+        }
+        return out;
+    }
+    int calls() const {
+        return std::accumulate(group_.all.begin(), group_.all.end(), 0,
+                               [](int sum, const auto& it) { return sum + it->store.calls(); });
+    }
+
+    peer_group group_{domains, instances_a_domain};
+    const peer_instance* dead_ = nullptr;
+};
+
+// A server registers. The readers hear it from the store, and everybody else from them and their
+// relays, without a call of its own.
+TEST_F(news_relay, all_learn_without_reading) {
+    const std::vector<peer_instance*> order = group_.owners("store");
+    const int before = calls();
+    const int before_of_readers = order[0]->store.calls() + order[1]->store.calls();
+    add_server("i-1");
+    group_.run_for(milliseconds(300));
+    EXPECT_EQ(knowing("i-1"), domains * instances_a_domain);
+    const int of_readers = order[0]->store.calls() + order[1]->store.calls() - before_of_readers;
+    EXPECT_EQ(calls() - before, of_readers);
+    EXPECT_GT(of_readers, 0);
+}
+
+// The relay of the first reader's word dies in a domain. Those there still hear the second reader,
+// by another relay, and learn in time of what changes.
+TEST_F(news_relay, one_relay_less_is_made_up_for) {
+    const std::string& reader_domain =
+        group_.owners("store")[0]->membership->own_failure_domain().text();
+    const std::string domain = reader_domain == "d0" ? "d1" : "d0";
+    peer_instance* relay = relays(domain).front();
+    dead_ = relay;
+    group_.kill(*relay);
+    add_server("i-1");
+    const time_point told = monotonic_now();
+    const int alive = domains * instances_a_domain - 1;
+    while (knowing("i-1") < alive && monotonic_now() < told + seconds(3)) {
+        group_.run_for(milliseconds(10));
+    }
+    EXPECT_EQ(knowing("i-1"), alive);
+    EXPECT_LT(monotonic_now() - told, longest_learning(record_topic::backend_entries));
+}
+
+} // namespace
+} // namespace bamboostream::test
--- /dev/null
+++ b/test/platform/peer_group.cpp
@@ -0,0 +1,129 @@
+#include "test/platform/peer_group.h"
+
+#include "bamboostream/src/Control/periodic.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace bamboostream::test {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Addresses at which other instances may be found.
+class fixed_seeds final : public instance_list {
+public:
+    explicit fixed_seeds(std::vector<std::string> seeds) : seeds_(std::move(seeds)) {}
+    asio::awaitable<std::optional<machine_list>> read(list_failure&) override {
+        machine_list out;
+        out.instances = seeds_;
+        co_return out;
+    }
+
+private:
+    std::vector<std::string> seeds_;
+};
+
+} // namespace
+
+asio::awaitable<std::optional<record_page>> shared_store::newest(record_topic topic,
+                                                                 store_failure&) {
+    ++calls_;
+    record_page page;
+    if (topic == record_topic::backend_entries) {
+        page = {records_.log(), static_cast<std::int64_t>(records_.log().size())};
+    }
+    co_return page;
+}
+
+asio::awaitable<std::optional<record_page>>
+shared_store::read(record_topic topic, std::int64_t from, milliseconds wait, store_failure&) {
+    ++calls_;
+    record_page page;
+    page.next = from;
+    const time_point until = monotonic_now() + wait;
+    while (topic == record_topic::backend_entries && monotonic_now() < until) {
+        const auto& log = records_.log();
+        if (static_cast<std::size_t>(from) < log.size()) {
+            page.records.assign(log.begin() + from, log.end());
+            page.next = static_cast<std::int64_t>(log.size());
+            co_return page;
+        }
+        co_await pause_for(milliseconds(2));
+    }
+    co_await pause_for(std::max(duration{}, until - monotonic_now()));
+    co_return page;
+}
+
+peer_instance::peer_instance(asio::io_context& context, const shared_records& records,
+                             const std::string& failure_domain, std::vector<std::string> seeds)
+    : links(context,
+            [this](std::unique_ptr<wire::FrameT> frame) {
+                ++heard[frame->message.type];
+                return peers->handle(std::move(frame));
+            }),
+      forwarding(requests, failure_domain_id(failure_domain), window_budget_rules{}, 7),
+      state(forwarding, documents), store(records), follower(context, store, state, duty) {
+    std::string why;
+    member_facts self;
+    self.id = {links.listen("127.0.0.1:0", why).value_or(why), wall_now()};
+    self.failure_domain = failure_domain_id(failure_domain);
+    links.set_identity(self.id);
+    membership_service::timing times;
+    times.most_told_directly = 1;
+    membership = std::make_unique<membership_service>(
+        context, links, std::make_unique<fixed_seeds>(std::move(seeds)), self, times,
+        stable_hash(self.id.address));
+    news = std::make_unique<store_news>(context, links, *membership, forwarding, state, follower,
+                                        duty);
+    state.on_backend_change([this](const registry_change& change) { news->note_change(change); });
+    owner = std::make_unique<pool_owner>(links, *membership, forwarding);
+    peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news, *owner);
+    membership->start();
+}
+
+peer_group::peer_group(int domains, int count) {
+    std::vector<std::string> seeds;
+    for (int i = 0; i < domains * count; ++i) {
+        all.push_back(std::make_unique<peer_instance>(context, records,
+                                                      fmt::format("d{}", i % domains), seeds));
+        if (seeds.size() < 3) {
+            seeds.push_back(all.back()->address());
+        }
+    }
+    const time_point limit = monotonic_now() + seconds(10);
+    while (!all_know_all() && monotonic_now() < limit) {
+        run_for(milliseconds(20));
+    }
+}
+
+void peer_group::run_for(milliseconds time) {
+    context.restart();
+    context.run_for(time);
+}
+
+bool peer_group::all_know_all() const {
+    return std::all_of(all.begin(), all.end(), [this](const auto& it) {
+        return it->membership->usable_peers().size() + 1 == all.size();
+    });
+}
+
+peer_instance& peer_group::at(const std::string& address) const {
+    return **std::find_if(all.begin(), all.end(),
+                          [&](const auto& it) { return it->address() == address; });
+}
+
+std::vector<peer_instance*> peer_group::owners(std::string_view key) const {
+    std::vector<peer_instance*> out;
+    for (const std::string& address : all.front()->membership->owners(key, all.size())) {
+        out.push_back(&at(address));
+    }
+    return out;
+}
+
+void peer_group::kill(peer_instance& instance) {
+    instance.links.close();
+}
+
+} // namespace bamboostream::test
--- /dev/null
+++ b/test/platform/peer_group.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "bamboostream/Gateway"
+#include "bamboostream/src/Control/frames.h"
+#include "platform/record_translation.h"
+#include "platform/request_translation.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bamboostream::test {
+
+/// Records that all instances of a group read; counts who reads.
+class shared_records {
+public:
+    void append(keyed_record record) { log_.push_back(std::move(record)); }
+    const std::vector<keyed_record>& log() const { return log_; }
+
+private:
+    std::vector<keyed_record> log_;
+};
+
+/// One instance's client of the shared records of entries; documents are empty.
+class shared_store final : public record_store {
+public:
+    explicit shared_store(const shared_records& records) : records_(records) {}
+    boost::asio::awaitable<std::optional<record_page>> newest(record_topic topic,
+                                                              store_failure& why) override;
+    boost::asio::awaitable<std::optional<record_page>>
+    read(record_topic topic, std::int64_t from, milliseconds wait, store_failure& why) override;
+    /// Calls since the group began.
+    int calls() const { return calls_; }
+
+private:
+    const shared_records& records_;
+    int calls_ = 0;
+};
+
+/// As much of a gateway as talking to its peers takes, on loopback.
+struct peer_instance {
+    peer_instance(boost::asio::io_context& context, const shared_records& records,
+                  const std::string& failure_domain, std::vector<std::string> seeds);
+    const std::string& address() const { return membership->own_address(); }
+
+    platform::request_translation requests;
+    platform::record_translation documents;
+    link_hub links;
+    forwarding_state forwarding;
+    deployment_state state;
+    store_duty duty;
+    shared_store store;
+    store_follower follower;
+    std::unique_ptr<membership_service> membership;
+    std::unique_ptr<store_news> news;
+    std::unique_ptr<pool_owner> owner;
+    std::unique_ptr<peer_exchange> peers;
+    /// Frames heard, by kind.
+    std::map<wire::Message, int> heard;
+};
+
+/// Instances that know each other, of which each counts as one of many.
+class peer_group {
+public:
+    /// `count` instances in each of `domains` failure domains.
+    peer_group(int domains, int count);
+    void run_for(milliseconds time);
+    /// In the order in which they own `key`.
+    std::vector<peer_instance*> owners(std::string_view key) const;
+    peer_instance& at(const std::string& address) const;
+    /// The process ends: nothing is heard of it again.
+    void kill(peer_instance& instance);
+
+    boost::asio::io_context context{1};
+    shared_records records;
+    std::vector<std::unique_ptr<peer_instance>> all;
+
+private:
+    bool all_know_all() const;
+};
+
+} // namespace bamboostream::test
--- a/test/platform/store_view_test.cpp
+++ b/test/platform/store_view_test.cpp
@@ -88,9 +88,13 @@
     duty.hear("r1", entries, start - seconds(5));
     EXPECT_FALSE(duty.must_read(entries, common_order, "s1", start));
     EXPECT_TRUE(duty.must_read(documents, common_order, "s1", start));
-    duty.hear_version(7);
-    duty.hear_version(5);
-    EXPECT_EQ(duty.told_version(), 7);
+    duty.hear_version(7, start);
+    duty.hear_version(5, start + milliseconds(10));
+    const time_point later = start + handing_on + milliseconds(1);
+    EXPECT_TRUE(duty.must_fetch(6, later));
+    EXPECT_FALSE(duty.must_fetch(7, later));
+    // Until then a peer may hand it on.
+    EXPECT_FALSE(duty.must_fetch(6, start + handing_on));
 }
 
 /// Tries in a row that the store didn't answer, and the pause after them.
