Count calls to the store by their reason; log why an instance reads it

The reasons: start, duty, old views, missed changes, a configuration that nobody handed on. Also in the metrics: bytes and frames between instances.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -41,6 +41,7 @@
         view_stale,
         view_fresh,
         bound_too_short,
+        store_reading,
         generation_lost,
         stream_resumed,
         foreign_event_dropped,
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -259,8 +259,9 @@
 }
 
 asio::awaitable<void> gateway::parts::handle_metrics(http_exchange& exchange) const {
+    const gateway_figures figures{state.version(), store.calls(), links.traffic()};
     co_await exchange.respond(200, "text/plain; version=0.0.4",
-                              exposition(forwarding, state.version(), monotonic_now()), {});
+                              exposition(forwarding, figures, monotonic_now()), {});
 }
 
 asio::awaitable<void> gateway::parts::handle_caller(http_exchange& exchange) {
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -21,9 +21,28 @@
     return static_cast<std::uint64_t>(to_milliseconds(std::min(age, longest)));
 }
 
+void append_store_calls(std::string& out, const store_calls& calls) {
+    out += "# TYPE bamboostream_store_calls_total counter\n";
+    // The first reason is that none is made.
+    for (std::size_t i = 1; i < calls.size(); ++i) {
+        fmt::format_to(std::back_inserter(out),
+                       "bamboostream_store_calls_total{{reason=\"{}\"}} {}\n",
+                       to_string(static_cast<read_reason>(i)), calls[i]);
+    }
+}
+
+void append_links(std::string& out, const link_traffic& links) {
+    append(out, "counter", "peer_bytes_sent_total", links.bytes_sent);
+    append(out, "counter", "peer_bytes_received_total", links.bytes_received);
+    append(out, "counter", "peer_frames_sent_total", links.frames_sent);
+    append(out, "counter", "peer_frames_received_total", links.frames_received);
+    append(out, "counter", "peer_frames_bad_total", links.bad_frames);
+    append(out, "counter", "peer_frames_dropped_total", links.dropped_frames);
+}
+
 } // namespace
 
-std::string exposition(const forwarding_state& state, std::int64_t configuration_version,
+std::string exposition(const forwarding_state& state, const gateway_figures& figures,
                        time_point now) {
     const forward_counters& c = state.counters;
     std::string out = "# TYPE bamboostream_requests_total counter\n";
@@ -45,7 +64,9 @@
     append(out, "gauge", "entries_view_age_ms", told_age_ms(state.entries_view.age(now)));
     append(out, "gauge", "documents_view_age_ms", told_age_ms(state.documents_view.age(now)));
     append(out, "gauge", "configuration_version",
-           static_cast<std::uint64_t>(configuration_version));
+           static_cast<std::uint64_t>(figures.configuration_version));
+    append_store_calls(out, figures.calls_to_store);
+    append_links(out, figures.links);
     return out + state.latency.exposition();
 }
 
--- a/bamboostream/src/Gateway/store_follower.cpp
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <numeric>
 #include <span>
 
 namespace bamboostream {
@@ -24,6 +25,12 @@
 
 } // namespace
 
+std::string_view to_string(read_reason reason) {
+    constexpr std::array<std::string_view, static_cast<std::size_t>(read_reason::count_)> names = {
+        "none", "start", "duty", "old_views", "missed_changes", "configuration"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
 void store_follower::start(reading_plan& plan) {
     plan_ = &plan;
     asio::co_spawn(context_, follow(documents_), asio::detached);
@@ -43,21 +50,35 @@
     return position.own_view.age(now);
 }
 
-/// Somebody else reads, and what has been read there is known here.
-bool store_follower::may_rest(const topic_position& position) const {
+read_reason store_follower::reason_to_read(const topic_position& position) const {
     const time_point now = monotonic_now();
+    if (!position.read_before) {
+        return read_reason::start;
+    }
     if (plan_->must_read(position.topic, now)) {
-        return false;
+        return plan_->role() == reading_role::reader ? read_reason::duty : read_reason::old_views;
+    }
+    if (position.topic == record_topic::backend_entries) {
+        return entries_wanted_ ? read_reason::missed_changes : read_reason::none;
+    }
+    return duty_.must_fetch(state_.version(), now) ? read_reason::configuration : read_reason::none;
+}
+
+void store_follower::note_reason(topic_position& position, read_reason reason) {
+    if (position.reason == reason) {
+        return;
     }
-    const bool entries = position.topic == record_topic::backend_entries;
-    return entries ? !entries_wanted_ : !duty_.must_fetch(state_.version(), now);
+    position.reason = reason;
+    log_event(events::store_reading, "topic={} reason={} calls={}", name_of(position.topic),
+              to_string(reason), std::accumulate(calls_.begin(), calls_.end(), std::uint64_t{0}));
 }
 
 asio::awaitable<void> store_follower::follow(topic_position& position) {
-    bool read_before = false;
     int failures = 0;
     while (true) {
-        if (read_before && may_rest(position)) {
+        const read_reason reason = reason_to_read(position);
+        note_reason(position, reason);
+        if (reason == read_reason::none) {
             // What comes meanwhile is told by others; the position here is out of date.
             position.next.reset();
             failures = 0;
@@ -65,8 +86,9 @@
             co_await pause_for(look_pause);
             continue;
         }
+        ++calls_[static_cast<std::size_t>(reason)];
         const bool answered = co_await advance(position);
-        read_before = read_before || answered;
+        position.read_before = position.read_before || answered;
         failures = answered ? 0 : failures + 1;
         co_await pause_for(answered ? pause_between_reads
                                     : store_duty::pause_after_failure(plan_->role(), failures));
--- a/bamboostream/src/Gateway/store_follower.h
+++ b/bamboostream/src/Gateway/store_follower.h
@@ -3,9 +3,12 @@
 #include "bamboostream/src/Gateway/deployment_state.h"
 #include "bamboostream/src/Gateway/store_duty.h"
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace bamboostream {
 
@@ -22,6 +25,29 @@
     virtual void note_answer() = 0;
 };
 
+/// Why an instance reads a topic of the store, or that it needn't.
+enum class read_reason : std::uint8_t {
+    /// Somebody else reads, and what has been read there is known here.
+    none,
+    /// Nothing was read since the start.
+    start,
+    /// It is one of those that read for all.
+    duty,
+    /// Nobody before it in the order tells of a fresh view.
+    old_views,
+    /// It has missed changes that were told.
+    missed_changes,
+    /// A configuration was told of that no peer has handed on.
+    configuration,
+    count_,
+};
+
+/// The name of a reason in logs and metrics.
+std::string_view to_string(read_reason reason);
+
+/// Calls to the store, by their reason.
+using store_calls = std::array<std::uint64_t, static_cast<std::size_t>(read_reason::count_)>;
+
 /// Follows the topics of the platform's store and keeps the deployment state up to date, while it
 /// is this instance's duty. See also `store_duty`.
 class store_follower {
@@ -40,20 +66,25 @@
     bool reads_well(record_topic topic, time_point now) const {
         return own_age(topic, now) <= times_of(topic).longest_view;
     }
+    /// Calls of this instance since its start, of both topics.
+    const store_calls& calls() const { return calls_; }
     /// Since when a topic could not be read; nothing while all can be.
     std::optional<time_point> failing_since() const;
 
 private:
     struct topic_position {
-        record_topic topic;
+        record_topic topic{};
         /// Nothing until the newest records have been read.
-        std::optional<std::int64_t> next;
-        std::optional<time_point> failing_since;
+        std::optional<std::int64_t> next{};
+        std::optional<time_point> failing_since{};
         /// By this instance's own reads.
-        view_age own_view;
+        view_age own_view{};
+        bool read_before = false;
+        read_reason reason = read_reason::none;
     };
     boost::asio::awaitable<void> follow(topic_position& position);
-    bool may_rest(const topic_position& position) const;
+    read_reason reason_to_read(const topic_position& position) const;
+    void note_reason(topic_position& position, read_reason reason);
     /// False when the store didn't answer.
     boost::asio::awaitable<bool> advance(topic_position& position);
     void note_answer(topic_position& position, bool answered, const store_failure& why);
@@ -66,8 +97,9 @@
     const store_duty& duty_;
     reading_plan* plan_ = nullptr;
     bool entries_wanted_ = false;
-    topic_position documents_{record_topic::operator_documents, std::nullopt, std::nullopt, {}};
-    topic_position entries_{record_topic::backend_entries, std::nullopt, std::nullopt, {}};
+    store_calls calls_{};
+    topic_position documents_{.topic = record_topic::operator_documents};
+    topic_position entries_{.topic = record_topic::backend_entries};
 };
 
 } // namespace bamboostream
