--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -84,7 +84,7 @@
 /// What the choice went by, before the request itself counts.
 void forwarded_call::log_send(const destination& to) const {
     const time_point now = monotonic_now();
-    const backend_work work = state_.loads.total(to.backend.id, now);
+    const backend_work work = to.work ? *to.work : state_.loads.total(to.backend.id, now);
     const duration view_age = state_.entries_view.age(now);
     state_.latency.record(latency_stage::view_age, route_->repeats, view_age);
     log_event(
@@ -312,7 +312,7 @@
         target.id = notice.target;
         target.address = notice.target_address;
         target.service = service_->id;
-        const destination to{known ? *known : target, notice.copy};
+        const destination to{known ? *known : target, notice.copy, std::nullopt};
         state_.budget.spend(service_->id, monotonic_now());
         const auto next = co_await attempt(to);
         if (!next) {
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -178,7 +178,7 @@
     const auto servers = state_.registry.usable(service_->id);
     const registered_backend* chosen =
         state_.picker.pick(servers, state_.loads, wanted, monotonic_now());
-    co_return chosen ? std::optional(destination{*chosen, std::nullopt}) : std::nullopt;
+    co_return chosen ? std::optional(destination{*chosen, {}, {}}) : std::nullopt;
 }
 
 asio::awaitable<std::optional<forwarded_call::destination>>
@@ -206,7 +206,7 @@
         log_turned_away(*choice);
         co_return std::nullopt;
     }
-    co_return destination{*choice->engine, std::nullopt};
+    co_return destination{*choice->engine, std::nullopt, choice->work};
 }
 
 void forwarded_call::log_turned_away(const engine_choice& choice) const {
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -45,6 +45,8 @@
     struct destination {
         registered_backend backend;
         std::optional<generation_copy> copy;
+        /// The work there which the choice went by; nothing when that was this instance's view.
+        std::optional<backend_work> work;
     };
 
     std::optional<rejection> prepare();
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -106,12 +106,17 @@
     out.granted = choice.engine && choice.verdict == admission_verdict::admit;
     out.backend = choice.engine ? choice.engine->id.text() : std::string();
     out.reason = static_cast<std::uint8_t>(choice.verdict);
+    out.requests = tokens_on_wire(choice.work.requests);
+    out.memory_tokens = tokens_on_wire(choice.work.memory_tokens);
+    out.unread_tokens = tokens_on_wire(choice.work.unread_tokens);
     return out;
 }
 
-admission_verdict from_wire(const wire::AdmitReplyT& reply) {
+engine_choice from_wire(const wire::AdmitReplyT& reply, const registered_backend& engine) {
     constexpr auto last = static_cast<std::uint8_t>(admission_verdict::prompts_queued);
-    return static_cast<admission_verdict>(std::min(reply.reason, last));
+    return {engine,
+            static_cast<admission_verdict>(std::min(reply.reason, last)),
+            {static_cast<int>(reply.requests), reply.memory_tokens, reply.unread_tokens}};
 }
 
 wire::MovableReplyT to_wire(std::span<const movable_generation> generations) {
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -33,7 +33,8 @@
 /// Without the engines' memory, which the receiver's own configuration says.
 engine_request from_wire(const wire::AdmitRequestT& request);
 wire::AdmitReplyT to_wire(const engine_choice& choice);
-admission_verdict from_wire(const wire::AdmitReplyT& reply);
+/// `engine` is the receiver's own record of the one that the reply names.
+engine_choice from_wire(const wire::AdmitReplyT& reply, const registered_backend& engine);
 
 wire::MovableReplyT to_wire(std::span<const movable_generation> generations);
 std::vector<movable_generation> from_wire(const wire::MovableReplyT& reply);
--- a/bamboostream/src/Gateway/pool_owner.cpp
+++ b/bamboostream/src/Gateway/pool_owner.cpp
@@ -73,7 +73,7 @@
             co_return std::nullopt;
         }
         ++forwarding_.counters.placed_by_owner;
-        co_return engine_choice{*engine, from_wire(answer), {}};
+        co_return from_wire(answer, *engine);
     }
     co_return std::nullopt;
 }
