--- a/test/platform/news_relay_test.cpp
+++ b/test/platform/news_relay_test.cpp
@@ -16,6 +16,7 @@
 protected:
     news_relay() {
         add_server("i-0");
+        write_configuration(1);
         for (const auto& it : group_.all) {
             it->follower.start(*it->news);
             it->news->start();
@@ -23,9 +24,21 @@
         group_.run_for(milliseconds(1'500));
     }
     void add_server(const std::string& id) {
-        group_.records.append({id, fmt::format(R"({{"service":"s","address":"10.0.0.1:80",
+        group_.records.append(record_topic::backend_entries,
+                              {id, fmt::format(R"({{"service":"s","address":"10.0.0.1:80",
 "zone":"z","version":"v","slots":6,"state":"ready","cold_left_ms":0,"sequence":1}})")});
     }
+    void write_configuration(int version) {
+        group_.records.append(
+            record_topic::operator_documents,
+            {std::string(group_.all.front()->documents.configuration_key()),
+             fmt::format(R"({{"version":{},"routes":[],"services":[],"limits":{{}}}})", version)});
+    }
+    int holding_configuration(int version) const {
+        return static_cast<int>(
+            std::count_if(group_.all.begin(), group_.all.end(),
+                          [&](const auto& it) { return it->state.version() == version; }));
+    }
     bool knows(const peer_instance& it, const std::string& id) const {
         return it.forwarding.registry.find(backend_id(id)) != nullptr;
     }
@@ -66,6 +79,22 @@
     EXPECT_GT(of_readers, 0);
 }
 
+// The operator writes a configuration. It is handed on from peer to peer; only the readers call the
+// store.
+TEST_F(news_relay, a_configuration_is_handed_on) {
+    const std::vector<peer_instance*> order = group_.owners("store");
+    const int before = calls() - order[0]->store.calls() - order[1]->store.calls();
+    write_configuration(2);
+    const time_point written = monotonic_now();
+    const int all = domains * instances_a_domain;
+    while (holding_configuration(2) < all && monotonic_now() < written + seconds(3)) {
+        group_.run_for(milliseconds(10));
+    }
+    EXPECT_EQ(holding_configuration(2), all);
+    EXPECT_LT(monotonic_now() - written, handing_on + milliseconds(150));
+    EXPECT_EQ(calls() - order[0]->store.calls() - order[1]->store.calls(), before);
+}
+
 // The relay of the first reader's word dies in a domain. Those there still hear the second reader,
 // by another relay, and learn in time of what changes.
 TEST_F(news_relay, one_relay_less_is_made_up_for) {
--- a/test/platform/peer_group.cpp
+++ b/test/platform/peer_group.cpp
@@ -30,11 +30,8 @@
 asio::awaitable<std::optional<record_page>> shared_store::newest(record_topic topic,
                                                                  store_failure&) {
     ++calls_;
-    record_page page;
-    if (topic == record_topic::backend_entries) {
-        page = {records_.log(), static_cast<std::int64_t>(records_.log().size())};
-    }
-    co_return page;
+    const std::vector<keyed_record>& log = records_.log(topic);
+    co_return record_page{log, static_cast<std::int64_t>(log.size())};
 }
 
 asio::awaitable<std::optional<record_page>>
@@ -43,8 +40,8 @@
     record_page page;
     page.next = from;
     const time_point until = monotonic_now() + wait;
-    while (topic == record_topic::backend_entries && monotonic_now() < until) {
-        const auto& log = records_.log();
+    while (monotonic_now() < until) {
+        const auto& log = records_.log(topic);
         if (static_cast<std::size_t>(from) < log.size()) {
             page.records.assign(log.begin() + from, log.end());
             page.next = static_cast<std::int64_t>(log.size());
--- a/test/platform/peer_group.h
+++ b/test/platform/peer_group.h
@@ -6,23 +6,30 @@
 #include "platform/request_translation.h"
 
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace bamboostream::test {
 
-/// Records that all instances of a group read; counts who reads.
+/// Records that all instances of a group read, by topic.
 class shared_records {
 public:
-    void append(keyed_record record) { log_.push_back(std::move(record)); }
-    const std::vector<keyed_record>& log() const { return log_; }
+    void append(record_topic topic, keyed_record record) {
+        log_[topic].push_back(std::move(record));
+    }
+    const std::vector<keyed_record>& log(record_topic topic) const {
+        static const std::vector<keyed_record> none;
+        const auto found = log_.find(topic);
+        return found == log_.end() ? none : found->second;
+    }
 
 private:
-    std::vector<keyed_record> log_;
+    std::map<record_topic, std::vector<keyed_record>> log_;
 };
 
-/// One instance's client of the shared records of entries; documents are empty.
+/// One instance's client of the shared records.
 class shared_store final : public record_store {
 public:
     explicit shared_store(const shared_records& records) : records_(records) {}
