Tell the owner what became of requests at the engines it chose

Cause: an owner learns of failures from the requests that it sends itself only, one in eight at eight instances, one in 295 in the large deployment; an engine that refuses at once looks idle to it. Ruled out: the avoid list of a request, which only concerns that request. Change: reports of work carry how requests at engines have ended; what one instance tells of an engine counts as one failure at a time, so that an instance which is cut off can't take an engine away from all. Engines that the asking instance has ejected are avoided as well.

--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -43,8 +43,7 @@
     const bool counts =
         end == attempt_end::not_sent || end == attempt_end::lost || end == attempt_end::silent;
     if (counts && !left_) {
-        state_.picker.on_failure(to.backend.id, state_.registry.usable(service_->id).size(),
-                                 monotonic_now());
+        note_outcome(to.backend.id, false);
     }
     if (end == attempt_end::not_sent && !left_) {
         state_.picker.on_unreachable(to.backend.id, monotonic_now());
@@ -56,6 +55,18 @@
     return end;
 }
 
+void forwarded_call::note_outcome(const backend_id& server, bool succeeded) {
+    const time_point now = monotonic_now();
+    if (succeeded) {
+        state_.picker.on_success(server, now);
+    } else {
+        state_.picker.on_failure(server, state_.registry.usable(service_->id).size(), now);
+    }
+    if (service_->engine) {
+        state_.engine_outcomes.note(server, succeeded);
+    }
+}
+
 asio::awaitable<bool> forwarded_call::open_channel(const registered_backend& backend) {
     const time_point now = monotonic_now();
     const bool once = route_->repeats == repeat_rule::once;
@@ -180,7 +191,7 @@
         failure_ = std::move(answer);
         co_return fail(to, attempt_end::failed, "the server failed");
     }
-    state_.picker.on_success(to.backend.id, monotonic_now());
+    note_outcome(to.backend.id, true);
     leave_work();
     co_await exchange_.respond(answer.status, {}, std::move(answer.body), answer.fields);
     state_.counters.count(forward_result::answered);
@@ -263,7 +274,7 @@
         co_await exchange_.begin_stream(facts.status, {}, {});
     }
     co_await exchange_.end_stream();
-    state_.picker.on_success(to.backend.id, monotonic_now());
+    note_outcome(to.backend.id, true);
     state_.counters.count(forward_result::answered);
     log_event(
         events::request_ended,
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -11,6 +11,7 @@
 #include "bamboostream/src/Membership/view_age.h"
 #include "bamboostream/src/Routing/backend_picker.h"
 #include "bamboostream/src/Routing/load_book.h"
+#include "bamboostream/src/Routing/outcome_book.h"
 #include "bamboostream/src/Routing/route_table.h"
 #include "bamboostream/src/Routing/window_budget.h"
 
@@ -72,6 +73,8 @@
     window_budget budget;
     admission_rules admission;
     backend_picker picker;
+    /// What to tell those that choose engines for this instance.
+    outcome_book engine_outcomes;
     http_channel_pool channels;
     active_streams streams;
     std::mt19937_64 random;
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -51,7 +51,8 @@
         const std::vector<backend_work_entry> own = forwarding_.loads.own();
         forwarding_.live_instances = membership_.usable_peers().size() + 1;
         if (!own.empty() || !told_none) {
-            links_.send_to_each(owner_.told_of_work(), make_frame(to_wire(own)));
+            links_.send_to_each(owner_.told_of_work(),
+                                make_frame(to_wire(own, forwarding_.engine_outcomes.take())));
         }
         told_none = own.empty();
         co_await wait_on(load_due_, monotonic_now() + load_period);
@@ -73,8 +74,7 @@
     case wire::Message::BackendListRequest:
         co_return news_.answer_backends();
     case wire::Message::LoadReport:
-        forwarding_.loads.hear(frame->sender, from_wire(*frame->message.AsLoadReport()),
-                               monotonic_now());
+        owner_.hear(*frame->message.AsLoadReport(), frame->sender);
         co_return nullptr;
     case wire::Message::AdmitRequest:
         co_return owner_.answer(*frame->message.AsAdmitRequest(), frame->sender);
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -62,13 +62,25 @@
     return out;
 }
 
-wire::LoadReportT to_wire(std::span<const backend_work_entry> own) {
+std::vector<backend_outcomes> outcomes_from_wire(const wire::LoadReportT& report) {
+    std::vector<backend_outcomes> out;
+    for (const wire::OutcomeEntry& entry : report.outcomes) {
+        out.push_back({entry.backend(), entry.succeeded(), entry.failed()});
+    }
+    return out;
+}
+
+wire::LoadReportT to_wire(std::span<const backend_work_entry> own,
+                          std::span<const backend_outcomes> outcomes) {
     wire::LoadReportT report;
     for (const backend_work_entry& entry : own) {
         report.entries.emplace_back(entry.backend, entry.work.requests,
                                     static_cast<std::int32_t>(entry.work.memory_tokens),
                                     static_cast<std::int32_t>(entry.work.unread_tokens));
     }
+    for (const backend_outcomes& entry : outcomes) {
+        report.outcomes.emplace_back(entry.backend, entry.succeeded, entry.failed);
+    }
     return report;
 }
 
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -5,6 +5,7 @@
 #include "bamboostream/src/Links/generated/wire_generated.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Routing/load_book.h"
+#include "bamboostream/src/Routing/outcome_book.h"
 
 #include <cstdint>
 #include <memory>
@@ -26,8 +27,10 @@
 /// moment long ago it would look like an outage of the store.
 std::optional<time_point> moment_of(std::uint32_t age_on_wire, time_point now);
 
-wire::LoadReportT to_wire(std::span<const backend_work_entry> own);
+wire::LoadReportT to_wire(std::span<const backend_work_entry> own,
+                          std::span<const backend_outcomes> outcomes);
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report);
+std::vector<backend_outcomes> outcomes_from_wire(const wire::LoadReportT& report);
 
 wire::AdmitRequestT to_wire(const engine_request& request);
 /// Without the engines' memory, which the receiver's own configuration says.
--- a/bamboostream/src/Gateway/pool_owner.cpp
+++ b/bamboostream/src/Gateway/pool_owner.cpp
@@ -45,11 +45,27 @@
     return {out.begin(), out.end()};
 }
 
+void pool_owner::hear(const wire::LoadReportT& report, const std::string& sender) {
+    const time_point now = monotonic_now();
+    forwarding_.loads.hear(sender, from_wire(report), now);
+    for (const backend_outcomes& seen : outcomes_from_wire(report)) {
+        const registered_backend* engine = forwarding_.registry.find_if(
+            [&seen](const registered_backend& it) { return work_key(it.id) == seen.backend; });
+        if (engine != nullptr) {
+            const std::size_t group = forwarding_.registry.usable(engine->service).size();
+            forwarding_.picker.note(engine->id, seen.succeeded, seen.failed, group, now);
+        }
+    }
+}
+
 asio::awaitable<std::optional<engine_choice>> pool_owner::choose(const engine_request& request) {
-    // The owner may not have tried those yet.
+    // The owner may not know of those yet.
     engine_request asked = request;
-    const std::vector<backend_id> unreachable = forwarding_.picker.unreachable(monotonic_now());
-    asked.avoid.insert(asked.avoid.end(), unreachable.begin(), unreachable.end());
+    for (const registered_backend* engine : forwarding_.registry.usable(request.service)) {
+        if (forwarding_.picker.passed_over(engine->id, monotonic_now())) {
+            asked.avoid.push_back(engine->id);
+        }
+    }
     for (const std::string& owner : owners(request.service)) {
         if (owner == membership_.own_address()) {
             co_return std::nullopt;
--- a/bamboostream/src/Gateway/pool_owner.h
+++ b/bamboostream/src/Gateway/pool_owner.h
@@ -13,7 +13,8 @@
 
 namespace bamboostream::wire {
 struct AdmitRequestT;
-}
+struct LoadReportT;
+} // namespace bamboostream::wire
 
 namespace bamboostream {
 
@@ -37,6 +38,8 @@
     /// Chooses for another instance.
     std::unique_ptr<wire::FrameT> answer(const wire::AdmitRequestT& request,
                                          const std::string& sender);
+    /// Takes what another instance tells of its work and of what became of it.
+    void hear(const wire::LoadReportT& report, const std::string& sender);
     /// The instances that must know of work at the engines; this one excluded.
     std::vector<std::string> told_of_work() const;
 
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -90,6 +90,15 @@
     std::vector<const registered_backend*> usable(const service_id& service) const;
     /// Whether the server is still listed, leaving or not; null when it isn't.
     const registered_backend* find(const backend_id& id) const;
+    /// The first listed server for which `predicate` holds; null when there is none.
+    template <class Predicate> const registered_backend* find_if(Predicate predicate) const {
+        for (const auto& [id, known] : backends_) {
+            if (predicate(known.backend)) {
+                return &known.backend;
+            }
+        }
+        return nullptr;
+    }
     std::vector<registered_backend> all() const;
     /// Whether its entry is missing and waited for.
     bool has_lapsed(const backend_id& id) const;
--- a/bamboostream/src/Routing/backend_picker.cpp
+++ b/bamboostream/src/Routing/backend_picker.cpp
@@ -90,14 +90,14 @@
     unreachable_until_[id] = now + unreachable_for;
 }
 
-std::vector<backend_id> backend_picker::unreachable(time_point now) const {
-    std::vector<backend_id> out;
-    for (const auto& [id, until] : unreachable_until_) {
-        if (now < until) {
-            out.push_back(id);
-        }
+void backend_picker::note(const backend_id& id, int succeeded, int failed, std::size_t group_size,
+                          time_point now) {
+    for (int i = 0; i < succeeded; ++i) {
+        on_success(id, now);
+    }
+    if (failed > 0) {
+        on_failure(id, group_size, now);
     }
-    return out;
 }
 
 void backend_picker::on_success(const backend_id& id, time_point now) {
--- a/bamboostream/src/Routing/backend_picker.h
+++ b/bamboostream/src/Routing/backend_picker.h
@@ -41,8 +41,12 @@
     /// left: while the store is away engines go without their entries, and with 44 engines of which
     /// eight had gone, three connections in a row failed for one request in fifteen.
     void on_unreachable(const backend_id& id, time_point now);
-    /// The servers that could not be reached a moment ago.
-    std::vector<backend_id> unreachable(time_point now) const;
+    /// What another instance has seen of a server. Its failures count as one in a row: they come
+    /// together, and an instance that is cut off itself must not take a server away from all.
+    void note(const backend_id& id, int succeeded, int failed, std::size_t group_size,
+              time_point now);
+    /// Whether the server is left out for a while, unless nothing else is left.
+    bool passed_over(const backend_id& id, time_point now) const;
     void on_success(const backend_id& id, time_point now);
     /// `group_size` counts the servers of the same service.
     void on_failure(const backend_id& id, std::size_t group_size, time_point now);
@@ -53,7 +57,6 @@
 private:
     double cost(const registered_backend& server, const backend_work& work,
                 const placement_request& request, time_point now) const;
-    bool passed_over(const backend_id& id, time_point now) const;
 
     std::mt19937_64 random_;
     outlier_detector outliers_;
--- /dev/null
+++ b/bamboostream/src/Routing/outcome_book.cpp
@@ -0,0 +1,27 @@
+#include "bamboostream/src/Routing/outcome_book.h"
+
+#include "bamboostream/src/Routing/load_book.h"
+
+#include <limits>
+#include <utility>
+
+namespace bamboostream {
+
+void outcome_book::note(const backend_id& id, bool succeeded) {
+    backend_outcomes& seen = outcomes_[work_key(id)];
+    seen.backend = work_key(id);
+    std::uint16_t& count = succeeded ? seen.succeeded : seen.failed;
+    if (count < std::numeric_limits<std::uint16_t>::max()) {
+        ++count;
+    }
+}
+
+std::vector<backend_outcomes> outcome_book::take() {
+    std::vector<backend_outcomes> out;
+    for (const auto& [key, seen] : std::exchange(outcomes_, {})) {
+        out.push_back(seen);
+    }
+    return out;
+}
+
+} // namespace bamboostream
--- a/test/platform/pool_owner_test.cpp
+++ b/test/platform/pool_owner_test.cpp
@@ -1,5 +1,6 @@
 // One instance chooses the engines of a service for all others, over real links on loopback.
 
+#include "bamboostream/src/Gateway/peer_frames.h"
 #include "test/platform/decision_helpers.h"
 #include "test/platform/peer_group.h"
 
@@ -140,6 +141,32 @@
     EXPECT_FALSE(ask(asker(), request()));
 }
 
+// An engine refuses at once whatever it is sent, so it looks idle. Those that sent there tell the
+// owner with their work, and callers are sent elsewhere until it serves again.
+TEST_F(pool_owner_test, an_engine_that_fails_others_gets_little) {
+    const backend_id failing("i-7");
+    for (const auto& it : group_.all) {
+        for (int i = 0; i < engine_count; ++i) {
+            const backend_id id(fmt::format("i-{}", i));
+            if (id != failing) {
+                it->forwarding.loads.add(id, {1, 3'000, 0});
+            }
+        }
+    }
+    const auto told_by_asker = [&](bool succeeded) {
+        asker().forwarding.engine_outcomes.note(failing, succeeded);
+        owner().owner->hear(to_wire({}, asker().forwarding.engine_outcomes.take()),
+                            asker().address());
+    };
+    EXPECT_EQ(ask(asker(), request())->engine->id, failing);
+    for (int i = 0; i < 6; ++i) {
+        told_by_asker(false);
+    }
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_NE(ask(*order_[3], request())->engine->id, failing);
+    }
+}
+
 // Work is told to the owner and its deputy only, and by these to each other.
 TEST_F(pool_owner_test, only_the_owners_are_told_of_work) {
     const std::vector<std::string> told = asker().owner->told_of_work();
