--- a/bamboostream/src/Gateway/pool_owner.cpp
+++ b/bamboostream/src/Gateway/pool_owner.cpp
@@ -77,7 +77,9 @@
         const auto reply =
             co_await links_.call(owner, make_frame(to_wire(asked)), answer_timeout, why);
         if (!reply || reply->message.type != wire::Message::AdmitReply) {
-            silent_until_[owner] = monotonic_now() + passed_over_for;
+            const time_point now = monotonic_now();
+            std::erase_if(silent_until_, [now](const auto& item) { return now >= item.second; });
+            silent_until_[owner] = now + passed_over_for;
             ++forwarding_.counters.owners_silent;
             continue;
         }
--- a/bamboostream/src/Gateway/telling_delay.cpp
+++ b/bamboostream/src/Gateway/telling_delay.cpp
@@ -10,6 +10,9 @@
     const auto [found, is_new] = by_teller_.try_emplace(teller);
     auto& [known_stamp, d] = found->second;
     if (is_new || known_stamp != stamp) {
+        std::erase_if(by_teller_, [&](const auto& item) {
+            return item.first != teller && heard_at - item.second.second.span_began > 3 * span;
+        });
         found->second = {stamp, {heard_at, difference, std::nullopt}};
         return milliseconds{0};
     }
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -99,7 +99,7 @@
 prove two_relays $s/Gateway/store_news.cpp 'first ? candidates.front() : candidates.back()' 'candidates.front()' 'one_relay_less'
 prove choice_counted_at_once $s/Gateway/pool_owner.cpp 'if (choice.engine && choice.verdict == admission_verdict::admit) {' 'if (false) {' 'counts_each_choice_at_once'
 prove deputy $s/Gateway/pool_owner.cpp 'owners_a_service = 2' 'owners_a_service = 1' 'the_deputy_answers'
-prove silent_owner $s/Gateway/pool_owner.cpp 'silent_until_[owner] = monotonic_now() + passed_over_for;' '' 'the_deputy_answers'
+prove silent_owner $s/Gateway/pool_owner.cpp 'silent_until_[owner] = now + passed_over_for;' '' 'the_deputy_answers'
 prove leaving_engine_of_owner $s/Gateway/pool_owner.cpp 'engine == nullptr || engine->leaving' 'engine == nullptr' 'known_to_leave_is_not_taken'
 prove members_made_up_for $s/Membership/member_table.cpp 'differs_ = told.summary != 0 && told.summary != summary();' '' 'all_know_all_in_time'
 prove large_owners $s/Core/rendezvous.h 'if (a.node->preferred != b.node->preferred) {' 'if (false) {' 'preferred_nodes_come_first'
