--- a/bamboostream/src/Gateway/store_news.cpp
+++ b/bamboostream/src/Gateway/store_news.cpp
@@ -38,7 +38,7 @@
 /// A telling that left later than it says is that much older.
 std::uint32_t older(std::uint32_t age_ms, milliseconds by) {
     constexpr std::uint32_t unknown = std::numeric_limits<std::uint32_t>::max();
-    return age_ms == unknown ? unknown : age_ms + static_cast<std::uint32_t>(by.count());
+    return age_ms == unknown ? unknown : age_on_wire(milliseconds(age_ms) + by);
 }
 
 } // namespace
@@ -200,7 +200,7 @@
     }
     const bool relayed = !news.teller.empty();
     const std::string& teller = relayed ? news.teller : sender;
-    if (news.told_at_ms == 0) {
+    if (news.told_at_ms <= 0) {
         take(sender, news, monotonic_now());
         return;
     }
--- a/bamboostream/src/Gateway/telling_delay.cpp
+++ b/bamboostream/src/Gateway/telling_delay.cpp
@@ -4,9 +4,16 @@
 
 namespace bamboostream {
 
+namespace {
+
+/// No machine runs for a century; a telling that says so is damaged, and mustn't overflow.
+constexpr milliseconds longest_clock = std::chrono::hours(24 * 36'500);
+
+} // namespace
+
 milliseconds telling_delay::beyond_least(const std::string& teller, std::int64_t stamp,
                                          milliseconds told_at, milliseconds heard_at) {
-    const milliseconds difference = heard_at - told_at;
+    const milliseconds difference = heard_at - std::clamp(told_at, milliseconds{0}, longest_clock);
     const auto [found, is_new] = by_teller_.try_emplace(teller);
     auto& [known_stamp, d] = found->second;
     if (is_new || known_stamp != stamp) {
--- a/test/platform/telling_delay_test.cpp
+++ b/test/platform/telling_delay_test.cpp
@@ -56,5 +56,14 @@
     EXPECT_EQ(delay.beyond_least("other", life, ms(10), ms(1'000'300)), ms(0));
 }
 
+// A damaged telling says any moment. It counts as old at worst, and the next good one is right.
+TEST(telling_delay_lives_test, an_absurd_clock_does_no_harm) {
+    telling_delay delay;
+    delay.beyond_least("reader", life, ms(1'000), ms(2'000));
+    EXPECT_GE(delay.beyond_least("reader", life, milliseconds::min(), ms(2'300)), ms(0));
+    EXPECT_EQ(delay.beyond_least("reader", life, ms(1'600), ms(2'600)), ms(0));
+    EXPECT_EQ(delay.beyond_least("reader", life, milliseconds::max(), ms(2'900)), ms(0));
+}
+
 } // namespace
 } // namespace bamboostream
