Take failure domains out of service by the operator's word

Cause: the operator's record of a failure domain out of service was read by nobody, only the key of the configuration was.

Ruled out: a late view. The topic is read by two instances within 0.4 s as it is; nothing looked at the key.

Change: the set of cordoned failure domains is a belief of its own with a position in the store's topic of documents. It goes whole with each telling of a reader and in the answers to instances that lag, so a lost, late or repeated telling does no harm, and the newer position wins whoever tells. An instance of the version before, which tells of no cordons, doesn't count as having told of the topic. The registry lists no server of such a domain as usable: first and further sends, engines of the owner's choice, targets of moves and questions to engines follow from that. A moved generation whose rest isn't copied goes on from its first copy instead of at its source.

The product's own interface has no such order yet.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -29,6 +29,7 @@
         backend_restarted,
         backend_lapsed,
         backend_kept,
+        domains_cordoned,
         configuration_in_force,
         configuration_rejected,
         log_unavailable,
--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -122,11 +122,6 @@
     }
 }
 
-bool evacuation_service::is_usable(const backend_id& id) const {
-    const registered_backend* known = state_.registry.find(id);
-    return known != nullptr && !known->leaving;
-}
-
 std::vector<move_target> evacuation_service::targets(const service_id& service) const {
     std::vector<move_target> out;
     const service_rule* rule = state_.routes->find_service(service);
@@ -154,7 +149,7 @@
                choose_target(candidate.generation, source.failure_domain, speed, open)) {
         const registered_backend target = open[*index].backend;
         open.erase(open.begin() + static_cast<std::ptrdiff_t>(*index));
-        if (!is_usable(target.id)) {
+        if (!state_.registry.takes_work(target.id)) {
             continue;
         }
         receiving_.insert(target.id);
@@ -184,7 +179,7 @@
     // A first copy takes up to 1.5 s, time enough for the target to say that it leaves too. The
     // stream would go there up to 3 s after that word, when the target is gone; until it is stopped
     // it may still go elsewhere, and after the check only the rest is copied.
-    if (!is_usable(target.id)) {
+    if (!state_.registry.takes_work(target.id)) {
         log_event(events::move_failed, "request={} source={} target={} reason=target leaves", id,
                   source.id.text(), target.id.text());
         co_return move_error::refused;
@@ -199,8 +194,12 @@
     if (source_gone) {
         finish_move(candidate, {target.id, target.address, {source.address, first->handle}});
     } else if (last && last->stopped) {
-        const registered_backend& goes_on_at = last->copied ? target : source;
-        finish_move(candidate, {goes_on_at.id, goes_on_at.address, {source.address, last->handle}});
+        // Not back to an engine of a cordoned failure domain: the first copy lacks little.
+        const bool to_target =
+            last->copied || state_.registry.cordoned().contains(source.failure_domain);
+        const registered_backend& goes_on_at = to_target ? target : source;
+        const std::string& handle = to_target && !last->copied ? first->handle : last->handle;
+        finish_move(candidate, {goes_on_at.id, goes_on_at.address, {source.address, handle}});
     }
     co_return last ? move_error::none : why.code;
 }
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -55,8 +55,6 @@
     /// False when the source is gone.
     boost::asio::awaitable<bool> move_one(const registered_backend& source,
                                           const move_candidate& candidate);
-    /// Whether the engine is listed and doesn't leave.
-    bool is_usable(const backend_id& id) const;
     std::vector<move_target> targets(const service_id& service) const;
     boost::asio::awaitable<move_error> move_to(const registered_backend& source,
                                                const registered_backend& target,
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -55,6 +55,15 @@
     return end;
 }
 
+attempt_end forwarded_call::pass_over(const destination& to) {
+    history_.note(attempt_end::not_sent);
+    log_event(
+        events::attempt_failed,
+        "request={} route={} backend={} address={} end=not_sent reason=takes no work sends={}",
+        request_.id, route_->name, to.backend.id.text(), to.backend.address, history_.sends);
+    return attempt_end::not_sent;
+}
+
 void forwarded_call::note_outcome(const backend_id& server, bool succeeded) {
     const time_point now = monotonic_now();
     if (succeeded) {
@@ -122,6 +131,11 @@
     if (left_ || now >= deadline_) {
         co_return fail(to, attempt_end::not_sent, "no time left");
     }
+    // A connection may take as long as the news that its failure domain is out of service.
+    if (!to.copy && !state_.registry.takes_work(to.backend.id)) {
+        give_back(to);
+        co_return pass_over(to);
+    }
     forward_send send;
     send.expected = to.backend.id;
     send.address = to.backend.address;
@@ -302,9 +316,7 @@
 /// A stream whose source couldn't be reached may go on there for seconds after its notice. One such
 /// stream was sent to its target 6.2 s after this had said that it leaves.
 bool forwarded_call::may_follow(const move_notice& notice, time_point now) const {
-    const registered_backend* target = state_.registry.find(notice.target);
-    const bool stays = target != nullptr && !target->leaving;
-    return stays || now - stream_->noticed_at <= fresh_notice;
+    return state_.registry.takes_work(notice.target) || now - stream_->noticed_at <= fresh_notice;
 }
 
 /// Goes on where the generation was moved to, as often as it is moved. A target that doesn't take
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -79,6 +79,8 @@
     bool may_follow(const move_notice& notice, time_point now) const;
     boost::asio::awaitable<std::optional<attempt_end>> follow_moves(attempt_end end);
     attempt_end fail(const destination& to, attempt_end end, std::string_view reason);
+    /// The server takes no work any more; nothing is held against it.
+    attempt_end pass_over(const destination& to);
     /// A server has served the request, or has not.
     void note_outcome(const backend_id& server, bool succeeded);
     bool try_again(attempt_end end);
--- a/bamboostream/src/Gateway/deployment_contract.h
+++ b/bamboostream/src/Gateway/deployment_contract.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,15 @@
     std::int64_t next = 0;
 };
 
+/// The failure domains that the operator has taken out of service. The whole set goes from instance
+/// to instance, so that a lost or repeated telling does no harm.
+struct cordoned_domains {
+    std::set<failure_domain_id> domains;
+    /// Everything that the store's topic of documents says before this position is in the set; zero
+    /// while nothing is known.
+    std::int64_t position = 0;
+};
+
 /// The platform's store as the product needs it: topics of keyed records. Read only.
 class record_store {
 public:
@@ -58,6 +68,9 @@
     virtual ~record_codec() = default;
     /// The key of the record that holds the routing configuration.
     virtual std::string_view configuration_key() const = 0;
+    /// The failure domain that a record with this key takes out of service for as long as it is
+    /// there; nothing when the key is of another kind.
+    virtual std::optional<failure_domain_id> cordoned_domain(std::string_view key) const = 0;
     virtual std::optional<routing_configuration> read_configuration(std::string_view text,
                                                                     std::string& why) const = 0;
     virtual std::optional<registered_backend> read_backend(const std::string& key,
--- a/bamboostream/src/Gateway/deployment_state.cpp
+++ b/bamboostream/src/Gateway/deployment_state.cpp
@@ -137,6 +137,57 @@
     }
 }
 
+void deployment_state::reject_key(const std::string& key) {
+    constexpr std::size_t most_remembered = 256;
+    if (unknown_keys_.size() < most_remembered && unknown_keys_.insert(key).second) {
+        ++rejected_documents_;
+        log_event(events::record_rejected, "topic=operator_documents key={} reason=unknown key",
+                  key);
+    }
+}
+
+void deployment_state::take_cordon_records(std::span<const keyed_record> records, bool all,
+                                           std::int64_t position) {
+    cordoned_domains known{all ? std::set<failure_domain_id>{} : cordons_.domains, position};
+    for (const keyed_record& record : records) {
+        const auto domain = codec_.cordoned_domain(record.key);
+        if (!domain) {
+            if (record.key != codec_.configuration_key()) {
+                reject_key(record.key);
+            }
+        } else if (record.value.empty()) {
+            known.domains.erase(*domain);
+        } else {
+            known.domains.insert(*domain);
+        }
+    }
+    set_cordons(std::move(known), "store");
+}
+
+void deployment_state::take_cordons(const cordoned_domains& told) {
+    if (told.position > cordons_.position) {
+        set_cordons(told, "peer");
+    }
+}
+
+void deployment_state::set_cordons(cordoned_domains cordons, std::string_view origin) {
+    const bool changed = cordons.domains != cordons_.domains;
+    cordons_ = std::move(cordons);
+    if (!changed) {
+        return;
+    }
+    forwarding_.registry.set_cordoned(cordons_.domains);
+    std::string names;
+    for (const failure_domain_id& domain : cordons_.domains) {
+        names += (names.empty() ? "" : ",") + domain.text();
+    }
+    log_event(events::domains_cordoned, "failure_domains={} position={} origin={}",
+              names.empty() ? "none" : names, cordons_.position, origin);
+    if (cordon_listener_) {
+        cordon_listener_();
+    }
+}
+
 void deployment_state::take_entries(std::span<const keyed_record> records, bool all,
                                     time_point now) {
     std::vector<registered_backend> entries;
--- a/bamboostream/src/Gateway/deployment_state.h
+++ b/bamboostream/src/Gateway/deployment_state.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -38,6 +39,9 @@
     void on_new_configuration(std::function<void(const routing_configuration&)> listener) {
         configuration_listener_ = std::move(listener);
     }
+    void on_cordon_change(std::function<void()> listener) {
+        cordon_listener_ = std::move(listener);
+    }
     void on_backend_change(std::function<void(const registry_change&)> listener) {
         backend_listener_ = std::move(listener);
     }
@@ -55,6 +59,12 @@
     /// Takes records of a topic; `all` says that they are the newest of every key.
     void take_records(record_topic topic, std::span<const keyed_record> records, bool all,
                       time_point now);
+    /// Takes the cordons among records of the operator's documents, which end at `position`; `all`
+    /// says that they are the newest of every key.
+    void take_cordon_records(std::span<const keyed_record> records, bool all,
+                             std::int64_t position);
+    /// Takes the cordons as another instance knows them, unless as much is known here.
+    void take_cordons(const cordoned_domains& told);
     /// Takes another instance's list of entries, which is complete up to `position` of the store's
     /// topic. One that is no further than what is known here says nothing new.
     void take_peer_backends(std::span<const peer_backend> entries, std::int64_t position,
@@ -69,8 +79,13 @@
     /// How far the entries of the store are known here.
     change_follower& entries() { return entries_; }
     const change_follower& entries() const { return entries_; }
+    const cordoned_domains& cordons() const { return cordons_; }
+    /// The position in the topic up to which what it says is known here.
+    std::int64_t position(record_topic topic) const {
+        return topic == record_topic::backend_entries ? entries_.position() : cordons_.position;
+    }
     std::int64_t version() const { return version_; }
-    /// Configurations that could not be read, or are larger than any.
+    /// Documents that could not be read, or are larger than any, or whose key says nothing.
     std::uint64_t rejected_documents() const { return rejected_documents_; }
     /// The document of the configuration in force; null before the first.
     const std::shared_ptr<const std::string>& document() const { return document_; }
@@ -90,6 +105,8 @@
     document_verdict judge(const unread_document& document,
                            std::shared_ptr<const route_table> table, const std::string& why);
     void reject(std::string_view origin, std::string_view why);
+    void set_cordons(cordoned_domains cordons, std::string_view origin);
+    void reject_key(const std::string& key);
     void take_entries(std::span<const keyed_record> records, bool all, time_point now);
 
     forwarding_state& forwarding_;
@@ -101,7 +118,11 @@
     std::deque<unread_document> unread_;
     std::shared_ptr<const std::string> document_;
     change_follower entries_;
+    cordoned_domains cordons_;
+    /// Keys of documents that have been logged as unknown.
+    std::set<std::string> unknown_keys_;
     std::function<void(const routing_configuration&)> configuration_listener_;
+    std::function<void()> cordon_listener_;
     std::function<void(const registry_change&)> backend_listener_;
 };
 
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -137,6 +137,7 @@
     evacuation = std::make_unique<evacuation_service>(context, forwarding, contracts.mover, *peers);
     state.read_beside(reader);
     state.on_new_configuration([this](const routing_configuration& c) { take_configuration(c); });
+    state.on_cordon_change([this] { news->note_cordons(); });
     state.on_backend_change([this](const registry_change& change) {
         news->note_change(change);
         if (change.event == registry_event::leaving || change.event == registry_event::gone) {
@@ -175,6 +176,7 @@
     };
     compare("leaving", record_topic::backend_entries, settings.leaving_bound);
     compare("configuration", record_topic::operator_documents, settings.configuration_bound);
+    compare("cordon", record_topic::operator_documents, settings.cordon_bound);
 }
 
 bool gateway::parts::start() {
--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -39,10 +39,12 @@
     admission_rules admission;
     /// Between the signal to end and the kill.
     milliseconds grace{8'000};
-    /// From the store's word that a server leaves until no request may reach it, and from that of a
-    /// configuration until it must hold; nothing when the platform doesn't say.
+    /// From the store's word that a server leaves until no request may reach it, from that of a
+    /// configuration until it must hold, and from that of a failure domain out of service until no
+    /// request may reach it there; nothing when the platform doesn't say.
     std::optional<milliseconds> leaving_bound;
     std::optional<milliseconds> configuration_bound;
+    std::optional<milliseconds> cordon_bound;
     /// How long callers may keep a directory answer.
     milliseconds directory_validity{2'000};
 };
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -78,6 +78,7 @@
     append(out, "gauge", "open_streams", state.streams.size());
     append(out, "gauge", "idle_connections", state.channels.idle());
     append(out, "gauge", "backend_servers", state.registry.all().size());
+    append(out, "gauge", "cordoned_failure_domains", state.registry.cordoned().size());
     append(out, "gauge", "live_instances", state.live_instances);
     append(out, "gauge", "entries_view_age_ms", told_age_ms(state.entries_view.age(now)));
     append(out, "gauge", "documents_view_age_ms", told_age_ms(state.documents_view.age(now)));
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -53,6 +53,23 @@
     return now - milliseconds(age_on_wire);
 }
 
+std::vector<std::string> to_wire(const std::set<failure_domain_id>& domains) {
+    std::vector<std::string> out;
+    for (const failure_domain_id& domain : domains) {
+        out.push_back(domain.text());
+    }
+    return out;
+}
+
+cordoned_domains cordons_from_wire(std::span<const std::string> domains, std::uint64_t position) {
+    cordoned_domains out;
+    out.position = static_cast<std::int64_t>(position);
+    for (const std::string& domain : domains) {
+        out.domains.emplace(domain);
+    }
+    return out;
+}
+
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report) {
     std::vector<backend_work_entry> out;
     for (const wire::WorkEntry& entry : report.entries) {
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Forwarding/active_streams.h"
 #include "bamboostream/src/Forwarding/engine_choice.h"
+#include "bamboostream/src/Gateway/deployment_contract.h"
 #include "bamboostream/src/Links/generated/wire_generated.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Routing/load_book.h"
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -27,6 +29,10 @@
 /// moment long ago it would look like an outage of the store.
 std::optional<time_point> moment_of(std::uint32_t age_on_wire, time_point now);
 
+/// Cordons go with the position up to which they hold; zero for an instance that doesn't know any.
+std::vector<std::string> to_wire(const std::set<failure_domain_id>& domains);
+cordoned_domains cordons_from_wire(std::span<const std::string> domains, std::uint64_t position);
+
 wire::LoadReportT to_wire(std::span<const backend_work_entry> own,
                           std::span<const backend_outcomes> outcomes);
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report);
--- a/bamboostream/src/Gateway/pool_owner.cpp
+++ b/bamboostream/src/Gateway/pool_owner.cpp
@@ -84,10 +84,10 @@
             continue;
         }
         const wire::AdmitReplyT& answer = *reply->message.AsAdmitReply();
-        // An engine that is not known here, or that is known to leave, isn't sent to on the word of
-        // another, whose view may be older.
+        // An engine that takes no work by what is known here isn't sent to on the word of another,
+        // whose view may be older.
         const registered_backend* engine = forwarding_.registry.find(backend_id(answer.backend));
-        if (engine == nullptr || engine->leaving) {
+        if (engine == nullptr || !forwarding_.registry.takes_work(engine->id)) {
             co_return std::nullopt;
         }
         ++forwarding_.counters.placed_by_owner;
--- a/bamboostream/src/Gateway/store_follower.cpp
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -100,7 +100,7 @@
 asio::awaitable<bool> store_follower::advance(topic_position& position) {
     store_failure why;
     const bool all = !position.next;
-    const std::int64_t known_before = state_.entries().position();
+    const std::int64_t known_before = state_.position(position.topic);
     // Not a conditional expression: g++ 12 destroys the result of a co_await in one twice.
     std::optional<record_page> page;
     if (all) {
@@ -131,11 +131,12 @@
     position.next = page.next;
     position.own_view.known(now);
     state_.note_view(position.topic, now, now);
-    if (position.topic == record_topic::operator_documents) {
+    const bool documents = position.topic == record_topic::operator_documents;
+    if (documents) {
+        // Versions tell configurations apart, whatever their order.
         state_.take_records(position.topic, page.records, all, now);
-        return;
     }
-    const std::int64_t known = state_.entries().position();
+    const std::int64_t known = state_.position(position.topic);
     if (page.next < known && (!all || known_before <= page.next)) {
         return;
     }
@@ -145,6 +146,10 @@
         fresh = fresh.subspan(
             static_cast<std::size_t>(std::clamp<std::int64_t>(known - first, 0, count)));
     }
+    if (documents) {
+        state_.take_cordon_records(fresh, all, page.next);
+        return;
+    }
     state_.entries().caught_up(page.next);
     state_.take_records(position.topic, fresh, all, now);
     entries_wanted_ = false;
--- a/bamboostream/src/Gateway/store_news.cpp
+++ b/bamboostream/src/Gateway/store_news.cpp
@@ -72,7 +72,8 @@
 }
 
 bool store_news::has_from_others(record_topic topic) const {
-    return topic == record_topic::operator_documents && state_.version() > 0;
+    return topic == record_topic::operator_documents && state_.version() > 0 &&
+           state_.cordons().position > 0;
 }
 
 /// A start of all would have every instance read the configuration at the same moment, whole, which
@@ -115,6 +116,10 @@
     due_.cancel();
 }
 
+void store_news::note_cordons() {
+    due_.cancel();
+}
+
 void store_news::note_configuration() {
     due_.cancel();
 }
@@ -159,6 +164,8 @@
         fact->lapsed = change.event == registry_event::lapsed;
         news.changed.push_back(std::move(fact));
     }
+    news.documents_sequence = static_cast<std::uint64_t>(state_.cordons().position);
+    news.cordoned = to_wire(state_.cordons().domains);
     news.told_at_ms = machine_now().count();
     send_to_all(std::move(news));
 }
@@ -200,7 +207,9 @@
     if (entries_as_of && static_cast<std::int64_t>(news.sequence) <= state_.entries().position()) {
         state_.note_view(record_topic::backend_entries, *entries_as_of, now);
     }
-    if (documents_as_of && news.configuration_version <= state_.version()) {
+    const auto documents_position = static_cast<std::int64_t>(news.documents_sequence);
+    if (documents_as_of && news.configuration_version <= state_.version() &&
+        documents_position > 0 && documents_position <= state_.cordons().position) {
         state_.note_view(record_topic::operator_documents, *documents_as_of, now);
     }
 }
@@ -257,9 +266,13 @@
     if (const auto as_of = moment_of(news.entries_age_ms, now)) {
         duty_.hear(teller, record_topic::backend_entries, *as_of);
     }
-    if (const auto as_of = moment_of(news.documents_age_ms, now)) {
-        duty_.hear(teller, record_topic::operator_documents, *as_of);
+    // An instance of the version before tells of configurations only: its word doesn't keep this
+    // one from reading what the operator says of failure domains.
+    const auto documents_as_of = moment_of(news.documents_age_ms, now);
+    if (documents_as_of && news.documents_sequence > 0) {
+        duty_.hear(teller, record_topic::operator_documents, *documents_as_of);
     }
+    state_.take_cordons(cordons_from_wire(news.cordoned, news.documents_sequence));
     spread_.hear_version(sender, news.configuration_version);
     if (teller != sender) {
         spread_.hear_version(teller, news.configuration_version);
@@ -337,6 +350,7 @@
             }
             if (is_stale(record_topic::operator_documents, monotonic_now())) {
                 spread_.ask_anybody(peer);
+                co_await ask_cordons(peer);
             }
         }
         co_await pause_for(catch_up_period);
@@ -356,6 +370,27 @@
     co_return std::move(*reply->message.AsBackendList());
 }
 
+asio::awaitable<void> store_news::ask_cordons(std::string peer) {
+    wire::BackendListRequestT request;
+    request.paged = true;
+    request.documents_only = true;
+    link_failure why;
+    const auto reply = co_await links_.call(peer, make_frame(request), peer_timeout, why);
+    if (reply && reply->message.type == wire::Message::BackendList) {
+        take_documents_view(*reply->message.AsBackendList(), monotonic_now());
+    }
+}
+
+void store_news::take_documents_view(const wire::BackendListT& list, time_point now) {
+    state_.take_cordons(cordons_from_wire(list.cordoned, list.documents_sequence));
+    const auto as_of = moment_of(list.documents_age_ms, now);
+    const auto position = static_cast<std::int64_t>(list.documents_sequence);
+    if (as_of && position > 0 && position <= state_.cordons().position &&
+        list.configuration_version <= state_.version()) {
+        state_.note_view(record_topic::operator_documents, *as_of, now);
+    }
+}
+
 /// Page by page: asked for in one answer with a time limit, the list of a large deployment never
 /// comes over a small link, and a probe waits behind it.
 ///
@@ -383,6 +418,7 @@
         more = page->more && !page->entries.empty();
         after = page->entries.empty() ? std::string() : page->entries.back()->id;
         if (!first) {
+            take_documents_view(*page, now);
             // The age is of the moment in which the page was written.
             page->entries.clear();
             first = std::move(page);
@@ -409,6 +445,13 @@
     list.fresh = !is_stale(record_topic::backend_entries, now);
     list.age_ms = age_on_wire(forwarding_.entries_view.age(now));
     list.sequence = static_cast<std::uint64_t>(state_.entries().position());
+    list.documents_sequence = static_cast<std::uint64_t>(state_.cordons().position);
+    list.documents_age_ms = age_on_wire(forwarding_.documents_view.age(now));
+    list.configuration_version = state_.version();
+    list.cordoned = to_wire(state_.cordons().domains);
+    if (request.documents_only) {
+        return make_reply(std::move(list));
+    }
     const std::size_t most =
         request.paged ? backends_a_page : std::numeric_limits<std::size_t>::max();
     const auto page = forwarding_.registry.page_after(backend_id(request.after), most);
--- a/bamboostream/src/Gateway/store_news.h
+++ b/bamboostream/src/Gateway/store_news.h
@@ -45,6 +45,7 @@
     /// reads for them.
     void note_change(const registry_change& change);
     void note_configuration();
+    void note_cordons();
 
     /// Takes the telling of another instance, in the life that began at `stamp`, and passes it on
     /// when asked to.
@@ -68,6 +69,9 @@
     /// Asks peers for what this instance has missed.
     boost::asio::awaitable<void> catch_up_loop();
     boost::asio::awaitable<void> ask_backends(std::string peer);
+    /// Asks a peer which failure domains are cordoned.
+    boost::asio::awaitable<void> ask_cordons(std::string peer);
+    void take_documents_view(const wire::BackendListT& list, time_point now);
     boost::asio::awaitable<std::optional<wire::BackendListT>> ask_backend_page(std::string peer,
                                                                                std::string after);
     bool is_stale(record_topic topic, time_point now) const;
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -163,10 +163,19 @@
     }
 }
 
+bool backend_registry::takes_work(const registered_backend& backend) const {
+    return !backend.leaving && !cordoned_.contains(backend.failure_domain);
+}
+
+bool backend_registry::takes_work(const backend_id& id) const {
+    const registered_backend* known = find(id);
+    return known != nullptr && takes_work(*known);
+}
+
 std::vector<const registered_backend*> backend_registry::usable(const service_id& service) const {
     std::vector<const registered_backend*> out;
     for (const auto& [id, record] : backends_) {
-        if (record.backend.service == service && !record.backend.leaving) {
+        if (record.backend.service == service && takes_work(record.backend)) {
             out.push_back(&record.backend);
         }
     }
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -86,6 +86,13 @@
     /// Carries out removals that were put off and are due.
     void expire(time_point now);
 
+    /// Failure domains whose servers get no new work, whatever their entries say. Replaces those of
+    /// before.
+    void set_cordoned(std::set<failure_domain_id> domains) { cordoned_ = std::move(domains); }
+    const std::set<failure_domain_id>& cordoned() const { return cordoned_; }
+    /// Whether the server may get new work: it is listed, doesn't leave, and its failure domain
+    /// isn't cordoned.
+    bool takes_work(const backend_id& id) const;
     /// Servers of a service that may get new work. The views last until the next change.
     std::vector<const registered_backend*> usable(const service_id& service) const;
     /// Whether the server is still listed, leaving or not; null when it isn't.
@@ -112,6 +119,7 @@
         registered_backend backend;
         std::optional<time_point> removal_due;
     };
+    bool takes_work(const registered_backend& backend) const;
     bool removals_wait(time_point now) const;
     /// Whether this life of the server has said that it leaves.
     bool has_left(const registered_backend& backend) const;
@@ -124,6 +132,7 @@
     /// are gone. A later life of the same id is sound: were leaving to stick to the id alone, an
     /// engine that started again would stand idle for good.
     std::map<backend_id, std::int64_t> left_;
+    std::set<failure_domain_id> cordoned_;
     std::vector<registry_change> changes_;
     bool store_away_ = false;
     std::optional<time_point> store_returned_;
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -197,6 +197,22 @@
     EXPECT_EQ(peers_.told_[0].notice.target, backend_id("i-1"));
 }
 
+// The same in a failure domain that is out of service, where no request may be sent any more: the
+// stream goes on from the first copy, which lacks the tokens of the last moments only.
+TEST_F(evacuation_test, a_generation_does_not_go_back_into_a_cordoned_domain) {
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    mover_.not_copied_ = true;
+    registered_backend away = *state_.registry.find(backend_id("i-5"));
+    away.failure_domain = failure_domain_id("verket");
+    state_.registry.learn(away, monotonic_now());
+    state_.registry.set_cordoned({failure_domain_id("norra")});
+    leave("i-1");
+    run_for(milliseconds(60));
+    ASSERT_EQ(peers_.told_.size(), 1u);
+    EXPECT_EQ(peers_.told_[0].notice.target, backend_id("i-5"));
+    EXPECT_EQ(peers_.told_[0].notice.copy.handle, "g1-first");
+}
+
 // The store is away, so nobody hears that an engine leaves. The owner asks the engines themselves
 // and moves their generations; with the store there it asks nobody, since each question costs.
 TEST_F(evacuation_test, engines_are_asked_only_while_the_store_is_away) {
--- a/test/platform/peer_group.cpp
+++ b/test/platform/peer_group.cpp
@@ -94,6 +94,7 @@
     news = std::make_unique<store_news>(context, links, *membership, forwarding, state, follower,
                                         duty, *spread);
     state.read_beside(reader);
+    state.on_cordon_change([this] { news->note_cordons(); });
     state.on_backend_change([this](const registry_change& change) { news->note_change(change); });
     owner = std::make_unique<pool_owner>(links, *membership, forwarding);
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news, *spread,
--- a/test/platform/pool_owner_test.cpp
+++ b/test/platform/pool_owner_test.cpp
@@ -141,6 +141,12 @@
     EXPECT_FALSE(ask(asker(), request()));
 }
 
+// The owner hasn't heard yet that a failure domain is out of service, the asker has.
+TEST_F(pool_owner_test, an_engine_of_a_cordoned_domain_is_not_taken) {
+    asker().forwarding.registry.set_cordoned({failure_domain_id("norra")});
+    EXPECT_FALSE(ask(asker(), request()));
+}
+
 // An engine refuses at once whatever it is sent, so it looks idle. Those that sent there tell the
 // owner with their work, and callers are sent elsewhere until it serves again.
 TEST_F(pool_owner_test, an_engine_that_fails_others_gets_little) {
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -91,7 +91,7 @@
 prove own_outage $s/Membership/backend_registry.h 'least_outage{1' 'least_outage{0' 'outage|an_outage_of_one_reader'
 prove overtaken_list $s/Gateway/store_follower.cpp 'if (page.next < known && (!all || known_before <= page.next)) {' 'if (false) {' 'store_follower_test'
 prove overtaken_page $s/Gateway/store_follower.cpp 'if (!all) {' 'if (false) {' 'store_follower_test'
-prove target_leaves $s/Evacuation/evacuation_service.cpp 'if (!is_usable(target.id)) {
+prove target_leaves $s/Evacuation/evacuation_service.cpp 'if (!state_.registry.takes_work(target.id)) {
         log' 'if (false) {
         log' 'a_target_that_begins'
 prove old_notice $s/Forwarding/forwarded_attempt.cpp 'if (!may_follow(notice, monotonic_now())) {' 'if (false) {' 'old_move'
@@ -100,7 +100,7 @@
 prove choice_counted_at_once $s/Gateway/pool_owner.cpp 'if (choice.engine && choice.verdict == admission_verdict::admit) {' 'if (false) {' 'counts_each_choice_at_once'
 prove deputy $s/Gateway/pool_owner.cpp 'owners_a_service = 2' 'owners_a_service = 1' 'the_deputy_answers'
 prove silent_owner $s/Gateway/pool_owner.cpp 'silent_until_[owner] = now + passed_over_for;' '' 'the_deputy_answers'
-prove leaving_engine_of_owner $s/Gateway/pool_owner.cpp 'engine == nullptr || engine->leaving' 'engine == nullptr' 'known_to_leave_is_not_taken'
+prove leaving_engine_of_owner $s/Gateway/pool_owner.cpp 'engine == nullptr || !forwarding_.registry.takes_work(engine->id)' 'engine == nullptr' 'known_to_leave_is_not_taken'
 prove failures_told $s/Gateway/pool_owner.cpp 'if (engine != nullptr) {' 'if (false && engine != nullptr) {' 'an_engine_that_fails_others'
 prove handed_on $s/Gateway/configuration_spread.cpp 'if (const auto question = fetch_.next(now)) {' 'if (const auto question = fetch_.next(now); question && false) {' 'a_configuration_is_handed_on'
 prove document_digest $s/Configuration/document_encoding.cpp '|| digest_of(out) != encoded.digest' '' 'damaged_encoding'
@@ -125,4 +125,11 @@
 prove members_made_up_for $s/Membership/member_table.cpp 'differs_ = told.summary != 0 && told.summary != summary();' '' 'all_know_all_in_time'
 prove large_owners $s/Core/rendezvous.h 'if (a.node->preferred != b.node->preferred) {' 'if (false) {' 'preferred_nodes_come_first'
 prove sums_expire $s/Routing/load_book.cpp 'now - told_.front().at > peer_validity' 'false' 'sums_are_those|prefers_the_server'
+prove cordon_newest_wins $s/Gateway/deployment_state.cpp 'if (told.position > cordons_.position) {' 'if (true) {' 'cordon_words'
+prove cordoned_not_usable $s/Membership/backend_registry.cpp 'return !backend.leaving && !cordoned_.contains(backend.failure_domain);' 'return !backend.leaving;' 'cordoned'
+prove cordoned_engine_of_owner $s/Gateway/pool_owner.cpp '!forwarding_.registry.takes_work(engine->id)' 'engine->leaving' 'of_a_cordoned_domain'
+prove cordons_told $s/Gateway/store_news.cpp 'news.cordoned = to_wire(state_.cordons().domains);' '' 'cordon_news|cordon_losses'
+prove cordons_asked $s/Gateway/store_news.cpp 'co_await ask_cordons(peer);' '' 'cordon_losses'
+prove teller_without_cordons $s/Gateway/store_news.cpp 'if (documents_as_of && news.documents_sequence > 0) {' 'if (documents_as_of) {' 'a_teller_without_cordons'
+prove not_back_into_cordon $s/Evacuation/evacuation_service.cpp 'last->copied || state_.registry.cordoned().contains(source.failure_domain);' 'last->copied;' 'does_not_go_back_into'
 exit $bad
