Bound what a cold backend server gets from all instances together

Cause: cold_left_ms was a price in placement and nothing bounded the rate. A cold server crashes well above its rate, and all its generations are lost.

Ruled out: a count at each instance alone. 300 instances that find one idle engine send one request each in the same second; the play (test/cold_start_limit_test.cpp) shows it without the parts.

Change: the bound of the settings is divided. The owner of a service counts half of it, its deputy a fifth, all others together a tenth by the largest number of instances known lately, in whole requests or by turns drawn from a hash. A role that was taken up within 2 s, an instance that has just started, or one that has lost sight of half of the others has a stand-in's part only. Plain services are under the same bound when their settings say so. No settings, no bound.

--- a/bamboostream/src/Configuration/routing_configuration.h
+++ b/bamboostream/src/Configuration/routing_configuration.h
@@ -74,6 +74,8 @@
     std::string health_path;
     /// Connections one backend server accepts from all instances together.
     int most_connections = 0;
+    /// Requests a second that a backend server bears while it is cold; zero for no bound.
+    double cold_per_second = 0.0;
     std::optional<engine_rule> engine;
 };
 
--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -129,7 +129,8 @@
         return out;
     }
     const time_point now = monotonic_now();
-    for (const registered_backend* backend : state_.registry.usable(service)) {
+    for (const registered_backend* backend :
+         servers_with_room(state_, service, own_role(state_, service), now)) {
         if (!receiving_.contains(backend->id)) {
             out.push_back({*backend, state_.loads.total(backend->id, now),
                            rule->engine->memory_tokens, rule->engine->slots});
@@ -210,6 +211,9 @@
               candidate.generation.id, notice.copy.holder, notice.target.text(),
               candidate.instance.empty() ? "here" : candidate.instance,
               candidate.generation.memory_tokens);
+    if (const registered_backend* target = state_.registry.find(notice.target)) {
+        note_send(state_, *target, monotonic_now());
+    }
     if (candidate.instance.empty()) {
         state_.streams.notify(candidate.generation.id, notice, monotonic_now());
     } else {
--- a/bamboostream/src/Forwarding/engine_choice.h
+++ b/bamboostream/src/Forwarding/engine_choice.h
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Core/identities.h"
+#include "bamboostream/src/Limits/cold_start_limit.h"
 #include "bamboostream/src/Limits/engine_admission.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Routing/load_book.h"
@@ -38,8 +39,20 @@
     backend_work work;
 };
 
+/// As what this instance chooses the engines of a service by itself.
+sender_role own_role(const forwarding_state& state, const service_id& service);
+
+/// Servers of a service to which an instance in that role may send one more request now: all that
+/// take work but for cold ones which have had their part of what they bear.
+std::vector<const registered_backend*> servers_with_room(forwarding_state& state,
+                                                         const service_id& service,
+                                                         sender_role role, time_point now);
+/// Counts a request against what the server bears while it is cold.
+void note_send(forwarding_state& state, const registered_backend& server, time_point now);
+
 /// Chooses by what this instance knows.
-engine_choice choose_engine(forwarding_state& state, const engine_request& request, time_point now);
+engine_choice choose_engine(forwarding_state& state, const engine_request& request,
+                            sender_role role, time_point now);
 
 /// Another instance that knows the work at a service's engines better than this one.
 class engine_scheduler {
@@ -49,6 +62,8 @@
     /// answers in time.
     virtual boost::asio::awaitable<std::optional<engine_choice>>
     choose(const engine_request& request) = 0;
+    /// As what this instance chooses by itself.
+    virtual sender_role role(const service_id& service) const = 0;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -200,9 +200,13 @@
     wanted.avoid = avoid_;
     wanted.near = state_.here;
     wanted.server_memory_tokens = service_->engine ? service_->engine->memory_tokens : 0;
-    const auto servers = state_.registry.usable(service_->id);
-    const registered_backend* chosen =
-        state_.picker.pick(servers, state_.loads, wanted, monotonic_now());
+    const time_point now = monotonic_now();
+    const sender_role role = service_->engine ? own_role(state_, service_->id) : sender_role::peer;
+    const auto servers = servers_with_room(state_, service_->id, role, now);
+    const registered_backend* chosen = state_.picker.pick(servers, state_.loads, wanted, now);
+    if (chosen != nullptr) {
+        note_send(state_, *chosen, now);
+    }
     co_return chosen ? std::optional(destination{*chosen, {}, {}}) : std::nullopt;
 }
 
@@ -221,7 +225,7 @@
         choice = co_await state_.scheduler->choose(wanted);
     }
     if (!choice) {
-        choice = choose_engine(state_, wanted, monotonic_now());
+        choice = choose_engine(state_, wanted, own_role(state_, service_->id), monotonic_now());
     }
     if (!choice->engine) {
         co_return std::nullopt;
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -5,6 +5,7 @@
 #include "bamboostream/src/Forwarding/engine_choice.h"
 #include "bamboostream/src/Forwarding/latency_metrics.h"
 #include "bamboostream/src/Http/http_channel_pool.h"
+#include "bamboostream/src/Limits/cold_start_limit.h"
 #include "bamboostream/src/Limits/come_back.h"
 #include "bamboostream/src/Limits/engine_admission.h"
 #include "bamboostream/src/Membership/backend_registry.h"
@@ -59,7 +60,7 @@
     forwarding_state(const request_codec& request_codec_used, failure_domain_id here_,
                      window_budget_rules budget_rules, std::uint64_t seed)
         : codec(request_codec_used), here(std::move(here_)), budget(budget_rules), picker(seed),
-          random(seed + 1) {}
+          cold_starts(seed), random(seed + 1) {}
 
     const request_codec& codec;
     failure_domain_id here;
@@ -75,6 +76,7 @@
     window_budget budget;
     admission_rules admission;
     backend_picker picker;
+    cold_start_limit cold_starts;
     /// What to tell those that choose engines for this instance.
     outcome_book engine_outcomes;
     http_channel_pool channels;
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -182,6 +182,7 @@
 bool gateway::parts::start() {
     std::string why;
     forwarding.admission = settings.admission;
+    forwarding.cold_starts.set_rules(settings.cold_starts);
     const auto peer_address = links.listen(settings.peer_listen, why);
     if (!peer_address) {
         log_event(events::listen_failed, "address={} reason={}", settings.peer_listen, why);
--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Forwarding/backend_contract.h"
 #include "bamboostream/src/Gateway/deployment_contract.h"
+#include "bamboostream/src/Limits/cold_start_limit.h"
 #include "bamboostream/src/Limits/engine_admission.h"
 #include "bamboostream/src/Routing/window_budget.h"
 
@@ -37,6 +38,8 @@
     std::vector<std::string> seeds;
     window_budget_rules budget;
     admission_rules admission;
+    /// Nothing when the platform sets no bound.
+    std::optional<cold_start_rules> cold_starts;
     /// Between the signal to end and the kill.
     milliseconds grace{8'000};
     /// From the store's word that a server leaves until no request may reach it, from that of a
--- a/bamboostream/src/Gateway/pool_owner.cpp
+++ b/bamboostream/src/Gateway/pool_owner.cpp
@@ -96,6 +96,27 @@
     co_return std::nullopt;
 }
 
+sender_role pool_owner::role(const service_id& service) const {
+    return forwarding_.cold_starts.role(service, monotonic_now());
+}
+
+void pool_owner::note_roles(time_point now) {
+    if (!forwarding_.routes) {
+        return;
+    }
+    for (const service_rule& service : forwarding_.routes->configuration().services) {
+        if (!service.engine) {
+            continue;
+        }
+        const std::vector<std::string> order = owners(service.id);
+        const auto own = std::find(order.begin(), order.end(), membership_.own_address());
+        const sender_role role = own == order.end()     ? sender_role::stand_in
+                                 : own == order.begin() ? sender_role::owner
+                                                        : sender_role::deputy;
+        forwarding_.cold_starts.note_role(service.id, role, now);
+    }
+}
+
 std::unique_ptr<wire::FrameT> pool_owner::answer(const wire::AdmitRequestT& request,
                                                  const std::string& sender) {
     const time_point now = monotonic_now();
@@ -106,7 +127,7 @@
         return make_reply(wire::AdmitReplyT{});
     }
     wanted.engine_memory_tokens = service->engine->memory_tokens;
-    const engine_choice choice = choose_engine(forwarding_, wanted, now);
+    const engine_choice choice = choose_engine(forwarding_, wanted, role(wanted.service), now);
     if (choice.engine && choice.verdict == admission_verdict::admit) {
         forwarding_.loads.expect(sender, {work_key(choice.engine->id), wanted.work}, now);
     }
--- a/bamboostream/src/Gateway/pool_owner.h
+++ b/bamboostream/src/Gateway/pool_owner.h
@@ -36,11 +36,14 @@
 
     boost::asio::awaitable<std::optional<engine_choice>>
     choose(const engine_request& request) override;
+    sender_role role(const service_id& service) const override;
     /// Chooses for another instance.
     std::unique_ptr<wire::FrameT> answer(const wire::AdmitRequestT& request,
                                          const std::string& sender);
     /// Takes what another instance tells of its work and of what became of it.
     void hear(const wire::LoadReportT& report, const std::string& sender);
+    /// Looks which services' engines this instance chooses for all.
+    void note_roles(time_point now);
     /// The instances that must know of work at the engines; this one excluded.
     std::vector<std::string> told_of_work() const;
 
--- a/test/platform/pool_owner_test.cpp
+++ b/test/platform/pool_owner_test.cpp
@@ -147,6 +147,60 @@
     EXPECT_FALSE(ask(asker(), request()));
 }
 
+/// Engines that bear four requests a second while they are cold.
+class cold_engines : public pool_owner_test {
+protected:
+    cold_engines() {
+        const time_point settled = monotonic_now() - seconds(5);
+        for (const auto& it : group_.all) {
+            routing_configuration configuration = it->forwarding.routes->configuration();
+            configuration.services.front().cold_per_second = 4.0;
+            it->forwarding.routes = std::make_shared<const route_table>(configuration);
+            it->forwarding.cold_starts.set_rules(cold_start_rules{1.0, 0.0});
+            it->forwarding.cold_starts.note_instances(group_.all.size(), settled);
+            it->owner->note_roles(settled);
+        }
+    }
+    void make_cold(int engines) {
+        for (const auto& it : group_.all) {
+            for (int i = 0; i < engines; ++i) {
+                registered_backend cold = backend(fmt::format("i-{}", i));
+                cold.slow_until = monotonic_now() + seconds(60);
+                it->forwarding.registry.learn(cold, monotonic_now());
+            }
+        }
+    }
+    int given(const std::string& id, int requests) {
+        int out = 0;
+        for (int i = 0; i < requests; ++i) {
+            const auto choice = ask(asker(), request());
+            out += choice && choice->engine && choice->engine->id.text() == id ? 1 : 0;
+        }
+        return out;
+    }
+};
+
+// An engine is back cold and idle while the others are full; each request finds it the best. It
+// gets half of what it bears, and the rest go to warm ones.
+TEST_F(cold_engines, an_idle_one_gets_its_part) {
+    make_cold(1);
+    for (int i = 1; i < engine_count; ++i) {
+        owner().forwarding.loads.add(backend_id(fmt::format("i-{}", i)), {5, 42'000, 0});
+    }
+    EXPECT_EQ(given("i-0", 10), 2);
+}
+
+// All are cold: every one has its part, and who comes beyond that is refused, not queued there.
+TEST_F(cold_engines, all_together_have_the_sum_of_their_parts) {
+    make_cold(engine_count);
+    int placed = 0;
+    for (int i = 0; i < 3 * engine_count; ++i) {
+        const auto choice = ask(asker(), request());
+        placed += choice && choice->engine && choice->verdict == admission_verdict::admit ? 1 : 0;
+    }
+    EXPECT_EQ(placed, 2 * engine_count);
+}
+
 // An engine refuses at once whatever it is sent, so it looks idle. Those that sent there tell the
 // owner with their work, and callers are sent elsewhere until it serves again.
 TEST_F(pool_owner_test, an_engine_that_fails_others_gets_little) {
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -132,4 +132,9 @@
 prove cordons_asked $s/Gateway/store_news.cpp 'co_await ask_cordons(peer);' '' 'cordon_losses'
 prove teller_without_cordons $s/Gateway/store_news.cpp 'if (documents_as_of && news.documents_sequence > 0) {' 'if (documents_as_of) {' 'a_teller_without_cordons'
 prove not_back_into_cordon $s/Evacuation/evacuation_service.cpp 'last->copied || state_.registry.cordoned().contains(source.failure_domain);' 'last->copied;' 'does_not_go_back_into'
+prove cold_part_of_owner $s/Limits/cold_start_limit.cpp 'owner_part = 0.5' 'owner_part = 1.2' 'cold_start_play'
+prove cold_turns $s/Limits/cold_start_limit.cpp 'return sent < 1.0 && has_turn(server, own * turn_part, now);' 'return sent < 1.0;' 'cold_start_play'
+prove cold_new_role $s/Limits/cold_start_limit.cpp 'now - held->second.since >= settling_time' 'true' 'cold_start_play'
+prove cold_lost_sight $s/Limits/cold_start_limit.cpp 'settled && 2 * live_ > most_instances()' 'settled' 'cold_start_play|cold_start_limit_test'
+prove cold_new_instance $s/Limits/cold_start_limit.cpp 'if (!first_noted_ || now - *first_noted_ < settling_time) {' 'if (!first_noted_) {' 'cold_start_play|cold_start_limit_test'
 exit $bad
