Admit a generation while its first event is expected in time, at any engine that has room

Cause: the limit let prompts queue for two objectives at an assumed 10 tokens a millisecond, beside 1.5 times the memory, and only the least loaded engine was asked. Engines read 7.0 tokens a millisecond idle and 7.5 to 8.3 queued.

Change: a request is admitted where (unread + its prompt) / 7.3 is within 0.9 of its objective and the claims, its own among them, within 1.15 of the memory, 1.05 for lower ranks. Any engine that admits it goes before a better one that doesn't.

--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -4,6 +4,13 @@
 
 namespace bamboostream {
 
+namespace {
+
+/// Prompt tokens that an engine reads in a millisecond beside its running generations.
+constexpr double tokens_read_a_ms = 7.3;
+
+} // namespace
+
 sender_role own_role(const forwarding_state& state, const service_id& service) {
     return state.scheduler != nullptr ? state.scheduler->role(service) : sender_role::owner;
 }
@@ -34,18 +41,27 @@
     wanted.avoid = request.avoid;
     wanted.near = request.near;
     wanted.server_memory_tokens = request.engine_memory_tokens;
-    const auto servers = servers_with_room(state, request.service, role, now);
-    const registered_backend* chosen = state.picker.pick(servers, state.loads, wanted, now);
-    if (chosen == nullptr) {
-        return {};
-    }
-    const backend_work work = state.loads.total(chosen->id, now);
-    const admission_verdict verdict = judge_admission(
-        state.admission, work, request.engine_memory_tokens, request.priority, request.objective);
-    if (verdict == admission_verdict::admit) {
+    const admission_request asked{request.work, request.engine_memory_tokens, request.priority,
+                                  request.objective};
+    const auto verdict_at = [&](const registered_backend& engine) {
+        return judge_admission(state.admission, asked, state.loads.total(engine.id, now),
+                               tokens_read_a_ms);
+    };
+    const auto engines = servers_with_room(state, request.service, role, now);
+    std::vector<const registered_backend*> open = engines;
+    std::erase_if(open, [&](const registered_backend* engine) {
+        return verdict_at(*engine) != admission_verdict::admit;
+    });
+    if (const auto* chosen = state.picker.pick(open, state.loads, wanted, now)) {
         note_send(state, *chosen, now);
+        return {*chosen, admission_verdict::admit, state.loads.total(chosen->id, now)};
+    }
+    // Of the engines that have no room, the least loaded says why.
+    const registered_backend* best = state.picker.pick(engines, state.loads, wanted, now);
+    if (best == nullptr) {
+        return {};
     }
-    return {*chosen, verdict, work};
+    return {*best, verdict_at(*best), state.loads.total(best->id, now)};
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Limits/engine_admission.cpp
+++ b/bamboostream/src/Limits/engine_admission.cpp
@@ -4,24 +4,23 @@
 
 namespace bamboostream {
 
-namespace {
-
-/// Prompt tokens that an engine reads in a millisecond besides its running generations; the sheets
-/// of the deployments say 14 for an engine that does nothing else.
-constexpr double tokens_read_a_ms = 10.0;
-
-} // namespace
+duration expected_start(std::int64_t queued, std::int64_t prompt, double tokens_a_ms) {
+    return from_milliseconds(static_cast<double>(queued + prompt) / tokens_a_ms);
+}
 
-admission_verdict judge_admission(const admission_rules& rules, const backend_work& work,
-                                  std::int64_t memory_tokens, int priority, duration objective) {
-    const double full = static_cast<double>(work.memory_tokens) /
-                        static_cast<double>(std::max<std::int64_t>(memory_tokens, 1));
-    const int rank = std::clamp(priority, 0, rules.ranks - 1);
-    if (full > rules.most_full - rules.less_a_rank * rank) {
+admission_verdict judge_admission(const admission_rules& rules, const admission_request& request,
+                                  const backend_work& work, double tokens_a_ms) {
+    const double claimed = static_cast<double>(work.memory_tokens + request.work.memory_tokens) /
+                           static_cast<double>(std::max<std::int64_t>(request.memory_tokens, 1));
+    const int rank = std::clamp(request.priority, 0, rules.ranks - 1);
+    // Nothing else fits an engine that is empty.
+    if (work.requests > 0 && claimed > rules.most_claimed - rules.less_a_rank * rank) {
         return admission_verdict::memory_full;
     }
-    const double wait_ms = static_cast<double>(work.unread_tokens) / tokens_read_a_ms;
-    if (wait_ms > rules.most_wait * to_milliseconds(objective)) {
+    const duration start =
+        expected_start(work.unread_tokens, request.work.unread_tokens, tokens_a_ms);
+    if (work.unread_tokens > 0 && request.objective > duration{} &&
+        to_milliseconds(start) > rules.most_start * to_milliseconds(request.objective)) {
         return admission_verdict::prompts_queued;
     }
     return admission_verdict::admit;
--- a/bamboostream/src/Limits/engine_admission.h
+++ b/bamboostream/src/Limits/engine_admission.h
@@ -9,30 +9,45 @@
 
 /// Limits of what may be under way at an engine when one more generation is sent there.
 struct admission_rules {
-    /// Share of the engine's memory that its generations will hold when all have grown to their
-    /// expected end, for a request of the most urgent rank. They end one after the other, so it is
-    /// over 1. On 44 engines past the brim, 1.2 and 1.0 served 0.75 and 0.72 of the worth of long
-    /// streams where 9 (no limit) served 0.75: only what is hopeless is turned away.
-    double most_full = 1.5;
+    /// Part of the objective within which the first event must be expected. What is left covers
+    /// prompts that are read beside a full batch.
+    double most_start = 0.9;
+    /// Share of the engine's memory that its generations, the new one among them, will hold when
+    /// all have grown to their expected end, for a request of the most urgent rank. They end one
+    /// after the other, so it is over 1.
+    double most_claimed = 1.15;
     /// How much less it is for each rank below: when memory runs out the more urgent are served.
-    double less_a_rank = 0.15;
+    double less_a_rank = 0.1;
     /// Ranks below this are treated alike.
     int ranks = 2;
-    /// How often the objective reading the prompts queued before may take; callers give a stream up
-    /// after four times.
-    double most_wait = 2.0;
+};
+
+/// A generation that asks for a place at an engine.
+struct admission_request {
+    /// What it adds to the work there.
+    backend_work work;
+    /// Cache memory of the engine, in tokens.
+    std::int64_t memory_tokens = 0;
+    int priority = 0;
+    /// Until the first event.
+    duration objective{};
 };
 
 /// Why a generation is not sent to an engine.
 enum class admission_verdict : std::uint8_t { admit, memory_full, prompts_queued };
 
-/// Decides whether a generation goes to the engine that would serve it best, or is turned away at
-/// once.
+/// The time until an engine at which `queued` prompt tokens are unread has read `prompt` more,
+/// at `tokens_a_ms` tokens a millisecond.
+duration expected_start(std::int64_t queued, std::int64_t prompt, double tokens_a_ms);
+
+/// Decides whether a generation may go to an engine where `work` is under way.
 ///
-/// An engine whose memory is full keeps requests waiting until others end. One that would wait
-/// beyond its objective several times over is given up by its caller after all, and until then it
-/// holds a connection and a place in the queue; it is told at once when to come back instead.
-admission_verdict judge_admission(const admission_rules& rules, const backend_work& work,
-                                  std::int64_t memory_tokens, int priority, duration objective);
+/// Engines serve first in, first out and take nothing back: who is sent to a long queue is late for
+/// certain, and so is everybody behind. Past saturation most of what engines read would then be for
+/// answers that come too late, and the more callers ask the fewer are served in time. So a request
+/// is admitted while its first event is expected within its objective, and while its memory will be
+/// there by then; otherwise it is told at once when to come back.
+admission_verdict judge_admission(const admission_rules& rules, const admission_request& request,
+                                  const backend_work& work, double tokens_a_ms);
 
 } // namespace bamboostream
--- a/test/platform/routing_decisions_test.cpp
+++ b/test/platform/routing_decisions_test.cpp
@@ -4,6 +4,7 @@
 #include "bamboostream/Gateway"
 #include "bamboostream/Limits"
 #include "bamboostream/Routing"
+#include "platform/request_translation.h"
 #include "test/platform/decision_helpers.h"
 
 #include <boost/asio/io_context.hpp>
@@ -365,32 +366,75 @@
 
 // --- admission
 
+/// Work at an engine of 20,000 tokens, and what becomes of a prompt of 3,000 tokens that is
+/// expected to put out 1,000, with an objective of 1.5 s.
 struct admission_row {
     std::string name;
-    std::int64_t memory;
-    std::int64_t unread;
+    backend_work work;
     int priority;
     admission_verdict verdict;
 };
 
-class admission : public testing::TestWithParam<admission_row> {};
+class admission : public testing::TestWithParam<admission_row> {
+protected:
+    static constexpr double tokens_a_ms = 7.0;
+    static constexpr admission_request request(int priority) {
+        return {{1, 4'000, 3'000}, 20'000, priority, milliseconds(1'500)};
+    }
+};
 
 INSTANTIATE_TEST_SUITE_P(
     table, admission,
     testing::Values(
-        admission_row{"idle", 0, 0, 1, admission_verdict::admit},
-        admission_row{"urgent_when_nearly_full", 28'000, 0, 0, admission_verdict::admit},
-        admission_row{"less_urgent_when_nearly_full", 28'000, 0, 1, admission_verdict::memory_full},
-        admission_row{"full", 31'000, 0, 0, admission_verdict::memory_full},
-        admission_row{"a_few_prompts", 9'000, 9'000, 0, admission_verdict::admit},
-        admission_row{"hopeless_queue", 9'000, 40'000, 0, admission_verdict::prompts_queued}),
+        admission_row{"idle", {}, 1, admission_verdict::admit},
+        admission_row{"urgent_when_nearly_full", {5, 18'000, 0}, 0, admission_verdict::admit},
+        admission_row{
+            "less_urgent_when_nearly_full", {5, 18'000, 0}, 1, admission_verdict::memory_full},
+        admission_row{"full", {5, 19'500, 0}, 0, admission_verdict::memory_full},
+        admission_row{
+            "least_urgent_is_like_the_second", {5, 16'500, 0}, 9, admission_verdict::admit},
+        admission_row{"expected_in_time", {5, 9'000, 6'400}, 0, admission_verdict::admit},
+        admission_row{"expected_late", {5, 9'000, 6'500}, 0, admission_verdict::prompts_queued}),
     [](const auto& info) { return info.param.name; });
 
-TEST_P(admission, turns_away_only_what_cannot_be_served_in_time) {
-    const backend_work work{5, GetParam().memory, GetParam().unread};
-    EXPECT_EQ(judge_admission({}, work, 20'000, GetParam().priority, milliseconds(1'500)),
+// What is sent where its first event comes late keeps the engine from serving others in time.
+TEST_P(admission, turns_away_what_would_be_late) {
+    EXPECT_EQ(judge_admission({}, request(GetParam().priority), GetParam().work, tokens_a_ms),
               GetParam().verdict);
 }
 
+// A request that is larger than the limits allow beside others goes where nothing else runs: it
+// would be turned away for good otherwise.
+TEST_F(admission, a_large_request_goes_to_an_empty_engine) {
+    admission_request large = request(1);
+    large.work = {1, 30'000, 15'000};
+    EXPECT_EQ(judge_admission({}, large, {}, tokens_a_ms), admission_verdict::admit);
+    EXPECT_EQ(judge_admission({}, large, {1, 2'000, 0}, tokens_a_ms),
+              admission_verdict::memory_full);
+}
+
+// The least loaded engine has no memory left for the request and another one has: it goes there.
+TEST(engine_choice_test, one_that_admits_goes_before_a_better_one_that_does_not) {
+    const platform::request_translation codec;
+    forwarding_state state(codec, failure_domain_id("norra"), {}, 1);
+    state.registry.learn(backend("full"), start);
+    state.registry.learn(backend("queued"), start);
+    state.loads.add(backend_id("full"), {5, 18'000, 0});
+    state.loads.add(backend_id("queued"), {2, 9'000, 6'000});
+    engine_request request;
+    request.service = service_id("s");
+    request.work = {1, 4'000, 3'000};
+    request.engine_memory_tokens = 20'000;
+    request.priority = 1;
+    request.objective = milliseconds(1'500);
+    const engine_choice choice = choose_engine(state, request, sender_role::owner, start);
+    ASSERT_TRUE(choice.engine);
+    EXPECT_EQ(choice.engine->id, backend_id("queued"));
+    EXPECT_EQ(choice.verdict, admission_verdict::admit);
+    state.loads.add(backend_id("queued"), {1, 3'000, 3'000});
+    EXPECT_NE(choose_engine(state, request, sender_role::owner, start).verdict,
+              admission_verdict::admit);
+}
+
 } // namespace
 } // namespace bamboostream
