Tell refused callers a time that grows with how long callers have been refused

Ruled out: room for those that return before others. Whoever returns is late already, so each of them served takes the place of one that would have been in time.

Change: the instance that chooses engines notes since when it has refused without a pause of 1 s, and tells it with the refusal. The caller is told that time again, one to two times as long, at most the third of its patience that it honours.

--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -54,14 +54,15 @@
     });
     if (const auto* chosen = state.picker.pick(open, state.loads, wanted, now)) {
         note_send(state, *chosen, now);
-        return {*chosen, admission_verdict::admit, state.loads.total(chosen->id, now)};
+        return {*chosen, admission_verdict::admit, state.loads.total(chosen->id, now), {}};
     }
     // Of the engines that have no room, the least loaded says why.
     const registered_backend* best = state.picker.pick(engines, state.loads, wanted, now);
     if (best == nullptr) {
         return {};
     }
-    return {*best, verdict_at(*best), state.loads.total(best->id, now)};
+    return {*best, verdict_at(*best), state.loads.total(best->id, now),
+            state.overloads[request.service].note_refusal(now)};
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/engine_choice.h
+++ b/bamboostream/src/Forwarding/engine_choice.h
@@ -37,6 +37,8 @@
     admission_verdict verdict = admission_verdict::admit;
     /// The work at that engine which the verdict goes by.
     backend_work work;
+    /// When it is not admitted: how long generations of the service have been refused.
+    duration overload{};
 };
 
 /// As what this instance chooses the engines of a service by itself.
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -133,7 +133,8 @@
 }
 
 duration forwarded_call::return_time(refusal_cause cause) const {
-    const refused_request about{cause, route_ ? route_->objective : duration{}, request_.patience};
+    const refused_request about{cause, route_ ? route_->objective : duration{}, request_.patience,
+                                overload_};
     return come_back_after(about, state_.random);
 }
 
@@ -232,6 +233,7 @@
     }
     if (choice->verdict != admission_verdict::admit) {
         turned_away_ = true;
+        overload_ = choice->overload;
         log_turned_away(*choice);
         co_return std::nullopt;
     }
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -116,6 +116,8 @@
     bool left_ = false;
     /// The engine that was chosen had no room.
     bool turned_away_ = false;
+    /// How long generations had been refused then.
+    duration overload_{};
 
     void record_latency() const;
     void enter_work(const backend_id& id);
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -8,6 +8,7 @@
 #include "bamboostream/src/Limits/cold_start_limit.h"
 #include "bamboostream/src/Limits/come_back.h"
 #include "bamboostream/src/Limits/engine_admission.h"
+#include "bamboostream/src/Limits/overload_watch.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Membership/view_age.h"
 #include "bamboostream/src/Routing/backend_picker.h"
@@ -21,6 +22,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <unordered_map>
 
 namespace bamboostream {
 
@@ -77,6 +79,8 @@
     admission_rules admission;
     backend_picker picker;
     cold_start_limit cold_starts;
+    /// Refused generations by service, of those that this instance chooses engines for.
+    std::unordered_map<service_id, overload_watch> overloads;
     /// What to tell those that choose engines for this instance.
     outcome_book engine_outcomes;
     http_channel_pool channels;
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -138,6 +138,7 @@
     out.requests = tokens_on_wire(choice.work.requests);
     out.memory_tokens = tokens_on_wire(choice.work.memory_tokens);
     out.unread_tokens = tokens_on_wire(choice.work.unread_tokens);
+    out.overload_ms = age_on_wire(choice.overload);
     return out;
 }
 
@@ -145,7 +146,8 @@
     constexpr auto last = static_cast<std::uint8_t>(admission_verdict::prompts_queued);
     return {engine,
             static_cast<admission_verdict>(std::min(reply.reason, last)),
-            {static_cast<int>(reply.requests), reply.memory_tokens, reply.unread_tokens}};
+            {static_cast<int>(reply.requests), reply.memory_tokens, reply.unread_tokens},
+            milliseconds(reply.overload_ms)};
 }
 
 wire::MovableReplyT to_wire(std::span<const movable_generation> generations) {
--- a/bamboostream/src/Limits/come_back.cpp
+++ b/bamboostream/src/Limits/come_back.cpp
@@ -11,8 +11,9 @@
 constexpr double crowd_spread = 2.0;
 constexpr milliseconds least_after_crowd{100};
 constexpr milliseconds most_after_crowd{1'000};
-/// While nothing is known: a quarter of the patience, with the spread just under the third that
-/// callers wait at most.
+/// Callers wait at most this part of their patience.
+constexpr double honoured_part = 1.0 / 3.0;
+/// While nothing is known: a quarter of the patience, with the spread just under what they wait.
 constexpr double outage_part = 0.25;
 constexpr double outage_spread = 1.3;
 constexpr milliseconds least_after_outage{100};
@@ -44,8 +45,13 @@
     }
     const duration objective =
         request.objective > duration{} ? request.objective : duration(2 * most_after_crowd);
-    return spread(part_of(objective, crowd_part, least_after_crowd, most_after_crowd), crowd_spread,
-                  random);
+    const duration moment = part_of(objective, crowd_part, least_after_crowd, most_after_crowd);
+    if (request.overload <= moment || !request.patience) {
+        return spread(moment, crowd_spread, random);
+    }
+    const duration most = std::chrono::duration_cast<duration>(*request.patience * honoured_part);
+    const duration base = std::min(request.overload, std::max(moment, most / 2));
+    return spread(base, crowd_spread, random);
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Limits/come_back.h
+++ b/bamboostream/src/Limits/come_back.h
@@ -26,17 +26,17 @@
     duration objective{};
     /// How long the caller still waits; nothing when it didn't say.
     std::optional<milliseconds> patience;
+    /// How long callers have been refused for want of room.
+    duration overload{};
 };
 
 /// When a refused caller is told to come back, spread at random so that a crowd doesn't return as
 /// one.
 ///
-/// A crowd passes within the objective, so its callers come back soon. Outages of a store last
-/// seconds: callers who return within one are refused a second time and have no answer at all. With
-/// the crowd's times, 723 of 833 requests sent in the four seconds around the kill of all of 62
-/// instances while the store was away ended refused. They are told to use most of the third of
-/// their patience that they wait at most; of the long streams 24 and 12 were refused then in two
-/// runs of that day, where 148 and 94 had been.
+/// A moment's crowd passes within the objective, so its callers come back soon. One that has lasted
+/// longer is expected to last as long again, and outages of a store last seconds: callers who
+/// return within either are refused a second time and have no answer at all. They are told a later
+/// time, at most the third of their patience that they wait.
 duration come_back_after(const refused_request& request, std::mt19937_64& random);
 
 } // namespace bamboostream
--- a/test/come_back_test.cpp
+++ b/test/come_back_test.cpp
@@ -32,6 +32,25 @@
                    {refusal_cause::crowded, milliseconds(100), milliseconds(600)},
                    100,
                    200},
+        return_row{"stream_in_a_crowd_of_four_seconds",
+                   {refusal_cause::crowded, milliseconds(1'800), milliseconds(39'000),
+                    milliseconds(4'000)},
+                   4'000,
+                   8'000},
+        return_row{"stream_in_a_crowd_of_a_minute",
+                   {refusal_cause::crowded, milliseconds(1'800), milliseconds(39'000),
+                    milliseconds(60'000)},
+                   6'500,
+                   13'000},
+        return_row{
+            "label_in_a_crowd_of_four_seconds",
+            {refusal_cause::crowded, milliseconds(1'500), milliseconds(6'000), milliseconds(4'000)},
+            1'000,
+            2'000},
+        return_row{"says_no_patience_in_a_crowd_of_four_seconds",
+                   {refusal_cause::crowded, milliseconds(1'500), std::nullopt, milliseconds(4'000)},
+                   750,
+                   1'500},
         return_row{"stream_in_an_outage",
                    {refusal_cause::nothing_known, milliseconds(1'800), milliseconds(39'000)},
                    5'000,
@@ -54,9 +73,9 @@
                    50}),
     [](const auto& info) { return info.param.name; });
 
-// After a crowd callers come back within their objective. During an outage of the store that would
-// be too soon: they would be refused again and have no answer at all. They are told a time as late
-// as they honour, a third of what they still wait.
+// After a moment's crowd callers come back within their objective. During an outage of the store,
+// or in a crowd that lasts, that would be too soon: they would be refused again and have no answer
+// at all. They are told a time as late as they honour, a third of what they still wait.
 TEST_P(return_time, fits_the_cause_and_is_spread) {
     std::mt19937_64 random(7);
     duration least = duration::max();
--- a/test/platform/admission_load_test.cpp
+++ b/test/platform/admission_load_test.cpp
@@ -51,12 +51,13 @@
     int served_on_return = 0;
 };
 
-/// Engines in a crowd of `load` times the usual number of callers. One instance chooses for all,
-/// and refused callers come back once, when they are told to.
+/// Engines in a crowd of `load` times the usual number of callers, which lasts for `crowd`. One
+/// instance chooses for all, and refused callers come back once, when they are told to.
 class crowded_pool {
 public:
-    crowded_pool(double load, std::uint64_t seed)
-        : load_(load), random_(seed), state_(codec_, failure_domain_id("norra"), {}, seed) {
+    crowded_pool(double load, std::uint64_t seed, seconds crowd = played)
+        : load_(load), crowd_(crowd), random_(seed),
+          state_(codec_, failure_domain_id("norra"), {}, seed) {
         for (int i = 0; i < engine_count; ++i) {
             standins::engine_parameters p;
             p.blocks = static_cast<std::uint32_t>(memory_tokens / 16);
@@ -104,7 +105,8 @@
     };
 
     void arrive(const caller_kind& kind, milliseconds tick) {
-        const double share = kind.a_second * engine_count * load_ * to_milliseconds(tick) / 1000.0;
+        const double load = now_ < start + crowd_ ? load_ : 0.8;
+        const double share = kind.a_second * engine_count * load * to_milliseconds(tick) / 1000.0;
         if (std::uniform_real_distribution<double>(0.0, 1.0)(random_) >= share) {
             return;
         }
@@ -144,14 +146,14 @@
         } else if (g.is_back) {
             ++results_[g.kind].refused;
         } else {
-            come_back(g);
+            come_back(g, choice.overload);
         }
     }
 
-    void come_back(generation g) {
+    void come_back(generation g, duration overload) {
         const auto left =
             std::chrono::duration_cast<milliseconds>(g.kind->patience - (now_ - g.asked));
-        const refused_request about{refusal_cause::crowded, g.kind->objective, left};
+        const refused_request about{refusal_cause::crowded, g.kind->objective, left, overload};
         g.is_back = true;
         returns_.emplace(now_ + come_back_after(about, random_), g);
     }
@@ -185,6 +187,7 @@
     }
 
     double load_;
+    seconds crowd_;
     std::mt19937_64 random_;
     time_point now_ = start;
     const platform::request_translation codec_;
@@ -215,7 +218,7 @@
     for (const double load : {1.0, 1.3, 1.7, 2.2, 3.0}) {
         const double now = goodput(load);
         fmt::print("goodput at load {}: {:.0f}\n", load, now);
-        EXPECT_GE(now, 0.88 * greatest);
+        EXPECT_GE(now, 0.9 * greatest);
         greatest = std::max(greatest, now);
     }
 }
@@ -231,6 +234,20 @@
     }
 }
 
+// A crowd lasts for 20 s and callers wait 39 s. Told to come back within a second or two, nearly
+// all are refused for good in the same crowd.
+TEST(admission_load, callers_refused_in_a_lasting_crowd_are_served_on_their_return) {
+    outcome sum;
+    for (const std::uint64_t seed : {1u, 2u, 3u}) {
+        crowded_pool pool(2.2, seed, seconds(20));
+        pool.play();
+        sum.refused += pool.of(long_kind).refused;
+        sum.served_on_return += pool.of(long_kind).served_on_return;
+    }
+    fmt::print("refused for good: {}, served on return: {}\n", sum.refused, sum.served_on_return);
+    EXPECT_GE(sum.served_on_return, sum.refused);
+}
+
 // Memory binds the long ones and reading the briefs; neither kind pays for the other.
 TEST(admission_load, no_kind_starves_in_a_crowd) {
     crowded_pool pool(2.2, 7);
