Spread the latest times of return less

Cause: times between half and the whole of the latest that callers honour make half of them return while the crowd lasts.

Change: a spread of 1.3, as after an outage.

--- a/bamboostream/src/Limits/come_back.cpp
+++ b/bamboostream/src/Limits/come_back.cpp
@@ -13,9 +13,10 @@
 constexpr milliseconds most_after_crowd{1'000};
 /// Callers wait at most this part of their patience.
 constexpr double honoured_part = 1.0 / 3.0;
+/// What is expected to last is waited for with less spread, to leave more of that for the wait.
+constexpr double lasting_spread = 1.3;
 /// While nothing is known: a quarter of the patience, with the spread just under what they wait.
 constexpr double outage_part = 0.25;
-constexpr double outage_spread = 1.3;
 constexpr milliseconds least_after_outage{100};
 /// Outages of the store last 2 to 9 s on the days seen; half of them are over by then.
 constexpr milliseconds most_after_outage{5'000};
@@ -41,7 +42,7 @@
     if (request.cause == refusal_cause::nothing_known && request.patience) {
         const duration base =
             part_of(*request.patience, outage_part, least_after_outage, most_after_outage);
-        return spread(base, outage_spread, random);
+        return spread(base, lasting_spread, random);
     }
     const duration objective =
         request.objective > duration{} ? request.objective : duration(2 * most_after_crowd);
@@ -50,8 +51,9 @@
         return spread(moment, crowd_spread, random);
     }
     const duration most = std::chrono::duration_cast<duration>(*request.patience * honoured_part);
-    const duration base = std::min(request.overload, std::max(moment, most / 2));
-    return spread(base, crowd_spread, random);
+    const auto latest_base = std::chrono::duration_cast<duration>(most / lasting_spread);
+    const duration base = std::min(request.overload, std::max(moment, latest_base));
+    return spread(base, lasting_spread, random);
 }
 
 } // namespace bamboostream
--- a/test/platform/admission_load_test.cpp
+++ b/test/platform/admission_load_test.cpp
@@ -218,7 +218,7 @@
     for (const double load : {1.0, 1.3, 1.7, 2.2, 3.0}) {
         const double now = goodput(load);
         fmt::print("goodput at load {}: {:.0f}\n", load, now);
-        EXPECT_GE(now, 0.9 * greatest);
+        EXPECT_GE(now, 0.95 * greatest);
         greatest = std::max(greatest, now);
     }
 }
