--- a/bamboostream/src/Limits/come_back.cpp
+++ b/bamboostream/src/Limits/come_back.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds most_after_crowd{1'000};
 /// Callers wait at most this part of their patience.
 constexpr double honoured_part = 1.0 / 3.0;
-/// What is expected to last is waited for with less spread, to leave more of that for the wait.
+/// Of times near the latest that callers honour: less spread leaves more of that for the wait.
 constexpr double lasting_spread = 1.3;
 /// While nothing is known: a quarter of the patience, with the spread just under what they wait.
 constexpr double outage_part = 0.25;
@@ -50,10 +50,10 @@
     if (request.overload <= moment || !request.patience) {
         return spread(moment, crowd_spread, random);
     }
-    const duration most = std::chrono::duration_cast<duration>(*request.patience * honoured_part);
-    const auto latest_base = std::chrono::duration_cast<duration>(most / lasting_spread);
-    const duration base = std::min(request.overload, std::max(moment, latest_base));
-    return spread(base, lasting_spread, random);
+    const auto honoured = std::chrono::duration_cast<duration>(*request.patience * honoured_part);
+    const auto latest = std::chrono::duration_cast<duration>(honoured / lasting_spread);
+    return std::min(spread(request.overload, crowd_spread, random),
+                    spread(std::max(moment, latest), lasting_spread, random));
 }
 
 } // namespace bamboostream
