--- a/bamboostream/src/Forwarding/latency_metrics.cpp
+++ b/bamboostream/src/Forwarding/latency_metrics.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
-/// Upper bounds in seconds. They hold the bounds that the users' sheets name: pauses of 0.18 s,
-/// answers of 0.1 to 0.3 s, first events of 1.5 and 1.8 s.
+/// Upper bounds in seconds. Usual objectives are among them, so that the share of requests within
+/// an objective can be read off.
 const std::vector<double> bounds_s = {0.0, 0.005, 0.01, 0.025, 0.05, 0.1, 0.18, 0.3,  0.5,
                                       0.8, 1.0,   1.5,  1.8,   2.5,  5.0, 10.0, 20.0, 40.0};
 
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -26,7 +26,7 @@
     /// Requests that it runs at once.
     int slots = 1;
     bool leaving = false;
-    /// It has just started and is slow until then.
+    /// It is cold until then: slow, and bears few requests a second.
     time_point slow_until{};
 };
 
--- a/test/cold_start_limit_test.cpp
+++ b/test/cold_start_limit_test.cpp
@@ -2,6 +2,7 @@
 // network.
 
 #include "bamboostream/Limits"
+#include "test/platform/decision_helpers.h"
 
 #include <algorithm>
 #include <deque>
@@ -12,7 +13,6 @@
 namespace bamboostream {
 namespace {
 
-const time_point start = time_point{} + seconds(1'000);
 constexpr cold_start_rules rules{1.5, 5.0};
 
 /// Who takes itself for what in a play.
--- a/test/platform/admission_load_test.cpp
+++ b/test/platform/admission_load_test.cpp
@@ -4,8 +4,8 @@
 #include "bamboostream/Forwarding"
 #include "bamboostream/Limits"
 #include "platform/request_translation.h"
-#include "standins/engine_model.h"
 #include "test/platform/decision_helpers.h"
+#include "test/platform/modelled_engines.h"
 
 #include <cmath>
 #include <fmt/format.h>
@@ -37,7 +37,7 @@
     0.467, 3'000.0, 750.0, 0.8, 1, milliseconds(1'800), milliseconds(39'000)};
 constexpr caller_kind brief_kind{
     0.91, 2'400.0, 11.0, 0.8, 0, milliseconds(1'500), milliseconds(6'000)};
-constexpr std::int64_t memory_tokens = 21'840;
+constexpr std::int64_t memory_tokens = test::modelled_memory_tokens;
 constexpr int engine_count = 10;
 constexpr seconds played{40};
 
@@ -59,16 +59,9 @@
         : load_(load), crowd_(crowd), random_(seed),
           state_(codec_, failure_domain_id("norra"), {}, seed) {
         for (int i = 0; i < engine_count; ++i) {
-            standins::engine_parameters p;
-            p.blocks = static_cast<std::uint32_t>(memory_tokens / 16);
-            p.max_running = 24;
-            p.step_base_ms = 7.0;
-            p.step_per_sequence_ms = 0.12;
-            p.prefill_ms_per_token = 1.0 / 14.0;
-            p.prefill_chunk = 112;
             const registered_backend engine = backend(fmt::format("i-{}", i));
             state_.registry.learn(engine, now_);
-            models_.emplace(engine.id, std::make_unique<engine_model>(p));
+            models_.emplace(engine.id, std::make_unique<engine_model>(test::modelled_engine()));
         }
     }
 
@@ -112,18 +105,14 @@
         if (std::uniform_real_distribution<double>(0.0, 1.0)(random_) >= share) {
             return;
         }
-        const auto draw = [&](double mean, double spread) {
-            const double mu = std::log(mean) - spread * spread / 2.0;
-            return std::lognormal_distribution<double>(mu, spread)(random_);
-        };
         generation g;
         g.kind = &kind;
         g.asked = now_;
         g.job.id = next_id_++;
-        g.job.prompt_tokens =
-            static_cast<std::uint32_t>(std::clamp(draw(kind.prompt_tokens, 0.35), 500.0, 6'000.0));
-        g.job.output_tokens = static_cast<std::uint32_t>(
-            std::clamp(draw(kind.output_tokens, kind.output_spread), 4.0, 1'768.0));
+        g.job.prompt_tokens = static_cast<std::uint32_t>(
+            std::clamp(test::draw_size(kind.prompt_tokens, 0.35, random_), 500.0, 6'000.0));
+        g.job.output_tokens = static_cast<std::uint32_t>(std::clamp(
+            test::draw_size(kind.output_tokens, kind.output_spread, random_), 4.0, 1'768.0));
         const double estimate =
             g.job.output_tokens * std::exp(std::normal_distribution<>(0, 1.0)(random_));
         g.expected = std::clamp<std::int64_t>(static_cast<std::int64_t>(estimate), 1, 1'768);
--- a/test/platform/evacuation_load_test.cpp
+++ b/test/platform/evacuation_load_test.cpp
@@ -2,7 +2,7 @@
 
 #include "bamboostream/Evacuation"
 #include "bamboostream/Routing"
-#include "standins/engine_model.h"
+#include "test/platform/modelled_engines.h"
 
 #include <cmath>
 #include <fmt/format.h>
@@ -35,7 +35,7 @@
 constexpr caller_kind brief_kind{1.12, 2'400.0, 11.0, 0.9, milliseconds(1'500), 27.0, 4.0};
 constexpr milliseconds pause_objective{180};
 constexpr std::int64_t most_output = 2'204;
-constexpr std::int64_t memory_tokens = 21'840;
+constexpr std::int64_t memory_tokens = test::modelled_memory_tokens;
 
 /// What became of the callers of one play.
 struct outcome {
@@ -128,27 +128,15 @@
     };
 
     void add_engine() {
-        standins::engine_parameters p;
-        p.blocks = static_cast<std::uint32_t>(memory_tokens / 16);
-        p.max_running = 24;
-        p.step_base_ms = 7.0;
-        p.step_per_sequence_ms = 0.12;
-        p.prefill_ms_per_token = 1.0 / 14.0;
-        p.prefill_chunk = 112;
         engine e;
         e.backend.id = backend_id(fmt::format("i-{}", next_engine_));
         e.backend.failure_domain = failure_domain_id(fmt::format("d{}", next_engine_ % 4));
-        e.model = std::make_unique<engine_model>(p);
+        e.model = std::make_unique<engine_model>(test::modelled_engine());
         ++next_engine_;
         const backend_id id = e.backend.id;
         engines_.emplace(id, std::move(e));
     }
 
-    double draw(double mean, double spread) {
-        const double mu = std::log(mean) - spread * spread / 2.0;
-        return std::lognormal_distribution<double>(mu, spread)(random_);
-    }
-
     void arrive() {
         for (const caller_kind* kind : {&long_kind, &brief_kind}) {
             const double share = kind->for_each_long * long_a_second_ * engine_count *
@@ -164,10 +152,11 @@
         g.kind = &kind;
         g.asked = now_;
         g.job.id = next_generation_++;
-        g.job.prompt_tokens =
-            static_cast<std::uint32_t>(std::clamp(draw(kind.prompt_tokens, 0.35), 500.0, 6'000.0));
-        g.job.output_tokens = static_cast<std::uint32_t>(std::clamp(
-            draw(kind.output_tokens, kind.output_spread), 4.0, static_cast<double>(most_output)));
+        g.job.prompt_tokens = static_cast<std::uint32_t>(
+            std::clamp(test::draw_size(kind.prompt_tokens, 0.35, random_), 500.0, 6'000.0));
+        g.job.output_tokens = static_cast<std::uint32_t>(
+            std::clamp(test::draw_size(kind.output_tokens, kind.output_spread, random_), 4.0,
+                       static_cast<double>(most_output)));
         const double estimate =
             g.job.output_tokens * std::exp(std::normal_distribution<>(0, 1.2)(random_));
         g.expected = std::clamp<std::int64_t>(static_cast<std::int64_t>(estimate), 1, most_output);
--- /dev/null
+++ b/test/platform/modelled_engines.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "standins/engine_model.h"
+
+#include <cmath>
+#include <cstdint>
+#include <random>
+
+namespace bamboostream::test {
+
+/// Cache memory of a modelled engine, in tokens.
+inline constexpr std::int64_t modelled_memory_tokens = 21'840;
+
+/// An engine that takes 7 ms a step and reads 14 prompt tokens a millisecond, 112 in one step.
+inline standins::engine_parameters modelled_engine() {
+    standins::engine_parameters p;
+    p.blocks = static_cast<std::uint32_t>(modelled_memory_tokens / p.block_tokens);
+    p.max_running = 24;
+    p.step_base_ms = 7.0;
+    p.step_per_sequence_ms = 0.12;
+    p.prefill_ms_per_token = 1.0 / 14.0;
+    p.prefill_chunk = 112;
+    return p;
+}
+
+/// A log-normal number with this mean; `spread` is the deviation of its logarithm.
+inline double draw_size(double mean, double spread, std::mt19937_64& random) {
+    const double mu = std::log(mean) - spread * spread / 2.0;
+    return std::lognormal_distribution<double>(mu, spread)(random);
+}
+
+} // namespace bamboostream::test
