Say why a connection to a backend server failed, and whether it had been used before

Change: attempt_failed gives the connection's own reason and connection=new or reused; counters connects_timed_out_total and connects_refused_total. Result: no decision changes.

--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -55,9 +55,11 @@
         state_.picker.on_unreachable(to.backend.id, monotonic_now());
     }
     log_event(events::attempt_failed,
-              "request={} route={} backend={} address={} end={} reason={} sends={} after_ms={:.0f}",
+              "request={} route={} backend={} address={} end={} reason={} connection={} sends={} "
+              "after_ms={:.0f}",
               request_.id, route_->name, to.backend.id.text(), to.backend.address, to_string(end),
-              reason, history_.sends, to_milliseconds(monotonic_now() - arrival_));
+              reason, connection_reused_ ? "reused" : "new", history_.sends,
+              to_milliseconds(monotonic_now() - arrival_));
     return end;
 }
 
@@ -82,21 +84,26 @@
     }
 }
 
-asio::awaitable<bool> forwarded_call::open_connection(const registered_backend& backend) {
+asio::awaitable<bool> forwarded_call::open_connection(const registered_backend& backend,
+                                                      http_failure& why) {
     const time_point now = monotonic_now();
     const bool once = route_->repeats == repeat_policy::once;
     connection_ = state_.connections.take(
         backend.address, once ? duration(max_idle_non_repeatable) : duration(max_idle_repeatable),
         now);
-    if (connection_) {
+    connection_reused_ = connection_ != nullptr;
+    if (connection_reused_) {
         co_return true;
     }
     ++state_.counters.new_connections;
     connection_ = std::make_shared<http_connection>(exchange_.executor());
-    http_failure why;
     const auto remaining = std::chrono::duration_cast<milliseconds>(deadline_ - now);
-    co_return co_await connection_->connect(backend.address, std::min(connect_timeout, remaining),
-                                            why);
+    if (co_await connection_->connect(backend.address, std::min(connect_timeout, remaining), why)) {
+        co_return true;
+    }
+    ++(connection_->timed_out() ? state_.counters.connects_timed_out
+                                : state_.counters.connects_refused);
+    co_return false;
 }
 
 time_point forwarded_call::attempt_deadline() const {
@@ -131,8 +138,9 @@
 asio::awaitable<std::optional<attempt_end>> forwarded_call::attempt(const destination& to) {
     log_send(to);
     register_work(to.backend.id);
-    if (!co_await open_connection(to.backend)) {
-        co_return fail(to, attempt_end::not_sent, "connection failed");
+    http_failure why;
+    if (!co_await open_connection(to.backend, why)) {
+        co_return fail(to, attempt_end::not_sent, why.text);
     }
     const time_point now = monotonic_now();
     if (caller_left_ || withdrawn_ || now >= deadline_) {
@@ -163,7 +171,6 @@
     response_head_received_ = false;
     work_before_send_ = to.work;
     connection_->expire_at(to.copy ? deadline_ : attempt_deadline());
-    http_failure why;
     if (!co_await connection_->read_head(why)) {
         co_return fail(to, connection_->timed_out() ? attempt_end::silent : attempt_end::lost,
                        why.text);
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -74,7 +74,8 @@
     /// Makes one attempt. Returns nothing if the caller has received its complete response.
     boost::asio::awaitable<std::optional<attempt_end>> attempt(const destination& to);
     void log_send(const destination& to) const;
-    boost::asio::awaitable<bool> open_connection(const registered_backend& backend);
+    boost::asio::awaitable<bool> open_connection(const registered_backend& backend,
+                                                 http_failure& why);
     time_point attempt_deadline() const;
     boost::asio::awaitable<std::optional<attempt_end>> handle_response(const destination& to);
     boost::asio::awaitable<std::optional<attempt_end>> forward_body(const destination& to,
@@ -136,6 +137,8 @@
     /// The server of the latest attempt, and whether it has sent a response head.
     registered_backend sent_to_;
     bool response_head_received_ = false;
+    /// The connection of the latest attempt had carried another request before.
+    bool connection_reused_ = false;
     /// When the latest attempt was sent, and its engine's work when the engine was chosen.
     time_point sent_at_;
     std::optional<backend_work> work_before_send_;
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -51,6 +51,9 @@
     std::array<std::uint64_t, static_cast<std::size_t>(forward_result::count_)> results{};
     std::uint64_t sends = 0;
     std::uint64_t new_connections = 0;
+    /// Connection attempts to backend servers that got no answer, and that were refused.
+    std::uint64_t connects_timed_out = 0;
+    std::uint64_t connects_refused = 0;
     std::uint64_t moved = 0;
     /// Requests in progress.
     std::uint64_t open = 0;
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -69,6 +69,8 @@
     }
     append(out, "counter", "sends_total", c.sends);
     append(out, "counter", "new_connections_total", c.new_connections);
+    append(out, "counter", "connects_timed_out_total", c.connects_timed_out);
+    append(out, "counter", "connects_refused_total", c.connects_refused);
     append(out, "counter", "backend_servers_ended_total", state.server_checks.ended_servers());
     append(out, "counter", "moved_generations_total", c.moved);
     append(out, "counter", "placed_by_owner_total", c.placed_by_owner);
