--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -98,7 +98,8 @@
     ++state_.counters.new_connections;
     connection_ = std::make_shared<http_connection>(exchange_.executor());
     const auto remaining = std::chrono::duration_cast<milliseconds>(deadline_ - now);
-    if (co_await connection_->connect(backend.address, std::min(connect_timeout, remaining), why)) {
+    if (co_await connection_->connect(backend.address, std::min(connect_timeout, remaining), why,
+                                      state_.outbound_address)) {
         co_return true;
     }
     ++(connection_->timed_out() ? state_.counters.connects_timed_out
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -26,6 +26,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <string>
 #include <unordered_map>
 
 namespace bamboostream {
@@ -75,6 +76,9 @@
 
     const request_codec& codec;
     failure_domain_id local_failure_domain;
+    /// IP address from which connections to backend servers are made; empty to let the system
+    /// choose.
+    std::string outbound_address;
     /// Null until the first configuration has been loaded.
     std::shared_ptr<const route_table> routes;
     /// Highest configuration version announced by other instances; zero before the first.
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -225,6 +225,7 @@
 bool gateway::parts::start() {
     std::string why;
     forwarding.admission = settings.admission;
+    forwarding.outbound_address = settings.outbound_address;
     forwarding.cold_starts.set_rules(settings.cold_starts);
     const auto peer_address = links.listen(settings.peer_listen, why);
     if (!peer_address) {
--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -30,6 +30,9 @@
     std::string peer_listen;
     /// Address for metrics; empty to serve none.
     std::string metrics_listen;
+    /// IP address from which connections to backend servers are made, on a machine that has
+    /// several; empty to let the system choose.
+    std::string outbound_address;
     std::string failure_domain;
     /// CPU capacity of this instance in thousandths of a core; zero when the platform doesn't
     /// report it.
--- a/bamboostream/src/Http/address.cpp
+++ b/bamboostream/src/Http/address.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <fmt/format.h>
+#include <netinet/in.h>
 
 namespace bamboostream {
 
@@ -43,6 +44,21 @@
     return acceptor;
 }
 
+void bind_to(boost::asio::ip::tcp::socket& socket, const std::string& ip,
+             boost::system::error_code& ec) {
+    const auto address = boost::asio::ip::make_address(ip, ec);
+    if (ec) {
+        return;
+    }
+    const boost::asio::ip::tcp::endpoint local(address, 0);
+    socket.open(local.protocol(), ec);
+    // Without this the port is taken from all destinations' range before the destination is known.
+    using choose_port_on_connect =
+        boost::asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
+    socket.set_option(choose_port_on_connect(true), ec);
+    socket.bind(local, ec);
+}
+
 std::string to_text(const boost::asio::ip::tcp::endpoint& endpoint) {
     return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
 }
--- a/bamboostream/src/Http/address.h
+++ b/bamboostream/src/Http/address.h
@@ -15,6 +15,11 @@
 std::optional<boost::asio::ip::tcp::acceptor> listen_on(boost::asio::io_context& context,
                                                         std::string_view address, std::string& why);
 
+/// Opens `socket` and binds it to the IP address `ip` of this machine, with any port, for a
+/// connection that is to be made from there.
+void bind_to(boost::asio::ip::tcp::socket& socket, const std::string& ip,
+             boost::system::error_code& ec);
+
 /// Formats an endpoint as "ip:port".
 std::string to_text(const boost::asio::ip::tcp::endpoint& endpoint);
 
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -44,13 +44,20 @@
 http_connection::~http_connection() = default;
 
 asio::awaitable<bool> http_connection::connect(std::string address, milliseconds timeout,
-                                               http_failure& why) {
+                                               http_failure& why, std::string local_address) {
     const auto endpoint = to_endpoint(address);
     if (!endpoint) {
         why.set(http_error::not_connected, "not an ip:port address: " + address);
         co_return false;
     }
     beast::error_code ec;
+    if (!local_address.empty()) {
+        bind_to(socket_, local_address, ec);
+        if (ec) {
+            why.set(http_error::not_connected, local_address + ": " + ec.message());
+            co_return false;
+        }
+    }
     expire_at(monotonic_now() + timeout);
     co_await socket_.async_connect(*endpoint, token(ec));
     expire_never();
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -39,8 +39,9 @@
     http_connection(const http_connection&) = delete;
     http_connection& operator=(const http_connection&) = delete;
 
+    /// With `local_address`, an IP address of this machine, the connection is made from there.
     boost::asio::awaitable<bool> connect(std::string address, milliseconds timeout,
-                                         http_failure& why);
+                                         http_failure& why, std::string local_address = {});
     /// Starts an exchange: writes `bytes`, a complete serialized request, in the background. With
     /// `head_only` the response has no body whatever its head says (HEAD).
     void send(std::string bytes, bool head_only);
--- a/test/platform/scripted_backend.cpp
+++ b/test/platform/scripted_backend.cpp
@@ -94,6 +94,15 @@
     }
 }
 
+bool scripted_backend::discard_packets_from(const std::vector<std::string>& sources,
+                                            standins::discarded_packets which) {
+    bool done = standins::discard_packets(acceptor_.native_handle(), sources, which);
+    for (tcp::socket* socket : *open_) {
+        done = standins::discard_packets(socket->native_handle(), sources, which) && done;
+    }
+    return done;
+}
+
 void scripted_backend::answer_before_the_body() {
     reads_bodies_ = false;
     // With a small receive buffer, most of a long body remains unsent at the sender.
--- a/test/platform/scripted_backend.h
+++ b/test/platform/scripted_backend.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "standins/packet_filter.h"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -57,6 +59,9 @@
     /// Simulates the end of the process: closes the open connections and accepts no more.
     void end_process();
     bool ended() const { return !acceptor_.is_open(); }
+    /// From now on, discards packets from these IP addresses: with none, none.
+    bool discard_packets_from(const std::vector<std::string>& sources,
+                              standins::discarded_packets which);
     /// From now on, runs the script as soon as the head of a request has arrived, without waiting
     /// for the body, and serves one request on each connection, which stays open until the peer
     /// closes it.
--- a/test/platform/system/gateway_fixture.h
+++ b/test/platform/system/gateway_fixture.h
@@ -87,7 +87,8 @@
 
     static void start(instance_under_test& it) {
         it.running = std::make_unique<process>(
-            "bamboostream-gateway", std::vector<std::string>{"--settings-file", it.settings},
+            "bamboostream-gateway",
+            std::vector<std::string>{"--settings-file", it.settings, "--outbound-address", it.ip},
             it.log);
     }
 
