Reach backend servers through another instance when only this one is cut off

Cause: an instance took what its own connections told for the state of the servers. Each request found out anew, 0.4 s a connect; a server was passed over for 2.5 s, until all were and the choice fell back to them. Nothing could tell that the servers were sound, and there was no other way to them. The class: a local failure taken for a remote one. Change: a connect that is refused, or takes over 0.1 s, competes with a tunnel: another instance connects to the same server and passes bytes on. Nothing is sent before one of them stands, and all decisions (deadline, workspace, admission, attempts, budgets) stay where they were, so at most once and "not run" hold as before. A server that a peer reaches and this instance doesn't is cut off; two make the service cut off (reachability_tracker), and then tunnels are opened at once. Carriers connect directly only. A tunnel that breaks is told from a server that closes by a mark. Such failures no longer count against servers here or at the owner. One silent connection drops its idle siblings. Why it works: a wrong belief costs a detour, so it can be held after one connect.

--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -42,6 +42,8 @@
 inline constexpr event_kind backend_kept{227, event_level::info, "backend_kept", "A backend server whose entry was missing has one again."};
 inline constexpr event_kind domains_cordoned{228, event_level::info, "domains_cordoned", "The failure domains that the operator has taken out of service have changed; their backend servers get no new work."};
 inline constexpr event_kind backend_connection_lost{229, event_level::info, "backend_connection_lost", "The connection to a backend server broke with a request open on it; the line gives the digest of the request and whether the server's process has ended."};
+inline constexpr event_kind service_cut_off{230, event_level::warning, "service_cut_off", "Other instances connect to the backend servers of a service, and this one doesn't; its requests go through them."};
+inline constexpr event_kind service_reachable{231, event_level::info, "service_reachable", "This instance connects to backend servers of a service again that was cut off from it."};
 inline constexpr event_kind configuration_in_force{300, event_level::info, "configuration_in_force", "A newer configuration version is in force here."};
 inline constexpr event_kind configuration_rejected{301, event_level::warning, "configuration_rejected", "A configuration record on the log conflicts with an earlier one or failed validation."};
 inline constexpr event_kind log_unavailable{310, event_level::warning, "log_unavailable", "The platform's log can't be read; the configuration in force stays."};
@@ -63,6 +65,8 @@
 inline constexpr event_kind request_quarantined{435, event_level::warning, "request_quarantined", "Backend servers ended during attempts at one request; further attempts at it are refused until its trial if other requests may have ended the servers, and until its quarantine expires if not."};
 inline constexpr event_kind request_released{436, event_level::info, "request_released", "A request left quarantine: it was answered, another request explains why backend servers ended, or the quarantine expired."};
 inline constexpr event_kind quarantine_trial{437, event_level::info, "quarantine_trial", "A held request is sent once, because other requests may have crashed the same backend servers; its answer releases it."};
+inline constexpr event_kind request_tunneled{438, event_level::info, "request_tunneled", "A request is sent to its backend server through another instance."};
+inline constexpr event_kind tunnel_requested{439, event_level::info, "tunnel_requested", "Another instance, which can't reach a backend server, asked this one for a tunnel to it."};
 inline constexpr event_kind generation_moved{440, event_level::info, "generation_moved", "A generation continues at another engine because its engine is leaving."};
 inline constexpr event_kind move_failed{441, event_level::info, "move_failed", "A generation could not be moved."};
 inline constexpr event_kind evacuation_started{442, event_level::info, "evacuation_started", "This instance moves the generations of a leaving engine."};
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -1,6 +1,7 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Core/digest.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Forwarding/backend_connection.h"
 #include "bamboostream/src/Forwarding/forwarded_call.h"
 
 #include <algorithm>
@@ -15,10 +16,6 @@
 
 namespace {
 
-/// A connection within a region takes a few milliseconds; a lost packet is retransmitted after a
-/// second. A shorter timeout detects a dead server early, and trying another one is safe because
-/// nothing has been sent.
-constexpr milliseconds connect_timeout{400};
 /// Maximum idle time of a connection that is reused. It is shorter for requests that must not be
 /// sent twice: the longer a connection has been idle, the likelier its server is just closing it,
 /// and then the request is lost.
@@ -47,13 +44,18 @@
     history_.record(end);
     const bool counts =
         end == attempt_end::not_sent || end == attempt_end::lost || end == attempt_end::silent;
-    const bool ended_here = caller_left_ || withdrawn_;
+    const bool ended_here =
+        caller_left_ || withdrawn_ || state_.reachability.is_cut_off(service_->id, to.backend.id);
     if (counts && !ended_here) {
         record_outcome(to.backend.id, false);
     }
     if (end == attempt_end::not_sent && !ended_here) {
         state_.picker.on_unreachable(to.backend.id, monotonic_now());
     }
+    // The other idle connections may be as dead as this one.
+    if (end == attempt_end::silent && connection_reused_) {
+        state_.connections.drop_direct(to.backend.address);
+    }
     log_event(events::attempt_failed,
               "request={} route={} backend={} address={} end={} reason={} connection={} sends={} "
               "after_ms={:.0f}",
@@ -86,25 +88,17 @@
 
 asio::awaitable<bool> forwarded_call::open_connection(const registered_backend& backend,
                                                       http_failure& why) {
-    const time_point now = monotonic_now();
-    const bool once = route_->repeats == repeat_policy::once;
-    connection_ = state_.connections.take(
-        backend.address, once ? duration(max_idle_non_repeatable) : duration(max_idle_repeatable),
-        now);
-    connection_reused_ = connection_ != nullptr;
-    if (connection_reused_) {
-        co_return true;
-    }
-    ++state_.counters.new_connections;
-    connection_ = std::make_shared<http_connection>(exchange_.executor());
-    const auto remaining = std::chrono::duration_cast<milliseconds>(deadline_ - now);
-    if (co_await connection_->connect(backend.address, std::min(connect_timeout, remaining), why,
-                                      state_.outbound_address)) {
-        co_return true;
-    }
-    ++(connection_->timed_out() ? state_.counters.connects_timed_out
-                                : state_.counters.connects_refused);
-    co_return false;
+    connection_request wanted;
+    wanted.request_id = request_.id;
+    wanted.max_idle = route_->repeats == repeat_policy::once ? duration(max_idle_non_repeatable)
+                                                             : duration(max_idle_repeatable);
+    wanted.deadline = deadline_;
+    connection_ = nullptr;
+    backend_connection opened =
+        co_await open_backend_connection(state_, backend, std::move(wanted), why);
+    connection_ = std::move(opened.connection);
+    connection_reused_ = opened.reused;
+    co_return connection_ != nullptr;
 }
 
 time_point forwarded_call::attempt_deadline() const {
@@ -167,6 +161,11 @@
         co_return fail(to, attempt_end::not_sent, "connection closed before the request was sent");
     }
     ++state_.counters.sends;
+    if (!connection_->carrier().empty()) {
+        ++state_.counters.tunneled_sends;
+        log_event(events::request_tunneled, "request={} backend={} carrier={}", request_.id,
+                  to.backend.id.text(), connection_->carrier());
+    }
     sent_at_ = now;
     sent_to_ = to.backend;
     response_head_received_ = false;
@@ -239,6 +238,9 @@
 }
 
 asio::awaitable<void> forwarded_call::examine_lost_connection() {
+    if (state_.reachability.is_cut_off(service_->id, sent_to_.id)) {
+        co_return;
+    }
     const time_point lost_at = monotonic_now();
     const registered_backend* known = state_.registry.find(sent_to_.id);
     const bool leaving = known == nullptr || known->leaving;
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -6,6 +6,7 @@
 #include "bamboostream/src/Forwarding/backend_contract.h"
 #include "bamboostream/src/Forwarding/engine_choice.h"
 #include "bamboostream/src/Forwarding/latency_metrics.h"
+#include "bamboostream/src/Forwarding/tunnel_dialer.h"
 #include "bamboostream/src/Http/http_connection_pool.h"
 #include "bamboostream/src/Limits/cold_start_limit.h"
 #include "bamboostream/src/Limits/engine_admission.h"
@@ -18,6 +19,7 @@
 #include "bamboostream/src/Routing/load_table.h"
 #include "bamboostream/src/Routing/outcome_collector.h"
 #include "bamboostream/src/Routing/prefill_rates.h"
+#include "bamboostream/src/Routing/reachability_tracker.h"
 #include "bamboostream/src/Routing/route_table.h"
 #include "bamboostream/src/Routing/window_budget.h"
 
@@ -56,6 +58,12 @@
     std::uint64_t connects_timed_out = 0;
     std::uint64_t connects_refused = 0;
     std::uint64_t moved = 0;
+    /// Sends through other instances, and tunnels that this instance has opened for them.
+    std::uint64_t tunneled_sends = 0;
+    std::uint64_t tunnels_opened = 0;
+    /// Tunnels carried for other instances, in total and at present.
+    std::uint64_t tunnels_carried = 0;
+    std::uint64_t open_tunnels = 0;
     /// Requests in progress.
     std::uint64_t open = 0;
     /// Generations whose engine was chosen by another instance, and requests to choose one that
@@ -99,6 +107,10 @@
     std::unordered_map<service_id, overload_tracker> overloads;
     /// Results to report to the instances that choose engines for this one.
     outcome_collector engine_outcomes;
+    /// Backend servers that other instances reach and this one doesn't.
+    reachability_tracker reachability;
+    /// Opens tunnels to such servers; null if there are no other instances.
+    tunnel_dialer* tunnels = nullptr;
     http_connection_pool connections;
     server_check server_checks;
     /// Requests that crash the backend servers which execute them.
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -8,6 +8,8 @@
 #include "bamboostream/src/Gateway/gateway_metrics.h"
 #include "bamboostream/src/Gateway/peer_exchange.h"
 #include "bamboostream/src/Gateway/quarantine_persister.h"
+#include "bamboostream/src/Gateway/tunnel_client.h"
+#include "bamboostream/src/Gateway/tunnel_server.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -84,6 +86,8 @@
     std::unique_ptr<quarantine_exchange> quarantine;
     std::unique_ptr<quarantine_persister> persister;
     std::unique_ptr<peer_exchange> peers;
+    std::unique_ptr<tunnel_client> tunnels;
+    std::unique_ptr<tunnel_server> carried_tunnels;
     std::unique_ptr<evacuation_service> evacuation;
     std::vector<std::unique_ptr<http_server>> servers;
     http_server* callers = nullptr;
@@ -120,6 +124,7 @@
 gateway::parts::~parts() {
     forwarding.scheduler = nullptr;
     forwarding.trials = nullptr;
+    forwarding.tunnels = nullptr;
     forwarding.on_generation_change = nullptr;
     forwarding.quarantine.clear_listeners();
     forwarding.on_registry_change = nullptr;
@@ -160,6 +165,13 @@
                                                        forwarding.quarantine);
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *store_updates,
                                             *distributor, *owner_engine_scheduler, *quarantine);
+    tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding);
+    forwarding.tunnels = tunnels.get();
+    carried_tunnels = std::make_unique<tunnel_server>(context, forwarding);
+    links.on_tunnel_request(
+        [this](asio::ip::tcp::socket origin, std::unique_ptr<wire::FrameT> frame) {
+            carried_tunnels->accept(std::move(origin), std::move(frame));
+        });
     evacuation = std::make_unique<evacuation_service>(context, forwarding, contracts.mover, *peers);
     state.set_reader(reader);
     state.on_new_configuration([this](const routing_configuration& c) { apply_configuration(c); });
@@ -171,6 +183,7 @@
         }
         if (change.event == registry_event::gone || change.event == registry_event::restarted) {
             forwarding.connections.drop(change.backend.address);
+            forwarding.reachability.forget(change.backend.service, change.backend.id);
         }
         if (change.event == registry_event::restarted) {
             evacuation->on_restart(change.backend.id);
@@ -252,6 +265,8 @@
     store_updates->start();
     store.start(*store_updates);
     peers->start();
+    tunnels->start();
+    carried_tunnels->start();
     quarantine->start();
     persister->start();
     evacuation->start();
@@ -375,7 +390,8 @@
     const time_point end = began_at + settings.grace - grace_margin;
     forwarding.shutdown_deadline = end;
     while (monotonic_now() < end &&
-           (forwarding.counters.open > 0 || monotonic_now() < directory_expired_at)) {
+           (forwarding.counters.open > 0 || forwarding.counters.open_tunnels > 0 ||
+            monotonic_now() < directory_expired_at)) {
         co_await pause_for(drain_poll_period);
     }
     log_event(events::stopped, "open_requests={}", forwarding.counters.open);
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -72,6 +72,11 @@
     append(out, "counter", "connects_timed_out_total", c.connects_timed_out);
     append(out, "counter", "connects_refused_total", c.connects_refused);
     append(out, "counter", "backend_servers_ended_total", state.server_checks.ended_servers());
+    append(out, "counter", "tunneled_sends_total", c.tunneled_sends);
+    append(out, "counter", "tunnels_opened_total", c.tunnels_opened);
+    append(out, "counter", "tunnels_carried_total", c.tunnels_carried);
+    append(out, "gauge", "tunnels_carried", c.open_tunnels);
+    append(out, "gauge", "backend_servers_cut_off", state.reachability.servers_cut_off());
     append(out, "counter", "moved_generations_total", c.moved);
     append(out, "counter", "placed_by_owner_total", c.placed_by_owner);
     append(out, "counter", "owners_silent_total", c.owner_timeouts);
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -70,6 +70,15 @@
     co_return true;
 }
 
+void http_connection::adopt_tunnel(asio::ip::tcp::socket socket, std::string carrier) {
+    beast::error_code ec;
+    socket_ = std::move(socket);
+    socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    socket_.non_blocking(true, ec);
+    carrier_ = std::move(carrier);
+    tunnel_.emplace();
+}
+
 void http_connection::start_parser() {
     parser_.emplace();
     parser_->body_limit(response_body_limit);
@@ -137,10 +146,28 @@
     co_return true;
 }
 
-asio::awaitable<void> http_connection::read_once(beast::error_code& ec) {
+/// A tunnel whose carrier has ended must not look like the end of the server's connection, which
+/// completes a response without a length.
+asio::awaitable<std::size_t> http_connection::read_payload(beast::error_code& ec) {
+    if (tunnel_ && tunnel_->ended()) {
+        ec = asio::error::eof;
+        co_return 0;
+    }
+    char* const begin = buffer_->data() + unparsed_bytes_;
     const std::size_t count = co_await socket_.async_read_some(
-        asio::buffer(buffer_->data() + unparsed_bytes_, buffer_->size() - unparsed_bytes_),
-        token(ec));
+        asio::buffer(begin, buffer_->size() - unparsed_bytes_), token(ec));
+    if (!tunnel_) {
+        co_return count;
+    }
+    const std::size_t decoded = tunnel_->decode({begin, count});
+    if (ec == asio::error::eof || tunnel_->malformed()) {
+        ec = asio::error::connection_reset;
+    }
+    co_return decoded;
+}
+
+asio::awaitable<void> http_connection::read_once(beast::error_code& ec) {
+    const std::size_t count = co_await read_payload(ec);
     if (ec == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
         ec = {};
         parser_->put_eof(ec);
@@ -241,6 +268,9 @@
 
 bool http_connection::reusable() const {
     const bool request_consumed = request_bytes_.size() <= max_reusable_request_bytes;
+    if (tunnel_ && (tunnel_->ended() || !tunnel_->at_boundary())) {
+        return false;
+    }
     return socket_.is_open() && complete() && unparsed_bytes_ == 0 && !writing_ &&
            request_consumed && !response_closes();
 }
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostream/src/Http/http_client.h"
+#include "bamboostream/src/Http/tunnel_records.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -42,6 +43,11 @@
     /// With `local_address`, an IP address of this machine, the connection is made from there.
     boost::asio::awaitable<bool> connect(std::string address, milliseconds timeout,
                                          http_failure& why, std::string local_address = {});
+    /// Uses a tunnel to a backend server instead of a connection of its own. `carrier` is the
+    /// instance at the other end of `socket`, which sends tunnel records.
+    void adopt_tunnel(boost::asio::ip::tcp::socket socket, std::string carrier);
+    /// The instance through which this connection is tunneled; empty if it is direct.
+    const std::string& carrier() const { return carrier_; }
     /// Starts an exchange: writes `bytes`, a complete serialized request, in the background. With
     /// `head_only` the response has no body whatever its head says (HEAD).
     void send(std::string bytes, bool head_only);
@@ -76,6 +82,8 @@
 private:
     boost::asio::awaitable<void> write_remaining(std::size_t written);
     boost::asio::awaitable<void> read_once(boost::beast::error_code& ec);
+    /// Reads after the parsed bytes; with a tunnel, only what its records contain.
+    boost::asio::awaitable<std::size_t> read_payload(boost::beast::error_code& ec);
     void parse(std::size_t available, boost::beast::error_code& ec);
     void start_parser();
     bool response_closes() const;
@@ -84,6 +92,8 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer watchdog_;
     std::optional<parser> parser_;
+    std::string carrier_;
+    std::optional<tunnel_record_decoder> tunnel_;
     std::unique_ptr<std::array<char, 16 * 1024>> buffer_;
     std::size_t unparsed_bytes_ = 0;
     std::string request_bytes_;
--- a/bamboostream/src/Http/http_connection_pool.h
+++ b/bamboostream/src/Http/http_connection_pool.h
@@ -2,26 +2,38 @@
 
 #include "bamboostream/src/Http/http_connection.h"
 
+#include <array>
+#include <cstdint>
 #include <deque>
 #include <memory>
+#include <span>
 #include <string>
 #include <unordered_map>
 
 namespace bamboostream {
 
-/// Idle client connections by address, so that few requests have to open a new one. Not
-/// thread-safe: all calls must be made on one thread.
+/// How a connection reaches its server.
+enum class connection_path : std::uint8_t { direct, tunneled };
+
+/// Idle client connections by address, so that few requests have to open a new one. Direct
+/// connections and tunnels to the same server are kept apart. Not thread-safe: all calls must be
+/// made on one thread.
 class http_connection_pool {
 public:
     /// The most recently used idle connection to `address` that has been idle for less than
     /// `max_idle`; null when there is none.
     std::shared_ptr<http_connection> take(const std::string& address, duration max_idle,
-                                          time_point now);
+                                          time_point now,
+                                          connection_path path = connection_path::direct);
     /// Keeps a connection for reuse when it can carry another exchange, and closes it otherwise.
     void give_back(const std::string& address, std::shared_ptr<http_connection> connection,
                    time_point now);
     /// Closes the idle connections to `address`.
     void drop(const std::string& address);
+    /// Closes the idle direct connections to `address`.
+    void drop_direct(const std::string& address);
+    /// Closes the idle tunnels whose carrier is not among `carriers`.
+    void drop_tunnels_except(std::span<const std::string> carriers);
     /// Closes connections that have been idle for too long, and forgets those that were closed.
     void expire(time_point now);
     /// Number of idle connections.
@@ -33,7 +45,12 @@
         time_point since;
         time_point until;
     };
-    std::unordered_map<std::string, std::deque<idle_connection>> idle_;
+    /// Closes and removes the connections for which `is_dropped` returns true.
+    template <typename predicate>
+    static void drop_if(std::deque<idle_connection>& connections, predicate is_dropped);
+
+    /// Per address and path, the most recently used connection last.
+    std::unordered_map<std::string, std::array<std::deque<idle_connection>, 2>> idle_;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Links/peer_links.cpp
+++ b/bamboostream/src/Links/peer_links.cpp
@@ -77,6 +77,7 @@
 
     asio::io_context& context;
     frame_handler handler;
+    tunnel_handler tunnels;
     instance_id self;
     std::optional<tcp::acceptor> acceptor;
     std::unordered_map<std::string, std::shared_ptr<outbound_peer>> peers;
@@ -230,6 +231,12 @@
                 links->report_bad_frame(*connection, "content");
                 break;
             }
+            if (frame->message.type == wire::Message::TunnelRequest) {
+                if (links->tunnels) {
+                    links->tunnels(std::move(connection->socket), std::move(frame));
+                }
+                break;
+            }
             links->dispatch(connection, std::move(frame), length);
         }
         connection->close_socket();
@@ -324,6 +331,10 @@
     return bound;
 }
 
+void peer_links::on_tunnel_request(tunnel_handler handler) {
+    state_->tunnels = std::move(handler);
+}
+
 void peer_links::set_identity(instance_id self) {
     state_->self = std::move(self);
 }
--- a/bamboostream/src/Links/peer_links.h
+++ b/bamboostream/src/Links/peer_links.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,6 +50,10 @@
 using frame_handler = std::function<boost::asio::awaitable<std::unique_ptr<wire::FrameT>>(
     std::unique_ptr<wire::FrameT>)>;
 
+/// Takes over a connection from a peer on which a tunnel was requested, with the request.
+using tunnel_handler =
+    std::function<void(boost::asio::ip::tcp::socket, std::unique_ptr<wire::FrameT>)>;
+
 namespace internal {
 struct peer_links_state;
 }
@@ -68,6 +73,9 @@
     std::optional<std::string> listen(std::string_view address, std::string& why);
     /// Sets the sender of all frames. Must be called before the first message.
     void set_identity(instance_id self);
+    /// Sets the handler of connections on which a peer asks for a tunnel; without one they are
+    /// closed.
+    void on_tunnel_request(tunnel_handler handler);
     /// Sends a message without expecting a reply. It may be lost.
     void send(const std::string& peer, wire::FrameT frame);
     /// Sends a message to several peers, encoding it once.
--- a/test/platform/peer_group.cpp
+++ b/test/platform/peer_group.cpp
@@ -103,7 +103,15 @@
     forwarding.quarantine.on_evidence([this](const crash_evidence& it) { quarantine->note(it); });
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news,
                                             *distributor, *owner, *quarantine);
+    tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding);
+    forwarding.tunnels = tunnels.get();
+    carried_tunnels = std::make_unique<tunnel_server>(context, forwarding);
+    links.on_tunnel_request(
+        [this](asio::ip::tcp::socket origin, std::unique_ptr<wire::FrameT> frame) {
+            carried_tunnels->accept(std::move(origin), std::move(frame));
+        });
     membership->start();
+    tunnels->start();
 }
 
 asio::awaitable<std::unique_ptr<wire::FrameT>>
--- a/test/platform/peer_group.h
+++ b/test/platform/peer_group.h
@@ -78,6 +78,8 @@
     std::unique_ptr<owner_scheduler> owner;
     std::unique_ptr<quarantine_exchange> quarantine;
     std::unique_ptr<peer_exchange> peers;
+    std::unique_ptr<tunnel_client> tunnels;
+    std::unique_ptr<tunnel_server> carried_tunnels;
     /// Whether announcements of store readers are dropped; all other frames arrive.
     bool drops_store_news = false;
     /// Whether announced evidence against requests is dropped.
--- /dev/null
+++ b/test/platform/tunnel_test.cpp
@@ -0,0 +1,275 @@
+// Tests, over loopback connections, of an instance that sends requests through another one because
+// it can't reach a backend server itself.
+
+#include "bamboostream/src/Forwarding/backend_connection.h"
+#include "bamboostream/src/Http/address.h"
+#include "test/platform/peer_group.h"
+#include "test/platform/scripted_backend.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace bamboostream::test {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr const char* request_text = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// What the origin received through a connection.
+struct exchange_result {
+    bool connected = false;
+    bool done = false;
+    bool complete = false;
+    bool reusable = false;
+    std::string carrier;
+    std::string body;
+    std::string failure;
+};
+
+class tunnel_test : public testing::Test {
+protected:
+    tunnel_test() : group_(1, 3) {
+        refusing_.close();
+        // Nothing accepts connections there, and its queue for them is full.
+        full_.listen(0);
+        for (auto& socket : waiting_) {
+            socket.async_connect(full_.local_endpoint(), [](boost::system::error_code) {});
+        }
+        group_.run_for(milliseconds(20));
+    }
+
+    peer_instance& origin() { return *group_.all.front(); }
+
+    /// Registers a server at all instances; the origin knows it at an address of `origin_sees`.
+    void add_server(const std::string& id, const std::string& address,
+                    const std::string& origin_sees) {
+        registered_backend entry;
+        entry.id = backend_id(id);
+        entry.service = service_id("s");
+        for (const auto& it : group_.all) {
+            entry.address = it.get() == &origin() ? origin_sees : address;
+            it->forwarding.registry.update(entry, monotonic_now());
+        }
+    }
+
+    std::shared_ptr<exchange_result> send(const std::string& id) {
+        auto result = std::make_shared<exchange_result>();
+        asio::co_spawn(
+            group_.context,
+            [this, id, result]() -> asio::awaitable<void> {
+                connection_request wanted;
+                wanted.max_idle = seconds(1);
+                wanted.deadline = monotonic_now() + seconds(1);
+                http_failure why;
+                const registered_backend server =
+                    *origin().forwarding.registry.find(backend_id(id));
+                const backend_connection opened = co_await open_backend_connection(
+                    origin().forwarding, server, std::move(wanted), why);
+                connection_ = opened.connection;
+                result->connected = connection_ != nullptr;
+                result->failure = why.text;
+                if (connection_) {
+                    result->carrier = connection_->carrier();
+                    connection_->send(request_text, false);
+                    connection_->expire_at(monotonic_now() + seconds(2));
+                    if (co_await connection_->read_head(why)) {
+                        while (co_await connection_->read(result->body)) {
+                        }
+                        result->complete = connection_->complete();
+                        result->reusable = connection_->reusable();
+                    }
+                }
+                result->done = true;
+            },
+            asio::detached);
+        return result;
+    }
+
+    std::shared_ptr<exchange_result> finish(const std::string& id) {
+        const auto result = send(id);
+        for (const time_point limit = monotonic_now() + seconds(4);
+             !result->done && monotonic_now() < limit;) {
+            group_.run_for(milliseconds(5));
+        }
+        return result;
+    }
+
+    std::string refusing_address() const { return refusing_address_; }
+    std::string silent_address() const { return to_text(full_.local_endpoint()); }
+
+    peer_group group_;
+    tcp::acceptor refusing_{group_.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
+    std::string refusing_address_ = to_text(refusing_.local_endpoint());
+    tcp::acceptor full_{group_.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
+    std::array<tcp::socket, 3> waiting_{tcp::socket(group_.context), tcp::socket(group_.context),
+                                        tcp::socket(group_.context)};
+    std::shared_ptr<http_connection> connection_;
+};
+
+backend_script answering_with(std::string response) {
+    return [response = std::move(response)](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.send(response);
+    };
+}
+
+constexpr const char* framed_response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+TEST_F(tunnel_test, a_refused_connection_goes_through_another_instance) {
+    scripted_backend server(group_.context, answering_with(framed_response));
+    add_server("i-0", server.address(), refusing_address());
+    const auto result = finish("i-0");
+    EXPECT_EQ(result->body, "ok");
+    EXPECT_TRUE(result->complete && result->reusable);
+    EXPECT_FALSE(result->carrier.empty());
+    EXPECT_NE(result->carrier, origin().address());
+    EXPECT_TRUE(origin().forwarding.reachability.is_cut_off(service_id("s"), backend_id("i-0")));
+    EXPECT_EQ(server.requests(), std::vector<std::string>{request_text});
+    server.stop();
+}
+
+TEST_F(tunnel_test, a_connection_without_an_answer_goes_through_another_instance) {
+    scripted_backend server(group_.context, answering_with(framed_response));
+    add_server("i-0", server.address(), silent_address());
+    const time_point began = monotonic_now();
+    EXPECT_EQ(finish("i-0")->body, "ok");
+    EXPECT_LT(monotonic_now() - began, milliseconds(300));
+    // From now on without the wait.
+    const time_point second = monotonic_now();
+    EXPECT_EQ(finish("i-0")->body, "ok");
+    EXPECT_LT(monotonic_now() - second, milliseconds(100));
+    server.stop();
+}
+
+TEST_F(tunnel_test, a_server_that_is_down_is_not_taken_for_cut_off) {
+    add_server("i-0", refusing_address(), refusing_address());
+    const time_point began = monotonic_now();
+    const auto result = finish("i-0");
+    EXPECT_FALSE(result->connected);
+    EXPECT_NE(result->failure, "");
+    EXPECT_LT(monotonic_now() - began, milliseconds(100));
+    EXPECT_EQ(origin().forwarding.reachability.servers_cut_off(), 0u);
+}
+
+TEST_F(tunnel_test, a_server_that_no_instance_reaches_is_given_up_in_time) {
+    add_server("i-0", silent_address(), silent_address());
+    const time_point began = monotonic_now();
+    EXPECT_FALSE(finish("i-0")->connected);
+    EXPECT_LT(monotonic_now() - began, milliseconds(600));
+    EXPECT_EQ(origin().forwarding.reachability.servers_cut_off(), 0u);
+}
+
+// Guards against two instances that are both cut off sending a request to and fro.
+TEST_F(tunnel_test, an_instance_that_is_cut_off_itself_carries_no_tunnel) {
+    scripted_backend server(group_.context, answering_with(framed_response));
+    add_server("i-0", server.address(), refusing_address());
+    for (std::size_t i = 1; i < group_.all.size(); ++i) {
+        group_.all[i]->forwarding.reachability.on_reached_by_peer(
+            service_id("s"), backend_id("i-0"), {}, monotonic_now());
+    }
+    EXPECT_FALSE(finish("i-0")->connected);
+    EXPECT_EQ(server.connections(), 0);
+    server.stop();
+}
+
+/// How a server ends a response that has no length.
+struct end_row {
+    std::string name;
+    bool reset;
+    friend void PrintTo(const end_row& row, std::ostream* out) { *out << row.name; }
+};
+
+class tunneled_response_end : public tunnel_test, public testing::WithParamInterface<end_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, tunneled_response_end,
+                         testing::Values(end_row{"closed", false}, end_row{"reset", true}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against a response that the server broke off looking complete to the caller.
+TEST_P(tunneled_response_end, is_complete_only_if_the_server_closed_in_order) {
+    const bool reset = GetParam().reset;
+    scripted_backend server(group_.context,
+                            [reset](scripted_connection& c) -> asio::awaitable<void> {
+                                co_await c.send("HTTP/1.1 200 OK\r\n\r\nhalf");
+                                co_await c.pause(30);
+                                if (reset) {
+                                    c.reset();
+                                } else {
+                                    c.close();
+                                }
+                            });
+    add_server("i-0", server.address(), refusing_address());
+    const auto result = finish("i-0");
+    EXPECT_EQ(result->body, "half");
+    EXPECT_EQ(result->complete, !reset);
+    EXPECT_FALSE(result->reusable);
+    server.stop();
+}
+
+// Guards against servers that go on with the work of a caller that has left.
+TEST_F(tunnel_test, a_closed_tunnel_closes_the_connection_to_the_server) {
+    bool closed = false;
+    scripted_backend server(group_.context,
+                            [&closed](scripted_connection& c) -> asio::awaitable<void> {
+                                co_await c.wait_for_close();
+                                closed = true;
+                            });
+    add_server("i-0", server.address(), refusing_address());
+    send("i-0");
+    while (server.requests().empty()) {
+        group_.run_for(milliseconds(5));
+    }
+    EXPECT_EQ(group_.all[1]->forwarding.counters.open_tunnels +
+                  group_.all[2]->forwarding.counters.open_tunnels,
+              1u);
+    connection_->close();
+    group_.run_for(milliseconds(100));
+    EXPECT_TRUE(closed);
+    EXPECT_EQ(group_.all[1]->forwarding.counters.open_tunnels +
+                  group_.all[2]->forwarding.counters.open_tunnels,
+              0u);
+    server.stop();
+}
+
+TEST_F(tunnel_test, a_large_response_arrives_whole) {
+    const std::string body(3'000'000, 'b');
+    scripted_backend server(
+        group_.context, answering_with(fmt::format(
+                            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body)));
+    add_server("i-0", server.address(), refusing_address());
+    const auto result = finish("i-0");
+    EXPECT_TRUE(result->complete);
+    EXPECT_EQ(result->body.size(), body.size());
+    EXPECT_EQ(result->body, body);
+    server.stop();
+}
+
+TEST_F(tunnel_test, direct_connections_are_used_again_when_they_work) {
+    scripted_backend server(group_.context, answering_with(framed_response));
+    add_server("i-0", server.address(), refusing_address());
+    EXPECT_FALSE(finish("i-0")->carrier.empty());
+    add_server("i-0", server.address(), server.address());
+    group_.run_for(milliseconds(1'000));
+    EXPECT_EQ(origin().forwarding.reachability.servers_cut_off(), 0u);
+    const auto result = finish("i-0");
+    EXPECT_EQ(result->body, "ok");
+    EXPECT_TRUE(result->carrier.empty());
+    server.stop();
+}
+
+// Guards against waiting for an instance that doesn't know the request for a tunnel.
+TEST_F(tunnel_test, an_instance_that_closes_the_connection_is_passed_over) {
+    scripted_backend server(group_.context, answering_with(framed_response));
+    add_server("i-0", server.address(), refusing_address());
+    group_.all[1]->links.on_tunnel_request(nullptr);
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(finish("i-0")->carrier, group_.all[2]->address());
+    }
+    server.stop();
+}
+
+} // namespace
+} // namespace bamboostream::test
