Ask further instances when a carrier's connection to the server is refused

Cause: a carrier that is cut off itself, by a network that refuses, answers that the server refused it; that was taken for the end of the server's process. Change: the next carrier is asked; the refused pair pauses for half a second.

--- a/bamboostream/src/Forwarding/tunnel_dialer.h
+++ b/bamboostream/src/Forwarding/tunnel_dialer.h
@@ -14,8 +14,6 @@
 /// Why no tunnel was opened.
 enum class tunnel_error : std::uint8_t {
     none,
-    /// The backend server's machine refused the connection of another instance, too.
-    refused,
     /// No other instance connected to the backend server.
     unavailable,
 };
--- a/bamboostream/src/Gateway/tunnel_client.cpp
+++ b/bamboostream/src/Gateway/tunnel_client.cpp
@@ -35,6 +35,9 @@
 constexpr milliseconds carrier_pause{1'000};
 /// An instance that got no answer from a server is asked for that server again after this time.
 constexpr milliseconds no_answer_pause{2'500};
+/// As above after a refused connection. Either the server's process has ended, or the carrier's own
+/// network refuses connections, so another instance is asked as well.
+constexpr milliseconds refused_pause{500};
 /// A carrier that has connected within this time is preferred.
 constexpr seconds connected_lately{5};
 /// Interval at which due checks are looked up while a server is cut off.
@@ -49,8 +52,8 @@
 /// Connects to another instance and asks it for a tunnel. Returns nothing when no valid reply
 /// arrives in time; on `connected`, `socket` is the tunnel.
 asio::awaitable<std::optional<wire::TunnelResult>>
-request_tunnel(std::shared_ptr<tcp::socket> socket, std::string carrier,
-               wire::FrameT request, milliseconds timeout) {
+request_tunnel(std::shared_ptr<tcp::socket> socket, std::string carrier, wire::FrameT request,
+               milliseconds timeout) {
     const auto endpoint = to_endpoint(carrier);
     if (!endpoint) {
         co_return std::nullopt;
@@ -94,7 +97,7 @@
 }
 
 void tunnel_client::expire(time_point now) {
-    std::erase_if(no_answer_until_, [now](const auto& item) { return now >= item.second; });
+    std::erase_if(failed_until_, [now](const auto& item) { return now >= item.second; });
     std::erase_if(carriers_, [now](const auto& item) {
         return now >= item.second.excluded_until &&
                now >= item.second.last_connected + connected_lately;
@@ -117,7 +120,7 @@
     for (const std::string& peer : membership_.usable_peers()) {
         const auto known = carriers_.find(peer);
         const bool excluded = known != carriers_.end() && now < known->second.excluded_until;
-        if (excluded || no_answer_until_.contains(std::pair(peer, server))) {
+        if (excluded || failed_until_.contains(std::pair(peer, server))) {
             continue;
         }
         const bool connected =
@@ -166,11 +169,10 @@
             co_return connection;
         }
         if (result == wire::TunnelResult::refused) {
-            why.set(tunnel_error::refused, "refused at another instance, too");
-            break;
-        }
-        if (result == wire::TunnelResult::no_answer) {
-            no_answer_until_[std::pair(carrier, server.id)] = now + no_answer_pause;
+            why.text = "refused at another instance, too";
+            failed_until_[std::pair(carrier, server.id)] = now + refused_pause;
+        } else if (result == wire::TunnelResult::no_answer) {
+            failed_until_[std::pair(carrier, server.id)] = now + no_answer_pause;
         } else {
             carriers_[carrier] = {now + carrier_pause, {}};
         }
--- a/bamboostream/src/Gateway/tunnel_client.h
+++ b/bamboostream/src/Gateway/tunnel_client.h
@@ -47,8 +47,8 @@
     membership_service& membership_;
     forwarding_state& forwarding_;
     std::unordered_map<std::string, carrier_state> carriers_;
-    /// Instances that got no answer from a server, and until when they are not asked for it again.
-    std::map<std::pair<std::string, backend_id>, time_point> no_answer_until_;
+    /// Instances that did not connect to a server, and until when they are not asked for it again.
+    std::map<std::pair<std::string, backend_id>, time_point> failed_until_;
     boost::asio::steady_timer wake_;
 };
 
