Verify with other instances that a server has ended before it counts as evidence

What callers saw: after two instances had lost a link for 0.6 s, a popular innocent request was refused by all instances for 30 minutes (verdict=confirmed). Cause: a lost connection and a refused new one were proof that the server's process had ended; a network that resets and refuses looks the same to the instance behind it. Change: up to five other instances, of different failure domains, are asked for their own finding. One that reaches the server decides; if others answered, one must confirm. An instance counts a refusal only if a connection to another server succeeds, so a network that is gone for all proves nothing. Nobody else there: the own finding counts as before. Why it works: the evidence is about the server, so it takes a view that doesn't share the failure.

--- a/bamboostream/src/Contracts/server_check.cpp
+++ b/bamboostream/src/Contracts/server_check.cpp
@@ -42,11 +42,15 @@
 /// Outcome of one connection attempt.
 enum class probe_result : std::uint8_t { refused, no_answer, closed, held_open };
 
-asio::awaitable<probe_result> probe_connection(asio::ip::tcp::endpoint endpoint) {
+asio::awaitable<probe_result> probe_connection(asio::ip::tcp::endpoint endpoint,
+                                               std::string local_address) {
     const auto executor = co_await asio::this_coro::executor;
     const auto socket = std::make_shared<asio::ip::tcp::socket>(executor);
     asio::steady_timer timer(executor);
     boost::system::error_code error;
+    if (!local_address.empty()) {
+        bind_to(*socket, local_address, error);
+    }
     close_after(timer, socket, connect_timeout);
     co_await socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::connection_refused || error == asio::error::connection_reset) {
@@ -66,16 +70,16 @@
 /// A process that is ending may accept a connection before it closes its listening socket, and a
 /// process at its connection limit closes new connections at once. Further attempts tell the two
 /// apart.
-asio::awaitable<process_state> probe_process(std::string address) {
+asio::awaitable<process_state> probe_process(std::string address, std::string local_address) {
     const auto endpoint = to_endpoint(address);
     if (!endpoint) {
         co_return process_state::unknown;
     }
-    probe_result result = co_await probe_connection(*endpoint);
+    probe_result result = co_await probe_connection(*endpoint, local_address);
     for (int i = 1; i < max_attempts && result == probe_result::closed; ++i) {
         asio::steady_timer pause(co_await asio::this_coro::executor, retry_delay);
         co_await pause.async_wait(asio::use_awaitable);
-        result = co_await probe_connection(*endpoint);
+        result = co_await probe_connection(*endpoint, local_address);
     }
     if (result == probe_result::refused) {
         co_return process_state::ended;
@@ -105,7 +109,7 @@
     const auto own = std::make_shared<pending_check>(co_await asio::this_coro::executor);
     own->done.expires_after(max_check_duration);
     checks_[id] = own;
-    own->state = co_await probe_process(std::move(address));
+    own->state = co_await probe_process(std::move(address), local_address_);
     own->complete = true;
     own->valid_until = monotonic_now() + result_lifetime;
     ended_servers_ += own->state == process_state::ended ? 1 : 0;
--- a/bamboostream/src/Contracts/server_check.h
+++ b/bamboostream/src/Contracts/server_check.h
@@ -34,6 +34,8 @@
 /// Example: `if (co_await checks.check(id, address) == process_state::ended) …`
 class server_check {
 public:
+    /// Sets the IP address from which connections are made; empty to let the system choose.
+    void set_local_address(std::string ip) { local_address_ = std::move(ip); }
     /// Takes about 20 ms for a running process, less for one that has ended, and at most 0.4 s.
     boost::asio::awaitable<process_state> check(backend_id id, std::string address);
     /// Number of checks that found a server ended. Requests that share a check count once.
@@ -50,6 +52,7 @@
     };
 
     std::map<backend_id, std::shared_ptr<pending_check>> checks_;
+    std::string local_address_;
     std::uint64_t ended_servers_ = 0;
 };
 
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -238,14 +238,15 @@
 }
 
 asio::awaitable<void> forwarded_call::examine_lost_connection() {
-    if (state_.reachability.is_cut_off(service_->id, sent_to_.id)) {
-        co_return;
-    }
     const time_point lost_at = monotonic_now();
     const registered_backend* known = state_.registry.find(sent_to_.id);
     const bool leaving = known == nullptr || known->leaving;
-    const process_state process =
-        co_await state_.server_checks.check(sent_to_.id, sent_to_.address);
+    process_state process = process_state::unknown;
+    if (state_.server_states != nullptr) {
+        process = co_await state_.server_states->verify(sent_to_.id, sent_to_.address);
+    } else {
+        process = co_await state_.server_checks.check(sent_to_.id, sent_to_.address);
+    }
     log_event(events::backend_connection_lost,
               "request={} digest={} backend={} address={} process={} leaving={} answer_begun={} "
               "events={} after_send_ms={:.0f}",
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostream/src/Contracts/server_check.h"
+#include "bamboostream/src/Control/server_verifier.h"
 #include "bamboostream/src/Control/trial_arbiter.h"
 #include "bamboostream/src/Forwarding/active_streams.h"
 #include "bamboostream/src/Forwarding/backend_contract.h"
@@ -113,6 +114,8 @@
     tunnel_dialer* tunnels = nullptr;
     http_connection_pool connections;
     server_check server_checks;
+    /// Verifies with other instances that a server has ended; null if there are none.
+    server_verifier* server_states = nullptr;
     /// Requests that crash the backend servers which execute them.
     quarantine_registry quarantine;
     /// Grants trials of held requests; null if there are none.
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
+#include "bamboostream/src/Control/server_state_exchange.h"
 #include "bamboostream/src/Core/event_log.h"
 #include "bamboostream/src/Core/settings.h"
 #include "bamboostream/src/Forwarding/forwarded_call.h"
@@ -85,6 +86,7 @@
     std::unique_ptr<owner_scheduler> owner_engine_scheduler;
     std::unique_ptr<quarantine_exchange> quarantine;
     std::unique_ptr<quarantine_persister> persister;
+    std::unique_ptr<server_state_exchange> server_states;
     std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<tunnel_client> tunnels;
     std::unique_ptr<tunnel_server> carried_tunnels;
@@ -125,6 +127,7 @@
     forwarding.scheduler = nullptr;
     forwarding.trials = nullptr;
     forwarding.tunnels = nullptr;
+    forwarding.server_states = nullptr;
     forwarding.on_generation_change = nullptr;
     forwarding.quarantine.clear_listeners();
     forwarding.on_registry_change = nullptr;
@@ -163,8 +166,12 @@
     forwarding.trials = &quarantine->trials();
     persister = std::make_unique<quarantine_persister>(context, contracts.persistent, *membership,
                                                        forwarding.quarantine);
+    server_states = std::make_unique<server_state_exchange>(
+        context, links, *membership, forwarding.server_checks, view_of_servers(forwarding), seed);
+    forwarding.server_states = server_states.get();
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *store_updates,
-                                            *distributor, *owner_engine_scheduler, *quarantine);
+                                            *distributor, *owner_engine_scheduler, *quarantine,
+                                            *server_states);
     tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding);
     forwarding.tunnels = tunnels.get();
     carried_tunnels = std::make_unique<tunnel_server>(context, forwarding);
@@ -239,6 +246,7 @@
     std::string why;
     forwarding.admission = settings.admission;
     forwarding.outbound_address = settings.outbound_address;
+    forwarding.server_checks.set_local_address(settings.outbound_address);
     forwarding.cold_starts.set_rules(settings.cold_starts);
     const auto peer_address = links.listen(settings.peer_listen, why);
     if (!peer_address) {
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -35,14 +35,36 @@
 
 } // namespace
 
+server_state_exchange::server_view view_of_servers(const forwarding_state& forwarding) {
+    const auto is_reachable = [&forwarding](const registered_backend& server) {
+        return !forwarding.reachability.is_cut_off(server.service, server.id);
+    };
+    server_state_exchange::server_view out;
+    out.find = [&forwarding, is_reachable](const backend_id& id) -> std::optional<std::string> {
+        const registered_backend* known = forwarding.registry.find(id);
+        return known != nullptr && is_reachable(*known) ? std::optional(known->address)
+                                                        : std::nullopt;
+    };
+    out.others = [&forwarding, is_reachable](const backend_id& except) {
+        std::vector<server_address> others;
+        for (const registered_backend& server : forwarding.registry.all()) {
+            if (server.id != except && is_reachable(server)) {
+                others.push_back({server.id, server.address});
+            }
+        }
+        return others;
+    };
+    return out;
+}
+
 peer_exchange::peer_exchange(asio::io_context& context, peer_links& links,
                              membership_service& membership, forwarding_state& forwarding,
                              store_update_exchange& store_updates,
                              configuration_distributor& distributor, owner_scheduler& scheduler,
-                             quarantine_exchange& quarantine)
+                             quarantine_exchange& quarantine, server_state_exchange& server_states)
     : context_(context), links_(links), membership_(membership), forwarding_(forwarding),
       store_updates_(store_updates), distributor_(distributor), owner_scheduler_(scheduler),
-      quarantine_(quarantine), load_due_(context) {}
+      quarantine_(quarantine), server_states_(server_states), load_due_(context) {}
 
 void peer_exchange::start() {
     asio::co_spawn(context_, load_loop(), asio::detached);
@@ -105,6 +127,8 @@
         co_return quarantine_.answer(*frame->message.AsHarmRequest());
     case wire::Message::TrialRequest:
         co_return quarantine_.trials().answer(*frame->message.AsTrialRequest(), frame->sender);
+    case wire::Message::ServerCheckRequest:
+        co_return co_await server_states_.answer(*frame->message.AsServerCheckRequest());
     default:
         co_return nullptr;
     }
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Control/membership_service.h"
 #include "bamboostream/src/Control/quarantine_exchange.h"
+#include "bamboostream/src/Control/server_state_exchange.h"
 #include "bamboostream/src/Evacuation/evacuation_service.h"
 #include "bamboostream/src/Gateway/owner_scheduler.h"
 #include "bamboostream/src/Gateway/store_update_exchange.h"
@@ -16,6 +17,9 @@
 
 namespace bamboostream {
 
+/// What this instance knows of the backend servers, without those that are cut off from it.
+server_state_exchange::server_view view_of_servers(const forwarding_state& forwarding);
+
 /// Handles the messages between instances of the gateway: reports of work, generations that move,
 /// configurations, quarantine evidence and, through `store_update_exchange`, what the store
 /// contains. Lives on one thread.
@@ -24,7 +28,8 @@
     peer_exchange(boost::asio::io_context& context, peer_links& links,
                   membership_service& membership, forwarding_state& forwarding,
                   store_update_exchange& store_updates, configuration_distributor& distributor,
-                  owner_scheduler& scheduler, quarantine_exchange& quarantine);
+                  owner_scheduler& scheduler, quarantine_exchange& quarantine,
+                  server_state_exchange& server_states);
 
     void start();
     /// Handles a frame from another instance. Returns the reply, or null when there is none.
@@ -52,6 +57,7 @@
     configuration_distributor& distributor_;
     owner_scheduler& owner_scheduler_;
     quarantine_exchange& quarantine_;
+    server_state_exchange& server_states_;
     boost::asio::steady_timer load_due_;
 };
 
--- a/test/platform/forwarding_fixture.cpp
+++ b/test/platform/forwarding_fixture.cpp
@@ -34,7 +34,9 @@
     return route;
 }
 
-routing_configuration make_configuration() {
+} // namespace
+
+routing_configuration forwarding_configuration() {
     routing_configuration out;
     out.version = 1;
     out.routes.push_back(make_route("once", repeat_policy::once, 1));
@@ -56,8 +58,6 @@
     return out;
 }
 
-} // namespace
-
 struct forwarding_fixture::caller {
     explicit caller(asio::io_context& context) : socket(context) {}
     tcp::socket socket;
@@ -109,7 +109,7 @@
     return !length.empty() && body().size() == std::stoul(length);
 }
 
-forwarding_fixture::forwarding_fixture() : configuration_(make_configuration()) {
+forwarding_fixture::forwarding_fixture() : configuration_(forwarding_configuration()) {
     state_ = std::make_unique<forwarding_state>(codec_, failure_domain_id("norra"),
                                                 window_budget_rules{0.2, 50.0, seconds(10)}, 1);
     rebuild();
--- a/test/platform/forwarding_fixture.h
+++ b/test/platform/forwarding_fixture.h
@@ -26,6 +26,9 @@
     bool complete() const;
 };
 
+/// The routes and services that the fixture serves; its only API key is "the-key".
+routing_configuration forwarding_configuration();
+
 /// A forwarding instance on loopback with scripted backend servers and callers. Everything runs on
 /// one thread, and only inside finish() and run_for().
 class forwarding_fixture {
--- a/test/platform/peer_group.cpp
+++ b/test/platform/peer_group.cpp
@@ -101,8 +101,11 @@
     quarantine =
         std::make_unique<quarantine_exchange>(context, links, *membership, forwarding.quarantine);
     forwarding.quarantine.on_evidence([this](const crash_evidence& it) { quarantine->note(it); });
+    server_states = std::make_unique<server_state_exchange>(
+        context, links, *membership, forwarding.server_checks, view_of_servers(forwarding), 7);
+    forwarding.server_states = server_states.get();
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news,
-                                            *distributor, *owner, *quarantine);
+                                            *distributor, *owner, *quarantine, *server_states);
     tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding);
     forwarding.tunnels = tunnels.get();
     carried_tunnels = std::make_unique<tunnel_server>(context, forwarding);
