Reset the connection of a request that is given up

What callers saw: nothing at once; a request that they were told had failed ran later. Cause: a request whose bytes a broken network holds was closed in order. The kernel goes on sending after that, so when the network works again the server gets the request and runs it, perhaps after it has announced that it leaves. Evidence: given_up_request delivers the request after the partition without this change, and with it doesn't. Change: a connection whose response is incomplete is closed with a reset, which discards what is on its way; tunnels do the same towards the server.

--- a/bamboostream/src/Gateway/tunnel_server.cpp
+++ b/bamboostream/src/Gateway/tunnel_server.cpp
@@ -58,8 +58,12 @@
     time_point last_used;
     bool server_ended = false;
 
+    /// The server gets nothing that is still on its way, like from the origin itself.
     void close() {
         error_code ec;
+        if (!server_ended) {
+            server.set_option(asio::socket_base::linger(true, 0), ec);
+        }
         origin.close(ec);
         server.close(ec);
     }
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -256,9 +256,14 @@
     watchdog_.cancel();
 }
 
+/// Bytes of an abandoned request that the network still holds would be delivered after the close,
+/// seconds later at times, and the server would run the request. A reset discards them.
 void http_connection::close() {
     beast::error_code ec;
     watchdog_.cancel();
+    if (any_sent_ && !complete()) {
+        socket_.set_option(asio::socket_base::linger(true, 0), ec);
+    }
     socket_.close(ec);
 }
 
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -62,6 +62,7 @@
     std::vector<http_field> fields() const;
     boost::asio::awaitable<bool> read(std::string& into) override;
     bool complete() const override;
+    /// Closes the connection; with a reset if its response is incomplete.
     void close() override;
 
     /// True when any byte of the request may have been sent.
--- a/test/platform/system/cut_off_instance_test.cpp
+++ b/test/platform/system/cut_off_instance_test.cpp
@@ -137,5 +137,33 @@
     }
 }
 
+class given_up_request : public gateway_test {};
+
+// Guards against a server running a request long after its caller was told that it has failed,
+// because the network had held the bytes.
+TEST_F(given_up_request, is_not_delivered_when_the_network_works_again) {
+    configure(1, "k");
+    scripted_backend& server = add_backend("i-0", answering_and_then("keep-alive"));
+    instance_under_test& it = add_instance(serving_store_);
+    ASSERT_TRUE(serves(it, "k"));
+    ASSERT_TRUE(server.discard_packets_from({it.ip}, standins::discarded_packets::all));
+    http_request request = make_request("GET", "/a/x");
+    request.fields = {{"Attempt-Id", "0123456789abcdef"},
+                      {"Authorization", "Bearer k"},
+                      {"Deadline-Ms", std::to_string(call_deadline.count())}};
+    const auto call = call_with_host(it.ip + ":8740", request);
+    wait_until_done(call);
+    EXPECT_EQ(call->status, 504);
+    ASSERT_TRUE(server.discard_packets_from({}, standins::discarded_packets::all));
+    EXPECT_FALSE(wait_until(
+        [&server] {
+            return std::any_of(server.requests().begin(), server.requests().end(),
+                               [](const std::string& received) {
+                                   return received.find("0123456789abcdef") != std::string::npos;
+                               });
+        },
+        seconds(3)));
+}
+
 } // namespace
 } // namespace bamboostream::test
