Verify the end of a server with other instances at the product's own interface

Change: quarantine_service uses server_state_exchange. Result: harmful_call (three rows) and contested_call pass as before. No test takes the network of one bamboostreamd away, so the end of the false evidence is shown by lost_server at the gateway only.

--- a/bamboostream/src/Control/quarantine_service.cpp
+++ b/bamboostream/src/Control/quarantine_service.cpp
@@ -19,11 +19,32 @@
 /// A trial takes about as long as a short call.
 constexpr milliseconds min_trial_wait{500};
 
+/// Backend servers are identified by their addresses.
+server_state_exchange::server_view view_of_servers(membership_service& membership) {
+    server_state_exchange::server_view out;
+    out.find = [&membership](const backend_id& id) -> std::optional<std::string> {
+        return membership.backends().find(id.text()) ? std::optional(id.text()) : std::nullopt;
+    };
+    out.others = [&membership](const backend_id& except) {
+        std::vector<server_address> others;
+        for (const backend_facts& it : membership.backends().all()) {
+            if (it.id != except && it.state != backend_state::down) {
+                others.push_back({it.id, it.id.text()});
+            }
+        }
+        return others;
+    };
+    return out;
+}
+
 } // namespace
 
 quarantine_service::quarantine_service(asio::io_context& context, peer_links& links,
                                        membership_service& membership)
-    : context_(context), membership_(membership), exchange_(context, links, membership, registry_) {
+    : context_(context), membership_(membership),
+      server_states_(context, links, membership, checks_, view_of_servers(membership),
+                     stable_hash(random_id())),
+      exchange_(context, links, membership, registry_) {
     registry_.on_evidence([this](const crash_evidence& it) { exchange_.note(it); });
     registry_.set_server_name_lookup([this](std::uint64_t life) {
         for (const backend_facts& it : membership_.backends().all()) {
@@ -86,7 +107,7 @@
     const time_point lost_at = monotonic_now();
     const auto known = membership_.backends().find(run.server.text());
     const bool leaving = !known || known->state == backend_state::leaving;
-    const process_state process = co_await checks_.check(run.server, run.server.text());
+    const process_state process = co_await server_states_.verify(run.server, run.server.text());
     const bool restarted = run.start_stamp != 0 && start_stamp_of(run.server) > run.start_stamp;
     log_event(events::backend_connection_lost,
               "digest={} backend={} process={} restarted={} leaving={} answer_begun={}",
--- a/bamboostream/src/Control/quarantine_service.h
+++ b/bamboostream/src/Control/quarantine_service.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Contracts/server_check.h"
 #include "bamboostream/src/Control/membership_service.h"
 #include "bamboostream/src/Control/quarantine_exchange.h"
+#include "bamboostream/src/Control/server_state_exchange.h"
 #include "bamboostream/src/Limits/quarantine_registry.h"
 #include "bamboostream/src/Links/peer_links.h"
 
@@ -61,14 +62,19 @@
     }
     /// Records that a backend server has run the request without ending.
     void note_answer(const request_digest& request);
-    /// Checks whether the server has ended and, unless it was known to be leaving, records that as
-    /// evidence against the request. Takes as long as `server_check::check`.
+    /// Verifies with other instances whether the server has ended and, unless it was known to be
+    /// leaving, records that as evidence against the request. Takes as long as
+    /// `server_verifier::verify`.
     boost::asio::awaitable<void> examine(lost_attempt run);
 
     void hear(const wire::HarmReportT& report) { exchange_.hear(report); }
     std::unique_ptr<wire::FrameT> answer(const wire::HarmRequestT& request) const;
     std::unique_ptr<wire::FrameT> answer(const wire::TrialRequestT& request,
                                          std::string_view sender);
+    boost::asio::awaitable<std::unique_ptr<wire::FrameT>>
+    answer(const wire::ServerCheckRequestT& request) {
+        return server_states_.answer(request);
+    }
     const request_quarantine& decisions() const { return registry_.decisions(); }
     /// Number of backend servers that this instance found ended.
     std::uint64_t ended_servers() const { return checks_.ended_servers(); }
@@ -80,6 +86,7 @@
     membership_service& membership_;
     quarantine_registry registry_;
     server_check checks_;
+    server_state_exchange server_states_;
     quarantine_exchange exchange_;
 };
 
--- a/bamboostream/src/Entry/instance.cpp
+++ b/bamboostream/src/Entry/instance.cpp
@@ -103,6 +103,8 @@
         co_return core.quarantine->answer(*frame->message.AsHarmRequest());
     case wire::Message::TrialRequest:
         co_return core.quarantine->answer(*frame->message.AsTrialRequest(), frame->sender);
+    case wire::Message::ServerCheckRequest:
+        co_return co_await core.quarantine->answer(*frame->message.AsServerCheckRequest());
     default:
         co_return nullptr;
     }
