The soak partitions instances from all servers

Change: steps that partition one to all instances, silently, for new connections only, or with resets; drawn separately, so that the other steps of each seed stay. The fault proxy cuts off senders by address.

--- a/standins/fault_proxy.cpp
+++ b/standins/fault_proxy.cpp
@@ -2,8 +2,10 @@
 // freezes and closes. Faults are set with `POST /control` on its --listen address.
 
 #include "bamboostream/Contracts"
+#include "standins/packet_filter.h"
 #include "standins/standin_server.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,7 +14,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string_view>
+#include <vector>
 
 using namespace bamboostream;
 namespace asio = boost::asio;
@@ -21,6 +26,36 @@
 
 namespace {
 
+/// What happens to senders that are partitioned from the server.
+enum class cut_manner : std::uint8_t {
+    none,
+    /// Their packets are discarded.
+    silent,
+    /// Their requests for connections are discarded.
+    no_new_connections,
+    /// Their connections are reset, and so are new ones.
+    reset,
+};
+
+/// The manner with this name in commands; nothing if there is none.
+std::optional<cut_manner> cut_manner_of(std::string_view name) {
+    constexpr std::array<std::string_view, 4> names = {"none", "silent", "no_new_connections",
+                                                       "reset"};
+    const auto found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? std::nullopt
+                                : std::optional(static_cast<cut_manner>(found - names.begin()));
+}
+
+std::vector<std::string> split(std::string_view list) {
+    std::vector<std::string> out;
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        out.emplace_back(list.substr(0, comma));
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return out;
+}
+
 /// Faults that are in effect for all connections.
 struct proxy_faults {
     milliseconds delay{0};
@@ -32,6 +67,9 @@
     bool lose_requests = false;
     /// New connections are closed immediately.
     bool refuse = false;
+    /// Senders that are partitioned from the server, and how.
+    std::vector<std::string> cut_off;
+    cut_manner manner = cut_manner::none;
     /// A connection is closed after this many response bytes; 0 for never.
     std::int64_t cut_after = 0;
 };
@@ -85,6 +123,9 @@
                 number_at(*value, "lose_requests", faults_.lose_requests ? 1 : 0) != 0;
             faults_.refuse = number_at(*value, "refuse", faults_.refuse ? 1 : 0) != 0;
             faults_.cut_after = number_at(*value, "cut_after", faults_.cut_after);
+            if (const auto manner = cut_manner_of(text_at(*value, "cut_manner"))) {
+                cut_off(*manner, split(text_at(*value, "cut_off")));
+            }
             if (number_at(*value, "freeze") != 0) {
                 for (const auto& connection : connections_) {
                     connection->frozen = true;
@@ -101,6 +142,43 @@
 private:
     static auto token(error_code& ec) { return asio::redirect_error(asio::use_awaitable, ec); }
 
+    bool is_cut_off(const tcp::socket& client) const {
+        error_code ec;
+        const auto remote = client.remote_endpoint(ec);
+        return !ec && std::find(faults_.cut_off.begin(), faults_.cut_off.end(),
+                                remote.address().to_string()) != faults_.cut_off.end();
+    }
+
+    static void reset(tcp::socket& client) {
+        error_code ec;
+        client.set_option(asio::socket_base::linger(true, 0), ec);
+        client.close(ec);
+    }
+
+    void cut_off(cut_manner manner, std::vector<std::string> senders) {
+        faults_.manner = manner;
+        faults_.cut_off = std::move(senders);
+        const bool filters =
+            manner == cut_manner::silent || manner == cut_manner::no_new_connections;
+        const auto which = manner == cut_manner::no_new_connections
+                               ? standins::discarded_packets::connection_requests
+                               : standins::discarded_packets::all;
+        const auto sources = filters ? faults_.cut_off : std::vector<std::string>{};
+        bool applied = standins::discard_packets(acceptor_.native_handle(), sources, which);
+        for (const auto& connection : connections_) {
+            applied =
+                standins::discard_packets(connection->client.native_handle(), sources, which) &&
+                applied;
+            if (manner == cut_manner::reset && is_cut_off(connection->client)) {
+                reset(connection->client);
+                connection->close();
+            }
+        }
+        if (!applied) {
+            log_event(events::fault_set, "packets are not discarded on all connections");
+        }
+    }
+
     void cut_all() {
         for (const auto& connection : connections_) {
             connection->close();
@@ -116,7 +194,9 @@
             if (ec == asio::error::operation_aborted) {
                 co_return;
             }
-            if (!ec && !faults_.refuse) {
+            if (!ec && faults_.manner == cut_manner::reset && is_cut_off(client)) {
+                reset(client);
+            } else if (!ec && !faults_.refuse) {
                 asio::co_spawn(context_, serve(std::move(client)), asio::detached);
             }
         }
--- a/test/platform/soak_plan.cpp
+++ b/test/platform/soak_plan.cpp
@@ -10,37 +10,78 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(soak_fault::count_)> fault_names = {
-    "kill",           "terminate",       "pause",
-    "store_refuses",  "store_is_silent", "store_forgets",
-    "configuration",  "server_leaves",   "server_joins",
-    "link_stalls",    "link_cut",        "link_loses_answers",
-    "link_refuses",   "server_removed",  "store_is_silent_to_half",
-    "harmful_request"};
+    "kill",
+    "terminate",
+    "pause",
+    "store_refuses",
+    "store_is_silent",
+    "store_forgets",
+    "configuration",
+    "server_leaves",
+    "server_joins",
+    "link_stalls",
+    "link_cut",
+    "link_loses_answers",
+    "link_refuses",
+    "server_removed",
+    "store_is_silent_to_half",
+    "harmful_request",
+    "instances_cut_off"};
 /// Mean time between steps. Short compared to most durations, so that several faults are active at
 /// any time.
 constexpr double mean_gap_ms = 350.0;
 constexpr int min_duration_ms = 200;
 constexpr int max_duration_ms = 2'500;
+/// Kinds of faults whose steps are drawn together. Those that follow are drawn separately, so that
+/// the plan of a seed keeps its other steps.
+constexpr int drawn_together = static_cast<int>(soak_fault::instances_cut_off);
+constexpr std::uint64_t cut_seed_offset = 1'000'003;
+constexpr double mean_cut_gap_ms = 1'500.0;
+constexpr std::array<std::string_view, 3> cut_manners = {"silent", "no_new_connections", "reset"};
 
-} // namespace
-
-std::vector<soak_step> make_soak_plan(std::uint64_t seed, milliseconds length) {
-    std::mt19937_64 random(seed);
-    std::exponential_distribution<double> gap(1.0 / mean_gap_ms);
+/// Appends steps with exponential gaps; `draw_fault` draws the kind of each.
+template <typename draw>
+void append_steps(std::vector<soak_step>& out, std::mt19937_64& random, double mean_gap,
+                  milliseconds length, draw draw_fault) {
+    std::exponential_distribution<double> gap(1.0 / mean_gap);
     std::uniform_int_distribution<int> duration(min_duration_ms, max_duration_ms);
-    std::uniform_int_distribution<int> fault(0, static_cast<int>(soak_fault::count_) - 1);
     std::uniform_int_distribution<unsigned> target(0, 1'000);
-    std::vector<soak_step> out;
     double at_ms = gap(random);
     while (at_ms < static_cast<double>(length.count())) {
         soak_step step;
         step.at = milliseconds(static_cast<int>(at_ms));
-        step.fault = static_cast<soak_fault>(fault(random));
+        step.fault = draw_fault();
         step.target = target(random);
         step.duration = std::min(milliseconds(duration(random)), length - step.at);
         out.push_back(step);
         at_ms += gap(random);
     }
+}
+
+} // namespace
+
+std::vector<soak_step> make_soak_plan(std::uint64_t seed, milliseconds length) {
+    std::mt19937_64 random(seed);
+    std::mt19937_64 cut_random(seed + cut_seed_offset);
+    std::uniform_int_distribution<int> fault(0, drawn_together - 1);
+    std::vector<soak_step> out;
+    append_steps(out, random, mean_gap_ms, length,
+                 [&] { return static_cast<soak_fault>(fault(random)); });
+    append_steps(out, cut_random, mean_cut_gap_ms, length,
+                 [] { return soak_fault::instances_cut_off; });
+    std::stable_sort(out.begin(), out.end(),
+                     [](const soak_step& a, const soak_step& b) { return a.at < b.at; });
+    return out;
+}
+
+soak_cut cut_of(const soak_step& step, std::size_t instances) {
+    soak_cut out;
+    std::size_t rest = step.target;
+    out.manner = cut_manners[rest % cut_manners.size()];
+    rest /= cut_manners.size();
+    out.count = 1 + rest % instances;
+    rest /= instances;
+    out.first = rest % instances;
     return out;
 }
 
--- a/test/platform/soak_plan.h
+++ b/test/platform/soak_plan.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bamboostream::test {
@@ -29,6 +30,8 @@
     store_is_silent_to_half,
     /// From now on, callers send a request that crashes every server that runs it.
     harmful_request,
+    /// Some instances are partitioned from all servers.
+    instances_cut_off,
     count_,
 };
 
@@ -41,6 +44,16 @@
     milliseconds duration{0};
 };
 
+/// The instances that a step with `instances_cut_off` partitions, and how.
+struct soak_cut {
+    std::size_t first = 0;
+    /// From 1 to all.
+    std::size_t count = 0;
+    /// A manner of the fault proxy.
+    std::string_view manner;
+};
+soak_cut cut_of(const soak_step& step, std::size_t instances);
+
 /// Generates the steps for a seed, sorted by time. The same seed and length always give the same
 /// plan, and all faults of the plan end within `length`.
 std::vector<soak_step> make_soak_plan(std::uint64_t seed, milliseconds length);
--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -220,11 +220,38 @@
         case soak_fault::link_refuses:
             inject_link_fault(server, R"({"refuse":1})", R"({"refuse":0})", step.duration);
             break;
+        case soak_fault::instances_cut_off:
+            cut_off(cut_of(step, instances_.size()), step.duration);
+            break;
         case soak_fault::count_:
             break;
         }
     }
 
+    /// Partitions instances from all servers, also from those that join meanwhile. A later
+    /// partition replaces it.
+    void cut_off(const soak_cut& cut, milliseconds duration) {
+        std::string senders;
+        for (std::size_t n = 0; n < cut.count; ++n) {
+            const std::size_t i = (cut.first + n) % instances_.size();
+            senders += (n > 0 ? "," : "") + instances_[i]->ip;
+        }
+        cut_command_ = fmt::format(R"({{"cut_manner":"{}","cut_off":"{}"}})", cut.manner, senders);
+        send_cut_command();
+        schedule(duration, [this, number = ++cut_number_] {
+            if (number == cut_number_) {
+                cut_command_ = R"({"cut_manner":"none"})";
+                send_cut_command();
+            }
+        });
+    }
+
+    void send_cut_command() {
+        for (const auto& server : servers_) {
+            send_command(*server, cut_command_);
+        }
+    }
+
     void stop_instance(std::size_t i, int signal, milliseconds after) {
         if (stopping_[i]) {
             return;
@@ -322,6 +349,9 @@
         server->proxied = announced(file + ".proxied");
         write_entry(*server, "ready");
         server->listed = true;
+        if (!cut_command_.empty()) {
+            send_command(*server, cut_command_);
+        }
         servers_.push_back(std::move(server));
     }
 
@@ -486,6 +516,9 @@
     /// Instances that this test has stopped and not yet restarted.
     std::vector<bool> stopping_;
     std::deque<scheduled_action> scheduled_;
+    /// The latest command about partitions to the servers' proxies; empty before the first.
+    std::string cut_command_;
+    int cut_number_ = 0;
     int version_ = 1;
     int callers_ = 0;
     int harmful_senders_ = 0;
