A server that is only assumed cut off is still tried directly

Cause: two servers that only peers reached made the whole service cut off; where no peer carried, because each assumed the same, reachable servers were not tried. Change: an assumption now decides the order only: after a failed tunnel the direct connection is tried, and a carrier refuses only servers that it has itself found cut off.

--- a/bamboostream/src/Forwarding/backend_connection.cpp
+++ b/bamboostream/src/Forwarding/backend_connection.cpp
@@ -147,10 +147,13 @@
                                                             registered_backend server,
                                                             connection_request wanted,
                                                             http_failure& why) {
+    backend_connection out;
     if (state.tunnels != nullptr && state.reachability.is_cut_off(server.service, server.id)) {
-        co_return co_await open_tunnel(state, std::move(server), std::move(wanted), why);
+        out = co_await open_tunnel(state, server, wanted, why);
+        if (out.connection || state.reachability.is_found_cut_off(server.service, server.id)) {
+            co_return out;
+        }
     }
-    backend_connection out;
     out.connection = state.connections.take(server.address, wanted.max_idle, monotonic_now());
     out.reused = out.connection != nullptr;
     if (!out.reused) {
--- a/bamboostream/src/Forwarding/backend_connection.h
+++ b/bamboostream/src/Forwarding/backend_connection.h
@@ -29,7 +29,9 @@
 ///
 /// If a direct connection is refused or takes long, another instance is asked for a tunnel to the
 /// same server, and the connection that is established first is used. A server that is cut off
-/// from this instance gets no direct attempt. Nothing is sent on a connection that is not returned.
+/// from this instance gets no direct attempt, or only
+/// after a failed tunnel if that is merely assumed. Nothing is sent on a connection that is not
+/// returned.
 boost::asio::awaitable<backend_connection> open_backend_connection(forwarding_state& state,
                                                                    registered_backend server,
                                                                    connection_request wanted,
--- a/bamboostream/src/Gateway/tunnel_server.cpp
+++ b/bamboostream/src/Gateway/tunnel_server.cpp
@@ -143,7 +143,7 @@
         co_return static_cast<std::uint8_t>(wire::TunnelResult::no_answer);
     }
     const registered_backend server = *known;
-    if (forwarding_.reachability.is_cut_off(server.service, id)) {
+    if (forwarding_.reachability.is_found_cut_off(server.service, id)) {
         co_return static_cast<std::uint8_t>(wire::TunnelResult::cut_off);
     }
     const auto endpoint = to_endpoint(server.address);
--- a/bamboostream/src/Routing/reachability_tracker.cpp
+++ b/bamboostream/src/Routing/reachability_tracker.cpp
@@ -42,7 +42,7 @@
     if (state.servers.empty()) {
         state.next_check = now + check_period;
     }
-    if (server_state& found = state.servers[server]; found.since == time_point{}) {
+    if (server_state& found = state.servers[server]; found.since == time_point{} || found.assumed) {
         found = {now, now, false};
     }
     const auto found_since =
@@ -75,6 +75,16 @@
            (found->second.cut_off || found->second.servers.contains(server));
 }
 
+bool reachability_tracker::is_found_cut_off(const service_id& service,
+                                            const backend_id& server) const {
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        return false;
+    }
+    const auto known = found->second.servers.find(server);
+    return known != found->second.servers.end() && !known->second.assumed;
+}
+
 bool reachability_tracker::is_cut_off(const service_id& service) const {
     const auto found = services_.find(service);
     return found != services_.end() && found->second.cut_off;
--- a/bamboostream/src/Routing/reachability_tracker.h
+++ b/bamboostream/src/Routing/reachability_tracker.h
@@ -34,6 +34,8 @@
     void forget(const service_id& service, const backend_id& server);
 
     bool is_cut_off(const service_id& service, const backend_id& server) const;
+    /// As above, but false if the server is only assumed to be cut off because its service is.
+    bool is_found_cut_off(const service_id& service, const backend_id& server) const;
     bool is_cut_off(const service_id& service) const;
     /// Servers that have been found cut off, of one service and of all.
     std::size_t servers_cut_off(const service_id& service) const;
--- a/test/platform/server_state_exchange_test.cpp
+++ b/test/platform/server_state_exchange_test.cpp
@@ -54,6 +54,10 @@
 
 /// One instance loses its connection to a server and is refused new ones.
 class lost_server : public testing::TestWithParam<lost_row> {
+public:
+    lost_server(const lost_server&) = delete;
+    lost_server& operator=(const lost_server&) = delete;
+
 protected:
     lost_server() : group_(GetParam().instances, 1) {
         for (const auto& it : group_.all) {
--- a/test/platform/tunnel_test.cpp
+++ b/test/platform/tunnel_test.cpp
@@ -90,7 +90,7 @@
     }
 
     std::shared_ptr<exchange_result> finish(const std::string& id) {
-        const auto result = send(id);
+        auto result = send(id);
         for (const time_point limit = monotonic_now() + seconds(4);
              !result->done && monotonic_now() < limit;) {
             group_.run_for(milliseconds(5));
@@ -175,6 +175,36 @@
     server.stop();
 }
 
+// Guards against requests that fail although the server can be reached directly, because two others
+// of its service can't.
+TEST_F(tunnel_test, a_server_that_is_only_assumed_cut_off_is_reached_directly_or_for_others) {
+    scripted_backend server(group_.context, answering_with(framed_response));
+    add_server("i-0", server.address(), refusing_address());
+    add_server("i-1", server.address(), refusing_address());
+    add_server("i-2", refusing_address(), server.address());
+    EXPECT_EQ(finish("i-0")->body, "ok");
+    EXPECT_EQ(finish("i-1")->body, "ok");
+    EXPECT_TRUE(origin().forwarding.reachability.is_cut_off(service_id("s"), backend_id("i-2")));
+    EXPECT_EQ(finish("i-2")->body, "ok");
+    server.stop();
+}
+
+TEST_F(tunnel_test, a_carrier_tries_a_server_that_it_only_assumes_to_be_cut_off) {
+    scripted_backend server(group_.context, answering_with(framed_response));
+    add_server("i-0", server.address(), refusing_address());
+    for (std::size_t i = 1; i < group_.all.size(); ++i) {
+        forwarding_state& state = group_.all[i]->forwarding;
+        const auto usable = state.registry.usable(service_id("s"));
+        for (const char* other : {"i-8", "i-9"}) {
+            state.reachability.on_reached_by_peer(service_id("s"), backend_id(other), usable,
+                                                  monotonic_now());
+        }
+        ASSERT_TRUE(state.reachability.is_cut_off(service_id("s"), backend_id("i-0")));
+    }
+    EXPECT_EQ(finish("i-0")->body, "ok");
+    server.stop();
+}
+
 /// How a server ends a response that has no length.
 struct end_row {
     std::string name;
--- a/test/reachability_test.cpp
+++ b/test/reachability_test.cpp
@@ -89,6 +89,17 @@
     }
 }
 
+TEST_F(reachability_test, only_what_a_peer_has_reached_is_found_cut_off) {
+    reached_by_peer(0);
+    reached_by_peer(1);
+    EXPECT_TRUE(tracker_.is_found_cut_off(service, server(0)));
+    EXPECT_FALSE(tracker_.is_found_cut_off(service, server(2)));
+    EXPECT_TRUE(tracker_.is_cut_off(service, server(2)));
+    reached_by_peer(2);
+    EXPECT_TRUE(tracker_.is_found_cut_off(service, server(2)));
+    EXPECT_FALSE(tracker_.is_found_cut_off(service_id("other"), server(0)));
+}
+
 TEST_F(reachability_test, ends_within_a_second_of_the_failure) {
     reached_by_peer(0);
     reached_by_peer(1);
--- a/test/tunnel_records_test.cpp
+++ b/test/tunnel_records_test.cpp
@@ -8,7 +8,8 @@
 namespace bamboostream {
 namespace {
 
-std::string decode_in_parts(tunnel_record_decoder& decoder, std::string bytes, std::size_t part) {
+std::string decode_in_parts(tunnel_record_decoder& decoder, const std::string& bytes,
+                            std::size_t part) {
     std::string out;
     for (std::size_t at = 0; at < bytes.size(); at += part) {
         std::string piece = bytes.substr(at, part);
