Test that the end of a carrier does not complete a response; rows of prove.sh

Cause: the mark at the end of a tunnel had no test in which a carrier ends in order, as a killed process does.

--- a/test/platform/tunnel_test.cpp
+++ b/test/platform/tunnel_test.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -239,6 +240,52 @@
     server.stop();
 }
 
+struct carrier_end_row {
+    std::string name;
+    /// What the carrier sends after the response, before it closes its connection in order.
+    std::string last_bytes;
+    bool complete;
+    friend void PrintTo(const carrier_end_row& row, std::ostream* out) { *out << row.name; }
+};
+
+class carrier_end : public testing::TestWithParam<carrier_end_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, carrier_end,
+    testing::Values(carrier_end_row{"after_the_server_has_closed", encode_tunnel_end(), true},
+                    carrier_end_row{"before_the_server_has_closed", "", false},
+                    carrier_end_row{"within_a_record", std::string("\2\0\0\0x", 5), false}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a response without a length looking complete because the carrier's process ended.
+TEST_P(carrier_end, completes_a_response_only_after_the_server_has_closed) {
+    asio::io_context context{1};
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    tcp::socket origin(context);
+    origin.connect(acceptor.local_endpoint());
+    tcp::socket carrier = acceptor.accept();
+    asio::write(carrier, asio::buffer(encode_tunnel_record("HTTP/1.1 200 OK\r\n\r\nhalf") +
+                                      GetParam().last_bytes));
+    carrier.shutdown(tcp::socket::shutdown_send);
+    const auto connection = std::make_shared<http_connection>(context.get_executor());
+    connection->adopt_tunnel(std::move(origin), "carrier");
+    std::string body;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            http_failure why;
+            connection->send(request_text, false);
+            if (co_await connection->read_head(why)) {
+                while (co_await connection->read(body)) {
+                }
+            }
+        },
+        asio::detached);
+    context.run_for(seconds(2));
+    EXPECT_TRUE(body.starts_with("half")) << body;
+    EXPECT_EQ(connection->complete(), GetParam().complete);
+}
+
 // Guards against servers that go on with the work of a caller that has left.
 TEST_F(tunnel_test, a_closed_tunnel_closes_the_connection_to_the_server) {
     bool closed = false;
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -190,4 +190,13 @@
 prove popular_remembered $s/Limits/recent_responses.cpp 'if (place.responses > 0) {' 'if (false) {' 'recent_response'
 prove marks_exchanged $s/Control/frames.cpp '(entry.marks() & answered_before_mark) != 0' 'false' 'marks_reach'
 prove marks_stored $s/Gateway/quarantine_persister.cpp 'is_true(entry, "on_trial")' 'false' 'keep_the_marks|written_again'
+prove tunnel_raced $s/Forwarding/backend_connection.cpp 'if (race->is_open() && !race->tunnel_failed) {' 'if (false) {' 'cut_off_instance|tunnel_test'
+prove assumption_tried $s/Forwarding/backend_connection.cpp 'out.connection || state.reachability.is_found_cut_off(server.service, server.id)' 'true' 'only_assumed'
+prove service_cut_off $s/Routing/reachability_tracker.cpp 'state.cut_off = true;' '' 'reachability_test'
+prove assumed_first $s/Routing/reachability_tracker.cpp 'state.servers.try_emplace(other->id, server_state{now, {}, true});' '' 'reachability_test'
+prove carrier_not_cut_off $s/Gateway/tunnel_server.cpp 'if (forwarding_.reachability.is_found_cut_off(server.service, id)) {' 'if (false) {' 'carries_no_tunnel'
+prove tunnel_end_marked $s/Http/http_connection.cpp 'if (ec == asio::error::eof || tunnel_->malformed()) {' 'if (tunnel_->malformed()) {' 'carrier_end'
+prove abandoned_reset $s/Http/http_connection.cpp 'if (any_sent_ && !complete()) {' 'if (false) {' 'given_up_request'
+prove end_verified $s/Forwarding/forwarded_attempt.cpp 'if (state_.server_states != nullptr) {' 'if (false) {' 'lost_server'
+prove control_server $s/Control/server_state_exchange.cpp 'if (control == process_state::running) {' 'if (true) {' 'lost_server'
 exit $bad
