Never share the finding that a server runs

Cause: a check that found a server running was shared for 50 ms. Witnesses and control connections made such results frequent, so a crash a moment later was taken for a broken connection. Change: only "ended" is shared after a check; witnesses and control connections check for themselves; a verification is joined for 20 ms after its start.

--- a/bamboostream/src/Contracts/server_check.cpp
+++ b/bamboostream/src/Contracts/server_check.cpp
@@ -22,8 +22,8 @@
 constexpr milliseconds retry_delay{10};
 constexpr milliseconds max_check_duration =
     max_attempts * (connect_timeout + observation_time + retry_delay);
-/// How long a result is shared: requests on one server lose their connections within a few
-/// milliseconds of each other.
+/// How long it is shared that a process has ended: requests on one server lose their connections
+/// within a few milliseconds of each other.
 constexpr milliseconds result_lifetime{50};
 
 /// Closes the socket after `limit`, unless it has been destroyed by then.
@@ -111,10 +111,15 @@
     checks_[id] = own;
     own->state = co_await probe_process(std::move(address), local_address_);
     own->complete = true;
-    own->valid_until = monotonic_now() + result_lifetime;
+    own->valid_until =
+        monotonic_now() + (own->state == process_state::ended ? result_lifetime : milliseconds(0));
     ended_servers_ += own->state == process_state::ended ? 1 : 0;
     own->done.cancel();
     co_return own->state;
 }
 
+asio::awaitable<process_state> server_check::check_now(std::string address) {
+    co_return co_await probe_process(std::move(address), local_address_);
+}
+
 } // namespace bamboostream
--- a/bamboostream/src/Contracts/server_check.h
+++ b/bamboostream/src/Contracts/server_check.h
@@ -28,7 +28,8 @@
 ///
 /// When a process has ended, its machine refuses connections at once, while the server's entry
 /// stays in the registry for seconds. A machine that is down or unreachable refuses nothing, so the
-/// state is unknown. Requests that lose their connections at the same time share one check. Not
+/// state is unknown. Requests that lose their connections at the same time share one check; only a
+/// result that can't change any more, that the process has ended, is also shared afterwards. Not
 /// thread-safe: all calls must be made on one thread.
 ///
 /// Example: `if (co_await checks.check(id, address) == process_state::ended) …`
@@ -38,6 +39,8 @@
     void set_local_address(std::string ip) { local_address_ = std::move(ip); }
     /// Takes about 20 ms for a running process, less for one that has ended, and at most 0.4 s.
     boost::asio::awaitable<process_state> check(backend_id id, std::string address);
+    /// As above, but never shares a check with anyone.
+    boost::asio::awaitable<process_state> check_now(std::string address);
     /// Number of checks that found a server ended. Requests that share a check count once.
     std::uint64_t ended_servers() const { return ended_servers_; }
 
--- a/bamboostream/src/Control/server_state_exchange.cpp
+++ b/bamboostream/src/Control/server_state_exchange.cpp
@@ -22,9 +22,9 @@
 constexpr milliseconds answer_timeout{150};
 /// Number of other servers to which connections are tried before the own network counts as broken.
 constexpr std::size_t max_control_servers = 6;
-/// How long a result is shared: requests on one server lose their connections within a few
-/// milliseconds of each other.
-constexpr milliseconds result_lifetime{50};
+/// How long after its start a verification is shared: requests on one server lose their connections
+/// within a few milliseconds of each other. The process may end after the witnesses have answered.
+constexpr milliseconds sharing_time{20};
 
 } // namespace
 
@@ -46,7 +46,7 @@
     if (!address) {
         co_return process_state::unknown;
     }
-    const process_state state = co_await checks_.check(server, *address);
+    const process_state state = co_await checks_.check_now(*address);
     if (state != process_state::ended) {
         co_return state;
     }
@@ -57,7 +57,7 @@
     std::shuffle(others.begin(), others.end(), random_);
     others.resize(std::min(others.size(), max_control_servers));
     for (const server_address& other : others) {
-        const process_state control = co_await checks_.check(other.id, other.address);
+        const process_state control = co_await checks_.check_now(other.address);
         if (control == process_state::running) {
             co_return state;
         }
@@ -126,7 +126,7 @@
 asio::awaitable<process_state> server_state_exchange::verify(backend_id server,
                                                              std::string address) {
     std::erase_if(verifications_, [now = monotonic_now()](const auto& item) {
-        return item.second->complete && now >= item.second->valid_until;
+        return now >= item.second->started + sharing_time;
     });
     if (const auto found = verifications_.find(server); found != verifications_.end()) {
         const verification_ptr other = found->second;
@@ -150,7 +150,6 @@
         own->state = combine_findings(here, own->answers);
     }
     own->complete = true;
-    own->valid_until = monotonic_now() + result_lifetime;
     own->done.cancel();
     co_return own->state;
 }
--- a/bamboostream/src/Control/server_state_exchange.h
+++ b/bamboostream/src/Control/server_state_exchange.h
@@ -66,7 +66,7 @@
         std::vector<process_state> answers;
         std::size_t outstanding = 0;
         bool complete = false;
-        time_point valid_until{};
+        time_point started = monotonic_now();
         /// Cancelled by each answer; waited for by one coroutine only.
         boost::asio::steady_timer answered;
         /// Cancelled at the end.
--- a/test/platform/server_check_test.cpp
+++ b/test/platform/server_check_test.cpp
@@ -58,6 +58,25 @@
     context.run_for(milliseconds(10));
 }
 
+// Guards against a crash being missed because the server was found running just before it.
+TEST(server_check_test, the_end_of_a_process_right_after_a_check_is_found) {
+    asio::io_context context{1};
+    scripted_backend server(context,
+                            [](scripted_connection&) -> asio::awaitable<void> { co_return; });
+    server_check checks;
+    std::vector<process_state> found;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            found.push_back(co_await checks.check(backend_id("i-1"), server.address()));
+            server.end_process();
+            found.push_back(co_await checks.check(backend_id("i-1"), server.address()));
+        },
+        asio::detached);
+    context.run_for(milliseconds(100));
+    EXPECT_EQ(found, (std::vector{process_state::running, process_state::ended}));
+}
+
 /// How a server behaves shortly after a connection to it broke.
 struct closing_row {
     std::string name;
--- a/test/platform/server_state_exchange_test.cpp
+++ b/test/platform/server_state_exchange_test.cpp
@@ -150,5 +150,41 @@
     EXPECT_EQ(origin().forwarding.quarantine.decisions().size(), GetParam().evidence);
 }
 
+// Guards against a crash being missed because a witness found the server running just before it.
+TEST(server_state_exchange_test, the_end_of_a_process_right_after_a_verification_is_found) {
+    peer_group group(3, 1);
+    scripted_backend server(group.context,
+                            [](scripted_connection&) -> asio::awaitable<void> { co_return; });
+    scripted_backend other(group.context,
+                           [](scripted_connection&) -> asio::awaitable<void> { co_return; });
+    peer_instance& origin = *group.all.front();
+    for (const auto& it : group.all) {
+        for (const auto& [id, address] :
+             {std::pair("i-0", server.address()), std::pair("i-1", other.address())}) {
+            registered_backend entry;
+            entry.id = backend_id(id);
+            entry.service = service_id("calls");
+            entry.address =
+                it.get() == &origin && entry.id == backend_id("i-0") ? "127.9.9.9:1" : address;
+            it->forwarding.registry.update(entry, monotonic_now());
+        }
+    }
+    std::vector<process_state> found;
+    const auto verify = [&]() -> asio::awaitable<void> {
+        found.push_back(
+            co_await origin.server_states->verify(backend_id("i-0"), std::string("127.9.9.9:1")));
+        server.end_process();
+    };
+    for (int i = 0; i < 2; ++i) {
+        asio::co_spawn(group.context, verify, asio::detached);
+        for (const time_point limit = monotonic_now() + seconds(2);
+             found.size() <= static_cast<std::size_t>(i) && monotonic_now() < limit;) {
+            group.run_for(milliseconds(1));
+        }
+    }
+    EXPECT_EQ(found, (std::vector{running, ended}));
+    other.stop();
+}
+
 } // namespace
 } // namespace bamboostream::test
