Blame a request for the last server, too

Cause: a refused connection counted only if a connection to another server succeeded, and servers that the same request had crashed before were asked for that. Change: servers known to have ended are no controls; if no other is left, the finding of this instance and its witnesses decides, as with a single server.

--- a/bamboostream/src/Control/server_state_exchange.cpp
+++ b/bamboostream/src/Control/server_state_exchange.cpp
@@ -41,28 +41,45 @@
     return others.empty() ? own : process_state::unknown;
 }
 
-asio::awaitable<process_state> server_state_exchange::check_here(backend_id server) {
-    const auto address = view_.find(server);
-    if (!address) {
-        co_return process_state::unknown;
-    }
-    const process_state state = co_await checks_.check_now(*address);
-    if (state != process_state::ended) {
-        co_return state;
+void server_state_exchange::remember(const backend_id& server, process_state state) {
+    if (state == process_state::ended) {
+        ended_.insert(server);
+    } else if (state == process_state::running) {
+        ended_.erase(server);
     }
+    std::erase_if(ended_, [this](const backend_id& it) { return !view_.find(it); });
+}
+
+/// Servers that have ended would refuse the connection whatever the network does. Without them, a
+/// request that has crashed all servers but one could not be blamed for the last one.
+asio::awaitable<bool> server_state_exchange::reaches_another(backend_id server) {
     std::vector<server_address> others = view_.others(server);
+    std::erase_if(others, [this](const server_address& it) { return ended_.contains(it.id); });
     if (others.empty()) {
-        co_return state;
+        co_return true;
     }
     std::shuffle(others.begin(), others.end(), random_);
     others.resize(std::min(others.size(), max_control_servers));
     for (const server_address& other : others) {
         const process_state control = co_await checks_.check_now(other.address);
         if (control == process_state::running) {
-            co_return state;
+            co_return true;
         }
     }
-    co_return process_state::unknown;
+    co_return false;
+}
+
+asio::awaitable<process_state> server_state_exchange::check_here(backend_id server) {
+    const auto address = view_.find(server);
+    if (!address) {
+        co_return process_state::unknown;
+    }
+    process_state state = co_await checks_.check_now(*address);
+    if (state == process_state::ended && !co_await reaches_another(server)) {
+        state = process_state::unknown;
+    }
+    remember(server, state);
+    co_return state;
 }
 
 std::vector<std::string> server_state_exchange::choose_witnesses() {
@@ -149,6 +166,7 @@
         co_await ask_others(server, own);
         own->state = combine_findings(here, own->answers);
     }
+    remember(server, own->state);
     own->complete = true;
     own->done.cancel();
     co_return own->state;
--- a/bamboostream/src/Control/server_state_exchange.h
+++ b/bamboostream/src/Control/server_state_exchange.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -75,8 +76,10 @@
     using verification_ptr = std::shared_ptr<verification>;
 
     /// Checks from this instance alone. A refused connection counts as the end of the process only
-    /// if a connection to another server succeeds.
+    /// if a connection to another server succeeds, unless all others are known to have ended.
     boost::asio::awaitable<process_state> check_here(backend_id server);
+    boost::asio::awaitable<bool> reaches_another(backend_id server);
+    void remember(const backend_id& server, process_state state);
     boost::asio::awaitable<void> ask(std::string peer, backend_id server, verification_ptr about);
     boost::asio::awaitable<void> ask_others(backend_id server, verification_ptr about);
     /// Other instances, those of other failure domains first.
@@ -89,6 +92,8 @@
     server_view view_;
     std::mt19937_64 random_;
     std::map<backend_id, verification_ptr> verifications_;
+    /// Servers that have ended and are still registered.
+    std::set<backend_id> ended_;
 };
 
 } // namespace bamboostream
--- a/test/platform/server_state_exchange_test.cpp
+++ b/test/platform/server_state_exchange_test.cpp
@@ -150,6 +150,37 @@
     EXPECT_EQ(origin().forwarding.quarantine.decisions().size(), GetParam().evidence);
 }
 
+// Guards against a request that has crashed all servers but one not being blamed for the last one.
+TEST(server_state_exchange_test, the_end_of_the_last_server_is_found) {
+    peer_group group(3, 1);
+    std::vector<std::unique_ptr<scripted_backend>> servers;
+    for (int i = 0; i < 3; ++i) {
+        servers.push_back(std::make_unique<scripted_backend>(
+            group.context, [](scripted_connection&) -> asio::awaitable<void> { co_return; }));
+        registered_backend entry;
+        entry.id = backend_id(fmt::format("i-{}", i));
+        entry.service = service_id("calls");
+        entry.address = servers.back()->address();
+        for (const auto& it : group.all) {
+            it->forwarding.registry.update(entry, monotonic_now());
+        }
+    }
+    std::vector<process_state> found;
+    for (int i = 0; i < 3; ++i) {
+        servers[static_cast<std::size_t>(i)]->end_process();
+        asio::co_spawn(
+            group.context,
+            [&, i]() -> asio::awaitable<void> {
+                const backend_id id(fmt::format("i-{}", i));
+                const std::string address = servers[static_cast<std::size_t>(i)]->address();
+                found.push_back(co_await group.all.front()->server_states->verify(id, address));
+            },
+            asio::detached);
+        group.run_for(milliseconds(200));
+    }
+    EXPECT_EQ(found, std::vector(3, ended));
+}
+
 // Guards against a crash being missed because a witness found the server running just before it.
 TEST(server_state_exchange_test, the_end_of_a_process_right_after_a_verification_is_found) {
     peer_group group(3, 1);
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -199,4 +199,5 @@
 prove abandoned_reset $s/Http/http_connection.cpp 'if (any_sent_ && !complete()) {' 'if (false) {' 'given_up_request'
 prove end_verified $s/Forwarding/forwarded_attempt.cpp 'if (state_.server_states != nullptr) {' 'if (false) {' 'lost_server'
 prove control_server $s/Control/server_state_exchange.cpp 'if (control == process_state::running) {' 'if (true) {' 'lost_server'
+prove ended_no_control $s/Control/server_state_exchange.cpp 'std::erase_if(others, [this](const server_address& it) { return ended_.contains(it.id); });' '' 'last_server'
 exit $bad
