Keep an undecided crash until another server is reached

Cause: a refused connection counts as the end of a process only if another server can be reached at that moment. When several requests crash all servers within a few hundred milliseconds, none can, the finding is "unknown", and it was never asked for again. Worse, the servers of such findings were asked later as proof of a working network, so every further crash was unknown as well. Class: "can't be known yet" taken for "no". Change: refusing_servers keeps the question, with the evidence that waits for it, at most 10 s and bounded in number. When this instance reaches another server, by a request or by its own check each 0.1 s, the refusing ones are checked again and other instances are asked; a later start stamp decides as well. Why it works: a crash is decided as soon as it can be, and a partition that ends shows the servers running, which drops the question.

--- a/bamboostream/src/Control/quarantine_service.cpp
+++ b/bamboostream/src/Control/quarantine_service.cpp
@@ -34,6 +34,10 @@
         }
         return others;
     };
+    out.start_of = [&membership](const backend_id& id) -> std::optional<std::int64_t> {
+        const auto known = membership.backends().find(id.text());
+        return known ? std::optional<std::int64_t>(known->start_stamp) : std::nullopt;
+    };
     return out;
 }
 
@@ -113,9 +117,6 @@
               "digest={} backend={} process={} restarted={} leaving={} answer_begun={}",
               run.request.text(), run.server.text(), to_string(process), restarted, leaving,
               run.answering);
-    if (leaving || (process != process_state::ended && !restarted)) {
-        co_return;
-    }
     crash_evidence evidence;
     evidence.request = run.request;
     evidence.server = incarnation_key(run.server.text(), run.start_stamp);
@@ -123,7 +124,22 @@
     evidence.at = lost_at;
     evidence.answering = run.answering;
     evidence.on_trial = run.on_trial;
-    registry_.add_local_evidence(evidence, monotonic_now());
+    if (leaving) {
+        co_return;
+    }
+    if (process == process_state::ended || restarted) {
+        registry_.add_local_evidence(evidence, monotonic_now());
+        co_return;
+    }
+    if (process == process_state::running) {
+        co_return;
+    }
+    server_states_.await_end(run.server, [this, evidence, server = run.server] {
+        log_event(events::backend_end_found, "digest={} backend={} after_ms={:.0f}",
+                  evidence.request.text(), server.text(),
+                  to_milliseconds(monotonic_now() - evidence.at));
+        registry_.add_local_evidence(evidence, monotonic_now());
+    });
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Control/server_state_exchange.cpp
+++ b/bamboostream/src/Control/server_state_exchange.cpp
@@ -25,6 +25,8 @@
 /// How long after its start a verification is shared: requests on one server lose their connections
 /// within a few milliseconds of each other. The process may end after the witnesses have answered.
 constexpr milliseconds sharing_time{20};
+/// Interval at which refusing servers are examined when no request reaches a server.
+constexpr milliseconds examination_period{100};
 
 } // namespace
 
@@ -41,26 +43,48 @@
     return others.empty() ? own : process_state::unknown;
 }
 
-void server_state_exchange::remember(const backend_id& server, process_state state) {
-    if (state == process_state::ended) {
-        ended_.insert(server);
-    } else if (state == process_state::running) {
-        ended_.erase(server);
+void server_state_exchange::record_refusal(const server_address& server) {
+    refusing_.on_refused(server, view_.start_of(server.id).value_or(0), monotonic_now());
+    if (!std::exchange(examining_, true)) {
+        asio::co_spawn(context_, examine_again(), asio::detached);
+    }
+}
+
+void server_state_exchange::record(const server_address& server, process_state state) {
+    if (state == process_state::running) {
+        refusing_.on_running(server.id);
+    } else if (state == process_state::ended) {
+        record_refusal(server);
+        refusing_.on_ended(server.id);
+    }
+}
+
+void server_state_exchange::await_end(const backend_id& server, std::function<void()> listener) {
+    refusing_.await_end(server, std::move(listener));
+}
+
+void server_state_exchange::note_reached(const backend_id& server) {
+    if (!refusing_.empty()) {
+        refusing_.on_reached(server, monotonic_now());
+        wake_up_.cancel();
     }
-    std::erase_if(ended_, [this](const backend_id& it) { return !view_.find(it); });
 }
 
 /// Servers that have ended would refuse the connection whatever the network does. Without them, a
 /// request that has crashed all servers but one could not be blamed for the last one.
 asio::awaitable<bool> server_state_exchange::reaches_another(backend_id server) {
     std::vector<server_address> others = view_.others(server);
-    std::erase_if(others, [this](const server_address& it) { return ended_.contains(it.id); });
+    std::erase_if(others, [this](const server_address& it) { return refusing_.has_ended(it.id); });
     if (others.empty()) {
         co_return true;
     }
     std::shuffle(others.begin(), others.end(), random_);
     others.resize(std::min(others.size(), max_control_servers));
     for (const server_address& other : others) {
+        if (refusing_.is_network_proven(server, monotonic_now())) {
+            co_await pause_for(refusing_servers::partition_spread);
+            co_return true;
+        }
         const process_state control = co_await checks_.check_now(other.address);
         if (control == process_state::running) {
             co_return true;
@@ -70,18 +94,82 @@
 }
 
 asio::awaitable<process_state> server_state_exchange::check_here(backend_id server) {
-    const auto address = view_.find(server);
-    if (!address) {
+    const bool listed = view_.start_of(server).has_value();
+    const std::string address =
+        view_.find(server).value_or(listed ? std::string() : refusing_.address_of(server));
+    if (address.empty()) {
         co_return process_state::unknown;
     }
-    process_state state = co_await checks_.check_now(*address);
-    if (state == process_state::ended && !co_await reaches_another(server)) {
-        state = process_state::unknown;
+    process_state state = co_await checks_.check_now(address);
+    if (state == process_state::ended) {
+        record_refusal({server, address});
+        if (!refusing_.has_ended(server)) {
+            // A partition that ends now may have ended for the other server first.
+            state = co_await reaches_another(server) ? co_await checks_.check_now(address)
+                                                     : process_state::unknown;
+        }
     }
-    remember(server, state);
+    record({server, address}, state);
     co_return state;
 }
 
+asio::awaitable<void> server_state_exchange::recheck(bool network_works) {
+    std::vector<refusing_servers::open_question> open = refusing_.open_questions();
+    std::erase_if(open, [this, network_works, now = monotonic_now()](const auto& it) {
+        return !network_works && !refusing_.is_network_proven(it.server.id, now);
+    });
+    if (!network_works && !open.empty()) {
+        co_await pause_for(refusing_servers::partition_spread);
+    }
+    for (const refusing_servers::open_question& it : open) {
+        if (!refusing_.has_ended(it.server.id)) {
+            record(it.server, co_await checks_.check_now(it.server.address));
+        }
+    }
+}
+
+void server_state_exchange::confirm_restarts() {
+    for (const refusing_servers::open_question& it : refusing_.open_questions()) {
+        const std::optional<std::int64_t> start = view_.start_of(it.server.id);
+        if (start && *start > it.started) {
+            refusing_.confirm_end(it.server.id);
+        }
+    }
+}
+
+asio::awaitable<void> server_state_exchange::confirm(backend_id server) {
+    const auto about = std::make_shared<verification>(context_);
+    co_await ask_others(server, about);
+    const process_state own =
+        refusing_.has_ended(server) ? process_state::ended : process_state::unknown;
+    const process_state found = combine_findings(own, about->answers);
+    if (found == process_state::running) {
+        refusing_.on_running(server);
+    } else if (found == process_state::ended) {
+        refusing_.confirm_end(server);
+    }
+}
+
+asio::awaitable<void> server_state_exchange::examine_again() {
+    while (true) {
+        co_await wait_on(wake_up_, monotonic_now() + examination_period);
+        refusing_.expire([this](const backend_id& it) { return view_.start_of(it).has_value(); },
+                         monotonic_now());
+        const std::vector<refusing_servers::open_question> open = refusing_.open_questions();
+        if (open.empty()) {
+            break;
+        }
+        confirm_restarts();
+        co_await recheck(co_await reaches_another(open.front().server.id));
+        for (const refusing_servers::open_question& it : open) {
+            if (it.has_listeners && refusing_.may_ask_others(it.server.id, monotonic_now())) {
+                asio::co_spawn(context_, confirm(it.server.id), asio::detached);
+            }
+        }
+    }
+    examining_ = false;
+}
+
 std::vector<std::string> server_state_exchange::choose_witnesses() {
     struct candidate {
         std::size_t rank = 0;
@@ -158,15 +246,19 @@
     const bool reachable = view_.find(server).has_value();
     process_state here = process_state::unknown;
     if (reachable) {
-        here = co_await checks_.check(server, std::move(address));
+        here = co_await checks_.check(server, address);
     }
     own->state = here;
     if (!reachable || here == process_state::ended) {
+        record_refusal({server, address});
         here = co_await check_here(server);
         co_await ask_others(server, own);
         own->state = combine_findings(here, own->answers);
     }
-    remember(server, own->state);
+    record({server, std::move(address)}, own->state);
+    if (own->state == process_state::ended) {
+        refusing_.confirm_end(server);
+    }
     own->complete = true;
     own->done.cancel();
     co_return own->state;
--- a/bamboostream/src/Control/server_verifier.h
+++ b/bamboostream/src/Control/server_verifier.h
@@ -4,6 +4,7 @@
 #include "bamboostream/src/Core/identities.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <string>
 
 namespace bamboostream {
@@ -16,6 +17,12 @@
     /// lose their connections to a server at the same time share one result.
     virtual boost::asio::awaitable<process_state> verify(backend_id server,
                                                          std::string address) = 0;
+    /// Calls `listener` if it is found later that the process has ended. To be used right after
+    /// `verify` has returned `unknown`: while no server can be reached, a crash can't be told from
+    /// a broken network. Has no effect if the server refused no connection.
+    virtual void await_end(const backend_id& server, std::function<void()> listener) = 0;
+    /// Reports that this instance has connected to a server, which shows that its network works.
+    virtual void note_reached(const backend_id& server) = 0;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -33,6 +33,7 @@
         backend_connection_lost,
         service_cut_off,
         service_reachable,
+        backend_end_found,
         configuration_in_force,
         configuration_rejected,
         log_unavailable,
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -38,6 +38,18 @@
 /// non-streaming services don't produce them.
 constexpr std::size_t max_response_bytes = 8 * 1024 * 1024;
 
+/// Adds evidence of a crash that was found later, unless the server has announced since that it was
+/// leaving.
+void add_late_evidence(forwarding_state& state, const crash_evidence& evidence,
+                       const registered_backend& server, time_point now) {
+    log_event(events::backend_end_found, "digest={} backend={} after_ms={:.0f}",
+              evidence.request.text(), server.id.text(), to_milliseconds(now - evidence.at));
+    const registered_backend* known = state.registry.find(server.id);
+    if (known == nullptr || !known->leaving || known->started_ms != server.started_ms) {
+        state.quarantine.add_local_evidence(evidence, now);
+    }
+}
+
 } // namespace
 
 attempt_end forwarded_call::fail(const destination& to, attempt_end end, std::string_view reason) {
@@ -253,7 +265,7 @@
               request_.id, digest().text(), sent_to_.id.text(), sent_to_.address,
               to_string(process), leaving, response_head_received_, splitter_.events(),
               to_milliseconds(lost_at - sent_at_));
-    if (process != process_state::ended || leaving) {
+    if (process == process_state::running || leaving) {
         co_return;
     }
     crash_evidence evidence;
@@ -263,8 +275,15 @@
     evidence.at = lost_at;
     evidence.answering = response_head_received_;
     evidence.on_trial = on_trial_;
-    state_.quarantine.add_local_evidence(evidence, monotonic_now());
-    end_trial();
+    if (process == process_state::ended) {
+        state_.quarantine.add_local_evidence(evidence, monotonic_now());
+        end_trial();
+    } else if (state_.server_states != nullptr) {
+        state_.server_states->await_end(
+            sent_to_.id, [&state = state_, evidence, server = sent_to_] {
+                add_late_evidence(state, evidence, server, monotonic_now());
+            });
+    }
 }
 
 /// Skipped if the engine's memory was full: its prompts wait for memory, so the time to the first
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -54,6 +54,10 @@
         }
         return others;
     };
+    out.start_of = [&forwarding](const backend_id& id) {
+        const registered_backend* known = forwarding.registry.find(id);
+        return known != nullptr ? std::optional(known->started_ms) : std::nullopt;
+    };
     return out;
 }
 
--- a/test/platform/server_state_exchange_test.cpp
+++ b/test/platform/server_state_exchange_test.cpp
@@ -52,14 +52,14 @@
     friend void PrintTo(const lost_row& row, std::ostream* out) { *out << row.name; }
 };
 
-/// One instance loses its connection to a server and is refused new ones.
-class lost_server : public testing::TestWithParam<lost_row> {
+/// A group of instances, the first of which serves requests.
+class lost_server_group : public testing::Test {
 public:
-    lost_server(const lost_server&) = delete;
-    lost_server& operator=(const lost_server&) = delete;
+    lost_server_group(const lost_server_group&) = delete;
+    lost_server_group& operator=(const lost_server_group&) = delete;
 
 protected:
-    lost_server() : group_(GetParam().instances, 1) {
+    explicit lost_server_group(int instances) : group_(instances, 1) {
         for (const auto& it : group_.all) {
             it->forwarding.routes = std::make_shared<const route_table>(forwarding_configuration());
         }
@@ -72,7 +72,7 @@
         std::string why;
         address_ = serving_->listen("127.0.0.1:0", why).value();
     }
-    ~lost_server() override {
+    ~lost_server_group() override {
         serving_->stop_accepting();
         lost_.stop();
         running_.stop();
@@ -92,29 +92,38 @@
         }
     }
 
-    void send_request() {
-        bool done = false;
+    /// Returns whether the request has been answered; set later.
+    std::shared_ptr<bool> begin_request(const std::string& path) {
+        auto done = std::make_shared<bool>(false);
         asio::co_spawn(
             group_.context,
-            [this, &done]() -> asio::awaitable<void> {
+            [this, path, done]() -> asio::awaitable<void> {
                 const auto connection =
                     std::make_shared<http_connection>(group_.context.get_executor());
                 http_failure why;
                 co_await connection->connect(address_, seconds(1), why);
-                connection->send("GET /once/x HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: 1a\r\n"
-                                 "Authorization: Bearer the-key\r\n\r\n",
+                connection->send(fmt::format("GET /once/{} HTTP/1.1\r\nHost: host.example\r\n"
+                                             "Attempt-Id: {}\r\nAuthorization: Bearer the-key"
+                                             "\r\n\r\n",
+                                             path, path),
                                  false);
                 co_await connection->read_head(why);
-                done = true;
+                *done = true;
             },
             asio::detached);
+        return done;
+    }
+
+    bool run_until(const std::function<bool()>& condition) {
         for (const time_point limit = monotonic_now() + seconds(3);
-             !done && monotonic_now() < limit;) {
+             !condition() && monotonic_now() < limit;) {
             group_.run_for(milliseconds(5));
         }
-        EXPECT_TRUE(done);
+        return condition();
     }
 
+    std::size_t evidence() { return origin().forwarding.quarantine.decisions().size(); }
+
     peer_group group_;
     scripted_backend lost_{group_.context, [](scripted_connection& c) -> asio::awaitable<void> {
                                c.end_process();
@@ -126,6 +135,12 @@
     std::string address_;
 };
 
+/// One instance loses its connection to a server and is refused new ones.
+class lost_server : public lost_server_group, public testing::WithParamInterface<lost_row> {
+protected:
+    lost_server() : lost_server_group(GetParam().instances) {}
+};
+
 INSTANTIATE_TEST_SUITE_P(
     table, lost_server,
     testing::Values(lost_row{"only_this_instance_is_refused", 3, true, true, 0},
@@ -145,9 +160,97 @@
     const bool runs = GetParam().other_server_runs;
     add("i-1", "others", runs ? running_.address() : refusing,
         runs ? running_.address() : refusing);
-    send_request();
+    const auto done = begin_request("1a");
+    EXPECT_TRUE(run_until([&] { return *done; }));
     EXPECT_EQ(lost_.requests().size(), 1u);
-    EXPECT_EQ(origin().forwarding.quarantine.decisions().size(), GetParam().evidence);
+    EXPECT_EQ(evidence(), GetParam().evidence);
+}
+
+/// Two servers are lost at the same time. The parameter is the number of instances.
+class lost_server_pair : public lost_server_group, public testing::WithParamInterface<int> {
+protected:
+    lost_server_pair() : lost_server_group(GetParam()) {}
+
+    /// Sends a request to each of two servers, which refuse connections from then on.
+    void lose_both(std::vector<std::unique_ptr<scripted_backend>>& servers) {
+        for (int i = 0; i < 2; ++i) {
+            servers.push_back(std::make_unique<scripted_backend>(
+                group_.context, [this](scripted_connection& c) -> asio::awaitable<void> {
+                    ++running_requests_;
+                    while (running_requests_ < 2) {
+                        co_await c.pause(1);
+                    }
+                    c.end_process();
+                }));
+            const std::string& address = servers.back()->address();
+            add(fmt::format("i-{}", i), "calls", address, address);
+        }
+        const auto first = begin_request("1a");
+        const auto second = begin_request("2b");
+        EXPECT_TRUE(run_until([&] { return *first && *second; }));
+        EXPECT_TRUE(servers.front()->ended() && servers.back()->ended());
+        EXPECT_EQ(evidence(), 0u) << "no server can be reached, so the network may be at fault";
+    }
+
+    int running_requests_ = 0;
+};
+
+INSTANTIATE_TEST_SUITE_P(table, lost_server_pair, testing::Values(1, 3));
+
+// Guards against a harmful request that is never blamed because all servers crash at the same time.
+TEST_P(lost_server_pair, is_evidence_once_another_server_is_reached) {
+    std::vector<std::unique_ptr<scripted_backend>> servers;
+    lose_both(servers);
+    group_.run_for(milliseconds(300));
+    EXPECT_EQ(evidence(), 0u);
+    add("i-2", "calls", running_.address(), running_.address());
+    EXPECT_TRUE(run_until([&] { return evidence() == 2; }));
+}
+
+// Guards against a harmful request that crashes each server before anybody can use it to prove that
+// the network works.
+TEST_P(lost_server_pair, is_evidence_although_the_next_server_crashes_at_once) {
+    std::vector<std::unique_ptr<scripted_backend>> servers;
+    lose_both(servers);
+    group_.run_for(milliseconds(50));
+    scripted_backend next(group_.context, [](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.pause(5);
+        c.end_process();
+    });
+    add("i-2", "calls", next.address(), next.address());
+    const auto done = begin_request("3c");
+    EXPECT_TRUE(run_until([&] { return *done; }));
+    add("i-3", "calls", running_.address(), running_.address());
+    EXPECT_TRUE(run_until([&] { return evidence() == 3; }));
+}
+
+// Guards against innocent requests being blamed when a partition of all instances ends.
+TEST_P(lost_server_pair, is_no_evidence_if_the_servers_are_reached_again) {
+    std::vector<std::unique_ptr<scripted_backend>> servers;
+    lose_both(servers);
+    std::vector<asio::ip::tcp::acceptor> reachable;
+    for (const auto& server : servers) {
+        reachable.emplace_back(group_.context, *to_endpoint(server->address()));
+    }
+    group_.run_for(seconds(1));
+    EXPECT_EQ(evidence(), 0u);
+}
+
+// Guards against evidence that is lost with the entry of a server that has restarted.
+TEST_P(lost_server_pair, is_evidence_once_the_servers_have_restarted) {
+    std::vector<std::unique_ptr<scripted_backend>> servers;
+    lose_both(servers);
+    for (int i = 0; i < 2; ++i) {
+        registered_backend entry;
+        entry.id = backend_id(fmt::format("i-{}", i));
+        entry.service = service_id("calls");
+        entry.address = running_.address();
+        entry.started_ms = 5'000;
+        for (const auto& it : group_.all) {
+            it->forwarding.registry.update(entry, monotonic_now());
+        }
+    }
+    EXPECT_TRUE(run_until([&] { return evidence() == 2; }));
 }
 
 // Guards against a request that has crashed all servers but one not being blamed for the last one.
@@ -217,5 +320,40 @@
     other.stop();
 }
 
+// Guards against a partition that ends for one server before it ends for another being taken for
+// the crash of the latter.
+TEST(server_state_exchange_test, a_server_that_is_reached_a_moment_after_the_others_has_not_ended) {
+    peer_group group(1, 1);
+    scripted_backend other(group.context,
+                           [](scripted_connection&) -> asio::awaitable<void> { co_return; });
+    asio::ip::tcp::acceptor acceptor(group.context, {asio::ip::make_address("127.0.0.1"), 0});
+    const asio::ip::tcp::endpoint endpoint = acceptor.local_endpoint();
+    acceptor.close();
+    const std::string address = fmt::format("127.0.0.1:{}", endpoint.port());
+    for (const auto& it : group.all) {
+        for (const auto& [id, where] :
+             {std::pair("i-0", address), std::pair("i-1", other.address())}) {
+            registered_backend entry;
+            entry.id = backend_id(id);
+            entry.service = service_id("calls");
+            entry.address = where;
+            it->forwarding.registry.update(entry, monotonic_now());
+        }
+    }
+    std::vector<process_state> found;
+    asio::co_spawn(
+        group.context,
+        [&]() -> asio::awaitable<void> {
+            found.push_back(
+                co_await group.all.front()->server_states->verify(backend_id("i-0"), address));
+        },
+        asio::detached);
+    group.run_for(milliseconds(10));
+    acceptor = asio::ip::tcp::acceptor(group.context, endpoint);
+    group.run_for(milliseconds(500));
+    EXPECT_EQ(found, std::vector{running});
+    other.stop();
+}
+
 } // namespace
 } // namespace bamboostream::test
--- a/test/platform/system/harmful_request_test.cpp
+++ b/test/platform/system/harmful_request_test.cpp
@@ -87,6 +87,74 @@
     EXPECT_EQ(ended(), 3);
 }
 
+/// Servers that crash on a harmful request, all of them in the same instant.
+class simultaneous_crash_system : public harmful_request_system {
+protected:
+    static constexpr int crashing_together = 2;
+
+    void add_crashing_servers() {
+        waiting_ = 0;
+        for (int i = 0; i < crashing_together; ++i) {
+            add_backend(fmt::format("i-{}", ++servers_),
+                        [this](scripted_connection& c) -> asio::awaitable<void> {
+                            if (c.request().find(harmful_path) != std::string::npos) {
+                                ++waiting_;
+                                while (waiting_ < crashing_together) {
+                                    co_await c.pause(1);
+                                }
+                                c.end_process();
+                                co_return;
+                            }
+                            co_await c.send(fmt::format(
+                                "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n"
+                                "Content-Length: 2\r\n\r\nok",
+                                c.field("Attempt-Id")));
+                        });
+        }
+        for (const auto& it : instances_) {
+            ASSERT_TRUE(serves(*it, "k"));
+        }
+        wait_until([] { return false; }, milliseconds(300));
+    }
+
+    /// Sends the harmful request until all servers have crashed or it is refused.
+    void crash_servers() {
+        std::vector<std::shared_ptr<call_result>> results;
+        for (int i = 0; i < crashing_together; ++i) {
+            results.push_back(send_request(*instances_.front(), "k", harmful_path));
+        }
+        for (const auto& result : results) {
+            wait_until_done(result);
+        }
+        wait_until([] { return false; }, milliseconds(100));
+    }
+
+    int servers_ = 0;
+    int waiting_ = 0;
+};
+
+// Guards against evidence that is dropped because no server is left to show that the network works.
+TEST_F(simultaneous_crash_system, of_all_servers_is_evidence_once_there_are_others) {
+    configure(1, "k");
+    for (int i = 0; i < 4; ++i) {
+        add_instance(serving_store_);
+    }
+    for (const auto& it : instances_) {
+        ASSERT_TRUE(wait_until([&] { return knows_all(*it); }));
+    }
+    for (int round = 0; round < 2; ++round) {
+        add_crashing_servers();
+        crash_servers();
+        EXPECT_EQ(ended(), servers_);
+    }
+    add_crashing_servers();
+    crash_servers();
+    EXPECT_EQ(ended(), 2 * crashing_together);
+    for (const auto& it : instances_) {
+        EXPECT_EQ(send_harmful(*it), 503);
+    }
+}
+
 /// Keeps one server at a time. It crashes on a harmful request and answers others only when
 /// `answers_` is set.
 class contested_request_system : public harmful_request_system {
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -199,5 +199,9 @@
 prove abandoned_reset $s/Http/http_connection.cpp 'if (any_sent_ && !complete()) {' 'if (false) {' 'given_up_request'
 prove end_verified $s/Forwarding/forwarded_attempt.cpp 'if (state_.server_states != nullptr) {' 'if (false) {' 'lost_server'
 prove control_server $s/Control/server_state_exchange.cpp 'if (control == process_state::running) {' 'if (true) {' 'lost_server'
-prove ended_no_control $s/Control/server_state_exchange.cpp 'std::erase_if(others, [this](const server_address& it) { return ended_.contains(it.id); });' '' 'last_server'
+prove ended_no_control $s/Control/server_state_exchange.cpp 'return refusing_.has_ended(it.id);' 'return false && refusing_.has_ended(it.id);' 'last_server'
+prove late_end_found $s/Control/refusing_servers.cpp 'found->second.listeners.push_back(std::move(listener));' 'listener = nullptr;' 'lost_server_pair|simultaneous_crash'
+prove examined_again $s/Control/server_state_exchange.cpp 'co_await recheck(co_await reaches_another(open.front().server.id));' '' 'lost_server_pair'
+prove restart_is_an_end $s/Control/server_state_exchange.cpp 'if (start && *start > it.started) {' 'if (start && *start < 0) {' 'have_restarted'
+prove partition_spread $s/Control/server_state_exchange.cpp 'state = co_await reaches_another(server) ? co_await checks_.check_now(address)' 'state = co_await reaches_another(server) ? process_state::ended' 'a_moment_after_the_others'
 exit $bad
