Only a response that names the request clears the evidence against it

Cause: the address of a crashed server had been taken over by another process, which answered everything with 404 while the server's entry was still listed. Any complete response below 500 counted as proof that a server had run the request and survived, so one instance marked its evidence as cleared. Evidence: request_ended lines with status=404 of one crashed server only (646 of them), and of the request's crashes exactly those seen by one instance missing in request_quarantined servers=. Change: the response must carry the request's id, as every response of a backend server does (2xx had to already).

--- a/bamboostream/src/Forwarding/forward_request.h
+++ b/bamboostream/src/Forwarding/forward_request.h
@@ -56,6 +56,9 @@
     /// The response belongs to this request and comes from the server itself. A success without
     /// this is a late response to another request, or garbage.
     bool authentic = false;
+    /// The response names this request, as all responses of backend servers do. A process that has
+    /// taken over the address of a crashed server doesn't know the request.
+    bool names_request = false;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -238,7 +238,9 @@
         failure_ = std::move(response);
         co_return fail(to, attempt_end::failed, "server reported a failure");
     }
-    record_server_survived();
+    if (facts.names_request) {
+        record_server_survived();
+    }
     record_outcome(to.backend.id, true);
     unregister_work();
     co_await exchange_.respond(response.status, {}, std::move(response.body), response.fields);
--- a/test/platform/harmful_request_test.cpp
+++ b/test/platform/harmful_request_test.cpp
@@ -208,6 +208,23 @@
     EXPECT_FALSE(f.state().quarantine.decisions().evidence().front().cleared);
 }
 
+// Guards against clearing a harmful request because the address of a server that it crashed belongs
+// to another process by now, which answers anything with 404.
+TEST(lost_connection, of_a_request_that_a_foreign_process_answered_still_counts) {
+    forwarding_fixture f;
+    f.add("i-1", [](scripted_connection& c) -> asio::awaitable<void> {
+        c.end_process();
+        co_return;
+    });
+    f.finish(f.ask("once", "attempt-1", "", harmful));
+    f.add("i-2", [](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.send("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+    });
+    f.finish(f.ask("once", "attempt-2", "", harmful));
+    ASSERT_EQ(f.state().quarantine.decisions().evidence().size(), 1u);
+    EXPECT_FALSE(f.state().quarantine.decisions().evidence().front().cleared);
+}
+
 // Guards against blaming a request that another server has answered successfully since.
 TEST(lost_connection, of_a_request_that_was_answered_since_counts_no_more) {
     forwarding_fixture f;
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -199,6 +199,7 @@
 prove abandoned_reset $s/Http/http_connection.cpp 'if (any_sent_ && !complete()) {' 'if (false) {' 'given_up_request'
 prove end_verified $s/Forwarding/forwarded_attempt.cpp 'if (state_.server_states != nullptr) {' 'if (false) {' 'lost_server'
 prove control_server $s/Control/server_state_exchange.cpp 'if (control == process_state::running) {' 'if (true) {' 'lost_server'
+prove foreign_answer_clears_nothing $s/Forwarding/forwarded_attempt.cpp 'if (facts.names_request) {' 'if (true) {' 'foreign_process'
 prove ended_no_control $s/Control/server_state_exchange.cpp 'return refusing_.has_ended(it.id);' 'return false && refusing_.has_ended(it.id);' 'last_server'
 prove late_end_found $s/Control/refusing_servers.cpp 'found->second.listeners.push_back(std::move(listener));' 'listener = nullptr;' 'lost_server_pair|simultaneous_crash'
 prove examined_again $s/Control/server_state_exchange.cpp 'co_await recheck(co_await reaches_another(open.front().server.id));' '' 'lost_server_pair'
