Try a request of many callers at once instead of holding it for its presence

Cause: such a request is open on every server that crashes, whatever the cause, so it is the first with three crashes. Requests that had crashed one server each were no rivals of it, so it was confirmed; with rivals it waited 10 s after its last crash for its trial, and each further crash put that off. The first instance decided before the others' evidence had arrived. Class: presence taken for guilt, while nothing can be answered. Change: evidence carries the callers' attempts that were open on the server (13 bits in space that older instances leave zero and ignore). Three attempts on servers that crash at about the same time make it a request of many callers: all requests that were never answered and were open there are its rivals, its trial is due as soon as the evidence has settled, and the rivals are deferred, at most 1 s, and never refused for that. Only its trials confirm it. Its callers wait, and become trials of their own rather than being refused. No verdict by the number of crashes before evidence has settled since it was found. A contested request that was not tried yet waits 1 s for its rivals' verdicts. Why it works: the answer to its trial is the evidence that was missing, and nothing that is under suspicion itself runs beside it.

--- a/bamboostream/src/Control/frames.cpp
+++ b/bamboostream/src/Control/frames.cpp
@@ -9,11 +9,20 @@
 constexpr std::uint8_t answered_before_mark = 1;
 constexpr std::uint8_t on_trial_mark = 2;
 constexpr std::uint8_t shared_mark = 4;
+/// The upper marks hold the attempts that don't fit into their own field.
+constexpr unsigned upper_attempts_shift = 3;
+constexpr unsigned attempts_in_field = 8;
 
 std::uint8_t marks_of(const crash_evidence& evidence) {
-    return static_cast<std::uint8_t>((evidence.answered_before ? answered_before_mark : 0) |
-                                     (evidence.on_trial ? on_trial_mark : 0) |
-                                     (evidence.shared ? shared_mark : 0));
+    return static_cast<std::uint8_t>(
+        (evidence.answered_before ? answered_before_mark : 0) |
+        (evidence.on_trial ? on_trial_mark : 0) | (evidence.shared ? shared_mark : 0) |
+        (evidence.attempts >> attempts_in_field) << upper_attempts_shift);
+}
+
+std::uint16_t attempts_of(const wire::HarmEntry& entry) {
+    const unsigned upper = static_cast<unsigned>(entry.marks()) >> upper_attempts_shift;
+    return static_cast<std::uint16_t>(entry.attempts() | (upper << attempts_in_field));
 }
 } // namespace
 
@@ -78,7 +87,7 @@
     for (const crash_evidence& it : evidence) {
         report.entries.emplace_back(it.request.high, it.request.low, it.server, it.caller,
                                     age_to_wire(now - it.at), it.answering, it.cleared,
-                                    marks_of(it));
+                                    marks_of(it), static_cast<std::uint8_t>(it.attempts));
     }
     return report;
 }
@@ -94,7 +103,8 @@
                        entry.cleared(),
                        (entry.marks() & answered_before_mark) != 0,
                        (entry.marks() & on_trial_mark) != 0,
-                       (entry.marks() & shared_mark) != 0});
+                       (entry.marks() & shared_mark) != 0,
+                       attempts_of(entry)});
     }
     return out;
 }
--- a/bamboostream/src/Control/quarantine_service.cpp
+++ b/bamboostream/src/Control/quarantine_service.cpp
@@ -124,6 +124,7 @@
     evidence.at = lost_at;
     evidence.answering = run.answering;
     evidence.on_trial = run.on_trial;
+    evidence.attempts = attempt_bit(run.attempt_id);
     if (leaving) {
         co_return;
     }
--- a/bamboostream/src/Control/quarantine_service.h
+++ b/bamboostream/src/Control/quarantine_service.h
@@ -27,6 +27,8 @@
     /// The server had begun to respond.
     bool answering = false;
     bool on_trial = false;
+    /// Differs between the callers' attempts, not between the tries of one.
+    std::string attempt_id;
 };
 
 /// Quarantines requests that end the backend servers which run them, for instances that serve the
--- a/bamboostream/src/Control/trial_arbiter.cpp
+++ b/bamboostream/src/Control/trial_arbiter.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr milliseconds poll_interval{20};
+/// While a trial of a request that many callers send takes longer, for example because it lasts or
+/// because its instance has lost its links, another one may begin.
+constexpr duration max_popular_lease = milliseconds(300);
 
 } // namespace
 
@@ -25,13 +28,24 @@
         if (state == nullptr) {
             co_return trial_result::released;
         }
-        if (arbiter == nullptr && state->verdict == quarantine_verdict::suspected) {
+        if (arbiter == nullptr && state->verdict <= quarantine_verdict::suspected) {
             co_return trial_result::released;
         }
-        if (arbiter == nullptr || state->trial_due > limit || now >= limit || abandoned()) {
+        if (abandoned()) {
             co_return trial_result::refused;
         }
-        if (now >= state->trial_due && co_await arbiter->acquire(request, deadline - now)) {
+        const bool deferred = state->verdict == quarantine_verdict::deferred;
+        if (now >= limit && (deferred || state->popular)) {
+            co_return state->verdict == quarantine_verdict::contested ? trial_result::on_trial
+                                                                      : trial_result::released;
+        }
+        const bool waits = deferred || state->popular || now < state->undecided_until;
+        if (arbiter == nullptr || (!waits && state->trial_due > limit) || now >= limit) {
+            co_return trial_result::refused;
+        }
+        const duration lease =
+            state->popular ? std::min(deadline - now, max_popular_lease) : deadline - now;
+        if (!deferred && now >= state->trial_due && co_await arbiter->acquire(request, lease)) {
             // The verdict may have changed while the arbiter was asked.
             const quarantine_verdict verdict = quarantine.verdict(request);
             const bool undecided = verdict == quarantine_verdict::suspected ||
--- a/bamboostream/src/Control/trial_arbiter.h
+++ b/bamboostream/src/Control/trial_arbiter.h
@@ -33,11 +33,13 @@
 
 /// Waits until a held or suspected request is released or this attempt may be its trial.
 ///
-/// Returns at once if the request is confirmed as harmful or if its trial isn't due in time.
-/// Without an arbiter there are no trials, and suspected requests are released. Otherwise it takes
-/// at most half of the time until the deadline, so that the other half is left to serve the
-/// request, and ends early once `abandoned` returns true.
-/// `arbiter` is read again after each pause, since it may be gone by then.
+/// Returns at once if the request is confirmed as harmful, or if its trial is not due in time and
+/// its rivals have had time to be answered or held. Without an arbiter there are no trials, and
+/// requests that are not held are released. Otherwise it takes at most half of the time until the
+/// deadline, so that the other half is left to serve the request, and ends early once `abandoned`
+/// returns true. After that time a deferred request is released, and one that many callers send is
+/// released or becomes another trial: without a decision, refusing it would concern all of its
+/// callers. `arbiter` is read again after each pause, since it may be gone by then.
 boost::asio::awaitable<trial_result> await_trial(quarantine_registry& quarantine,
                                                  trial_arbiter* const& arbiter,
                                                  request_digest request, time_point deadline,
--- a/bamboostream/src/Control/trial_service.cpp
+++ b/bamboostream/src/Control/trial_service.cpp
@@ -24,12 +24,16 @@
 } // namespace
 
 trial_service::trial_service(peer_links& links, const membership_service& membership,
-                             const quarantine_registry& quarantine)
+                             quarantine_registry& quarantine)
     : links_(links), membership_(membership), quarantine_(quarantine) {}
 
 bool trial_service::grant(const request_digest& request, std::string_view holder, duration lease) {
-    return quarantine_.decisions().verdict(request) != quarantine_verdict::confirmed &&
-           permits_.acquire(request, holder, lease, monotonic_now());
+    const time_point now = monotonic_now();
+    quarantine_.settle(now);
+    const suspect_state* known = quarantine_.decisions().find_suspect(request);
+    const bool due = known == nullptr ||
+                     (known->verdict != quarantine_verdict::confirmed && now >= known->trial_due);
+    return due && permits_.acquire(request, holder, lease, now);
 }
 
 asio::awaitable<bool> trial_service::acquire(request_digest request, duration lease) {
--- a/bamboostream/src/Control/trial_service.h
+++ b/bamboostream/src/Control/trial_service.h
@@ -26,7 +26,7 @@
 class trial_service final : public trial_arbiter {
 public:
     trial_service(peer_links& links, const membership_service& membership,
-                  const quarantine_registry& quarantine);
+                  quarantine_registry& quarantine);
 
     boost::asio::awaitable<bool> acquire(request_digest request, duration lease) override;
     void release(const request_digest& request) override;
@@ -40,7 +40,7 @@
 
     peer_links& links_;
     const membership_service& membership_;
-    const quarantine_registry& quarantine_;
+    quarantine_registry& quarantine_;
     /// The trials that this instance grants.
     trial_permits permits_;
     /// The owners that have granted this instance's trials.
--- a/bamboostream/src/Entry/completion_handler.cpp
+++ b/bamboostream/src/Entry/completion_handler.cpp
@@ -258,8 +258,9 @@
         core_.quarantine->note_answer(digest());
     }
     if (result.end == relay_end::lost) {
-        lost_attempt run{digest(),    workspace_.text(), place.backend,
-                         start_stamp, result.tokens > 0, on_trial_};
+        attempt_id_ = attempt_id_.empty() ? random_id() : attempt_id_;
+        lost_attempt run{digest(),          workspace_.text(), place.backend, start_stamp,
+                         result.tokens > 0, on_trial_,         attempt_id_};
         co_await core_.quarantine->examine(std::move(run));
     }
     end_trial();
--- a/bamboostream/src/Entry/completion_handler.h
+++ b/bamboostream/src/Entry/completion_handler.h
@@ -87,6 +87,8 @@
     std::optional<request_digest> digest_;
     /// The request is quarantined, and this attempt is its trial. Control thread.
     bool on_trial_ = false;
+    /// Identifies the caller's attempt in evidence; empty until a server was lost.
+    std::string attempt_id_;
     /// Id of the generation whose tokens were sent to the caller; empty before the first token.
     std::string generation_;
     std::uint64_t tokens_ = 0;
--- a/bamboostream/src/Entry/service_handler.cpp
+++ b/bamboostream/src/Entry/service_handler.cpp
@@ -147,7 +147,9 @@
         co_return;
     }
     if (ended.why.code == service_error::outcome_unknown) {
-        lost_attempt run{digest(), call_.workspace, backend, start_stamp, false, on_trial_};
+        attempt_id_ = attempt_id_.empty() ? random_id() : attempt_id_;
+        lost_attempt run{digest(), call_.workspace, backend,    start_stamp,
+                         false,    on_trial_,       attempt_id_};
         co_await core_.quarantine->examine(std::move(run));
     }
     end_trial();
--- a/bamboostream/src/Entry/service_handler.h
+++ b/bamboostream/src/Entry/service_handler.h
@@ -68,6 +68,8 @@
     std::optional<request_digest> digest_;
     /// The call is quarantined, and this attempt is its trial. Control thread.
     bool on_trial_ = false;
+    /// Identifies the caller's attempt in evidence; empty until a server was lost.
+    std::string attempt_id_;
     std::shared_ptr<const configuration_document> document_;
 };
 
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -277,6 +277,7 @@
     evidence.at = lost_at;
     evidence.answering = response_head_received_;
     evidence.on_trial = on_trial_;
+    evidence.attempts = attempt_bit(request_.id);
     if (process == process_state::ended) {
         state_.quarantine.add_local_evidence(evidence, monotonic_now());
         end_trial();
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -159,7 +159,7 @@
 /// While the store is unavailable, servers that can't be reached are those that have ended since,
 /// so the cause is missing information and not overload.
 refusal_cause forwarded_call::not_run_cause() const {
-    if (digest_ && state_.quarantine.verdict(*digest_) != quarantine_verdict::free) {
+    if (digest_ && state_.quarantine.verdict(*digest_) >= quarantine_verdict::suspected) {
         return quarantine_cause();
     }
     const bool known =
--- a/bamboostream/src/Gateway/quarantine_persister.cpp
+++ b/bamboostream/src/Gateway/quarantine_persister.cpp
@@ -44,7 +44,8 @@
                                        {"cleared", it.cleared},
                                        {"answered_before", it.answered_before},
                                        {"on_trial", it.on_trial},
-                                       {"shared", it.shared}});
+                                       {"shared", it.shared},
+                                       {"attempts", it.attempts}});
     }
     return json::serialize(json::object{{"evidence", std::move(entries)}});
 }
@@ -71,7 +72,8 @@
                        parse_hexadecimal(text_at(entry, "caller")).value_or(0),
                        now - milliseconds(age), is_true(entry, "answering"),
                        is_true(entry, "cleared"), is_true(entry, "answered_before"),
-                       is_true(entry, "on_trial"), is_true(entry, "shared")});
+                       is_true(entry, "on_trial"), is_true(entry, "shared"),
+                       static_cast<std::uint16_t>(number_at(entry, "attempts"))});
     }
     return out;
 }
@@ -93,7 +95,11 @@
 }
 
 std::size_t quarantine_persister::evidence_to_store(const request_digest& request) const {
-    return quarantine_.holds(request) ? quarantine_.decisions().evidence_of(request).size() : 0;
+    const suspect_state* held = quarantine_.decisions().find_suspect(request);
+    // A trial decides about a request that many callers send within seconds. Its record would be
+    // read without the evidence against its rivals.
+    const bool stored = quarantine_.holds(request) && !held->popular;
+    return stored ? quarantine_.decisions().evidence_of(request).size() : 0;
 }
 
 void quarantine_persister::note_change(const request_digest& request) {
--- a/bamboostream/src/Limits/crash_evidence.h
+++ b/bamboostream/src/Limits/crash_evidence.h
@@ -14,6 +14,11 @@
 /// Identifies one incarnation of a server in evidence: a server may restart under the same name.
 std::uint64_t incarnation_key(std::string_view server, std::int64_t start_stamp);
 
+/// Number of bits in `crash_evidence::attempts`.
+inline constexpr unsigned attempt_bits = 13;
+/// The bit that stands for a caller's attempt in `crash_evidence::attempts`.
+std::uint16_t attempt_bit(std::string_view attempt_id);
+
 /// Evidence that a request crashes servers: it was open on a backend server when the server's
 /// process ended.
 struct crash_evidence {
@@ -35,6 +40,11 @@
     /// Another request was open on the server as well. Kept with this evidence, because evidence
     /// against requests of a single server is not exchanged again and expires soon.
     bool shared = false;
+    /// The callers' attempts at the request that were open on the server, one bit for each. Some
+    /// may share a bit; zero if they are not known.
+    std::uint16_t attempts = 0;
+    /// When this instance learned of it, if that was later. Not sent to other instances.
+    time_point found_at{};
 };
 
 /// Evidence by request and server.
@@ -59,6 +69,19 @@
     /// instead: they are usually sent again, and answered or held, within this time. Doubled after
     /// each trial that ended with a crash.
     std::chrono::seconds trial_delay{10};
+    /// Number of attempts open on crashed servers within `common_cause_window` from which on many
+    /// callers send a request.
+    std::size_t min_popular_attempts = 3;
+    /// How long requests wait for a decision about others that were open on the same servers, and
+    /// in particular for the trial of one that many callers send. Servers that have crashed are
+    /// replaced within this time.
+    milliseconds deferral{1'000};
+    /// Number of trials after which such a request is confirmed although other requests were open
+    /// on the servers that crashed.
+    std::size_t max_trials = 10;
+    /// Number of crashes from which on only requests under which several servers crashed are rivals
+    /// of such a request.
+    std::size_t max_disputed = 9;
     /// Limits on the pieces of evidence, for each caller and in total. A caller above its limit
     /// evicts only its own evidence.
     std::size_t max_evidence_per_caller = 256;
--- a/bamboostream/src/Limits/quarantine_registry.cpp
+++ b/bamboostream/src/Limits/quarantine_registry.cpp
@@ -16,7 +16,11 @@
 
 void quarantine_registry::take(std::span<const crash_evidence> evidence, std::string_view origin,
                                time_point now) {
-    if (quarantine_.add_evidence(evidence, now)) {
+    std::vector<crash_evidence> found(evidence.begin(), evidence.end());
+    for (crash_evidence& it : found) {
+        it.found_at = now;
+    }
+    if (quarantine_.add_evidence(found, now)) {
         apply_changes(origin, now);
     }
 }
--- a/bamboostream/src/Limits/request_quarantine.cpp
+++ b/bamboostream/src/Limits/request_quarantine.cpp
@@ -14,7 +14,8 @@
 std::uint64_t fingerprint_of(const crash_evidence& evidence) {
     const std::uint64_t server = evidence.cleared ? ~evidence.server : evidence.server;
     const std::uint64_t flags = (evidence.answered_before ? 1 : 0) | (evidence.on_trial ? 2 : 0) |
-                                (evidence.shared ? 4 : 0);
+                                (evidence.shared ? 4 : 0) |
+                                (static_cast<std::uint64_t>(evidence.attempts) << 8U);
     return stable_hash(evidence.request.text(), server ^ flags);
 }
 
@@ -24,6 +25,10 @@
     return stable_hash(server, static_cast<std::uint64_t>(start_stamp));
 }
 
+std::uint16_t attempt_bit(std::string_view attempt_id) {
+    return static_cast<std::uint16_t>(1U << (stable_hash(attempt_id) % attempt_bits));
+}
+
 std::pair<request_quarantine::evidence_map::const_iterator,
           request_quarantine::evidence_map::const_iterator>
 request_quarantine::range_of(const request_digest& request) const {
@@ -46,6 +51,9 @@
         changed = changed || (from.*flag && !(to.*flag));
         to.*flag = to.*flag || from.*flag;
     }
+    const auto attempts = static_cast<std::uint16_t>(from.attempts | to.attempts);
+    changed = changed || attempts != to.attempts;
+    to.attempts = attempts;
     return changed;
 }
 
@@ -62,7 +70,6 @@
     const auto added = evidence_.emplace(key, evidence).first;
     ++by_caller_[evidence.caller];
     const bool marked = mark_shared(added->second);
-    settled_at_ = std::max(settled_at_.value_or(evidence.at), evidence.at + rules_.settling_time);
     const auto [begin, end] = range_of(evidence.request);
     const auto servers = static_cast<std::size_t>(std::distance(begin, end));
     // Evidence that can't hold this request may still be a reason to release another one.
@@ -120,11 +127,8 @@
 }
 
 void request_quarantine::settle(time_point now) {
-    if (settled_at_ && now >= *settled_at_) {
-        settled_at_.reset();
-        if (!suspects_.empty()) {
-            update_suspects(now);
-        }
+    if (next_decision_ && now >= *next_decision_) {
+        update_suspects(now);
     }
 }
 
@@ -140,6 +144,9 @@
 
 bool request_quarantine::is_suspicious(evidence_map::const_iterator which) const {
     const request_digest& request = which->first.first;
+    if (disputed_servers_.contains(which->first.second)) {
+        return true;
+    }
     const auto next = std::next(which);
     return (next != evidence_.cend() && next->first.first == request) ||
            (which != evidence_.cbegin() && std::prev(which)->first.first == request);
@@ -190,6 +197,18 @@
         }
     }
     suspects_ = std::move(decided);
+    next_decision_.reset();
+    disputed_servers_.clear();
+    for (const auto& [request, state] : suspects_) {
+        const auto [begin, end] = range_of(request);
+        for (auto it = begin; state.popular && it != end; ++it) {
+            disputed_servers_.insert(it->first.second);
+        }
+        if (state.next_decision > now) {
+            next_decision_ =
+                std::min(next_decision_.value_or(state.next_decision), state.next_decision);
+        }
+    }
 }
 
 const suspect_state* request_quarantine::find_suspect(const request_digest& request) const {
--- a/bamboostream/src/Limits/request_quarantine.h
+++ b/bamboostream/src/Limits/request_quarantine.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -63,8 +64,8 @@
     std::vector<change> take_changes();
 
     std::vector<crash_evidence> evidence() const;
-    /// Evidence against requests under which several servers crashed: a small part of all evidence,
-    /// and the only part that affects decisions.
+    /// Evidence against requests under which several servers crashed, and of disputed servers: a
+    /// small part of all evidence, and the only part that affects decisions.
     std::vector<crash_evidence> suspicious_evidence() const;
     std::vector<crash_evidence> evidence_of(const request_digest& request) const;
     /// Equal on instances that have the same suspicious evidence.
@@ -88,7 +89,8 @@
     /// evidence.
     bool mark_shared(crash_evidence& newest);
     void evict_if_full(std::uint64_t caller);
-    /// Whether there is evidence from another server against the same request.
+    /// Whether there is evidence from another server against the same request, or the server is
+    /// disputed.
     bool is_suspicious(evidence_map::const_iterator which) const;
     void erase(evidence_map::const_iterator which);
     time_point expires_at(evidence_map::const_iterator which) const;
@@ -98,10 +100,13 @@
     /// Number of pieces of evidence, by caller and by server.
     std::unordered_map<std::uint64_t, std::size_t> by_caller_;
     std::unordered_map<std::uint64_t, std::size_t> by_server_;
-    /// When all evidence of the last crash should have arrived, until that is decided on.
-    std::optional<time_point> settled_at_;
+    /// When to decide again although there is no further evidence.
+    std::optional<time_point> next_decision_;
     /// Held and suspected requests.
     std::map<request_digest, suspect_state> suspects_;
+    /// Crashed servers on which a suspect was open that many callers send: any other request that
+    /// was open there is its rival.
+    std::set<std::uint64_t> disputed_servers_;
     /// Requests whose verdict has changed, with the verdict at the last call of `take_changes`.
     std::map<request_digest, quarantine_verdict> changed_;
 };
--- a/test/crash_attribution_test.cpp
+++ b/test/crash_attribution_test.cpp
@@ -17,7 +17,8 @@
 
 /// A crash and the requests that were open on the server: `I` for an innocent request that all
 /// callers send, `H`, `J` and `K` for harmful ones, and small letters for requests that were open
-/// on one server only. A request that is followed by `'` was on trial.
+/// on one server only. A request that is followed by `'` was on trial, one that is followed by a
+/// number had so many attempts open.
 struct crash {
     /// Negative if the evidence has been cleared by an answer.
     int at_ms;
@@ -43,6 +44,7 @@
 };
 
 constexpr auto not_suspected = quarantine_verdict::free;
+constexpr auto deferred = quarantine_verdict::deferred;
 constexpr auto suspected = quarantine_verdict::suspected;
 constexpr auto contested = quarantine_verdict::contested;
 constexpr auto confirmed = quarantine_verdict::confirmed;
@@ -119,6 +121,59 @@
          "",
          "",
          {{'I', not_suspected}, {'H', confirmed}}},
+        {"many_callers_send_it_and_each_of_the_others_ends_one_server",
+         {{900, "HI3"}, {1'200, "I3J"}, {1'500, "KI"}, {1'800, "I2a"}},
+         "",
+         "",
+         {{'I', contested, true}, {'H', deferred}, {'J', deferred}, {'K', deferred}}},
+        {"many_callers_send_it_and_two_others_end_two_servers_each",
+         {{900, "HI3"}, {1'200, "HI3"}, {1'500, "JI2"}, {1'800, "JI2"}},
+         "",
+         "",
+         {{'I', contested, true}, {'H', deferred}, {'J', deferred}}},
+        {"many_callers_send_it_and_it_is_answered",
+         {{900, "HI3"}, {1'200, "JI2"}, {1'500, "KI2"}},
+         "",
+         "I",
+         {{'I', not_suspected}, {'H', not_suspected}, {'J', not_suspected}}},
+        {"many_callers_send_it_and_its_trial_meets_a_new_request",
+         {{900, "HI3"}, {1'200, "JI2"}, {1'500, "KI2"}, {1'800, "I'a"}},
+         "",
+         "",
+         {{'I', contested, true}, {'K', deferred}}},
+        {"many_callers_send_it_and_its_trials_crash_two_servers",
+         {{0, "HI3"}, {150, "JI2"}, {300, "KI2"}, {450, "I'"}, {600, "I'"}},
+         "",
+         "",
+         {{'I', confirmed}, {'H', not_suspected}, {'J', not_suspected}, {'K', not_suspected}}},
+        {"many_callers_send_it_and_each_trial_crashes_a_server_beside_others",
+         {{0, "HI3"},
+          {200, "JI2"},
+          {400, "KI2"},
+          {600, "I'a"},
+          {800, "I'b"},
+          {1'000, "I'c"},
+          {1'200, "I'd"},
+          {1'400, "I'e"},
+          {1'600, "I'f"}},
+         "",
+         "",
+         {{'I', confirmed}}},
+        {"many_callers_send_two_of_them",
+         {{900, "H3I4"}, {1'200, "H3I4"}, {1'500, "H3I4"}, {1'800, "I2J"}},
+         "",
+         "",
+         {{'I', contested, true}, {'H', contested, false}, {'J', deferred}}},
+        {"many_callers_send_it_and_it_was_answered_before",
+         {{900, "HI3"}, {1'200, "JI2"}, {1'500, "KI2"}},
+         "I",
+         "",
+         {{'I', not_suspected}, {'H', not_suspected}}},
+        {"many_callers_sent_it_and_others_explain_its_crashes",
+         {{900, "HI3"}, {1'200, "HI3"}, {1'500, "HI3"}, {1'800, "H"}},
+         "",
+         "",
+         {{'I', suspected, true}, {'H', confirmed}}},
     };
 }
 
@@ -140,13 +195,17 @@
     return {value, value};
 }
 
+bool is_number(char c) {
+    return c >= '0' && c <= '9';
+}
+
 request_quarantine run(const attribution_row& row, const digest_order& order) {
     request_quarantine out;
     std::uint64_t server = 0;
     for (const crash& it : row.crashes) {
         ++server;
         for (std::size_t i = 0; i < it.open.size(); ++i) {
-            if (it.open[i] == '\'') {
+            if (it.open[i] == '\'' || is_number(it.open[i])) {
                 continue;
             }
             crash_evidence evidence;
@@ -157,7 +216,10 @@
             evidence.answering = true;
             evidence.answered_before = row.answered_before.find(it.open[i]) != std::string::npos;
             evidence.cleared = it.at_ms < 0;
-            evidence.on_trial = i + 1 < it.open.size() && it.open[i + 1] == '\'';
+            const char mark = i + 1 < it.open.size() ? it.open[i + 1] : ' ';
+            evidence.on_trial = mark == '\'';
+            evidence.attempts =
+                is_number(mark) ? static_cast<std::uint16_t>((1 << (mark - '0')) - 1) : 0;
             out.add_evidence(evidence, evidence.at);
         }
     }
@@ -218,6 +280,41 @@
     EXPECT_EQ(alone.verdict(first), confirmed) << "no other request was open on the third server";
 }
 
+// Guards against confirming a request by evidence that was found late, before the evidence against
+// the others on the same servers has arrived.
+TEST(crash_attribution_evidence, that_is_found_late_settles_late) {
+    const quarantine_rules rules;
+    request_quarantine quarantine;
+    const time_point found = start + seconds(5);
+    for (std::uint64_t server = 1; server <= 3; ++server) {
+        crash_evidence it;
+        it.request = {1, 1};
+        it.server = server;
+        it.at = start + milliseconds(300 * server);
+        it.found_at = found;
+        quarantine.add_evidence(it, found);
+    }
+    const request_digest request{1, 1};
+    EXPECT_EQ(quarantine.verdict(request), contested);
+    EXPECT_EQ(quarantine.find_suspect(request)->trial_due, found + rules.settling_time);
+    quarantine.settle(found + rules.settling_time);
+    EXPECT_EQ(quarantine.verdict(request), confirmed);
+}
+
+// Guards against rivals that wait for a trial which nobody sends.
+TEST(crash_attribution_trial, of_a_request_that_many_callers_send_delays_the_others_for_a_while) {
+    const quarantine_rules rules;
+    attribution_row crashes;
+    crashes.crashes = {{1'000, "HI3"}, {1'300, "JI2"}, {1'600, "KI2"}};
+    request_quarantine quarantine = run(crashes, "HIJK");
+    const request_digest rival = digest("HIJK", 'H');
+    const time_point until = start + milliseconds(1'600) + rules.settling_time + rules.deferral;
+    ASSERT_NE(quarantine.find_suspect(rival), nullptr);
+    EXPECT_EQ(quarantine.find_suspect(rival)->trial_due, until);
+    quarantine.settle(until);
+    EXPECT_EQ(quarantine.verdict(rival), not_suspected);
+}
+
 // Guards against a contested request that no answer can ever clear.
 TEST(crash_attribution_trial, of_each_contested_request_becomes_due) {
     const quarantine_rules rules;
--- a/test/platform/quarantine_exchange_test.cpp
+++ b/test/platform/quarantine_exchange_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <utility>
 
 namespace bamboostream::test {
 namespace {
@@ -96,6 +97,25 @@
     }
 }
 
+// Guards against instances that don't learn how many callers send a request.
+TEST(quarantine_exchange_test, attempts_reach_all_instances) {
+    peer_group group(1, 3);
+    start_all(group);
+    const time_point now = monotonic_now();
+    std::uint16_t attempts = 0x1001;
+    for (const auto& it : group.all) {
+        crash_evidence evidence{harmful, 1, 7, now, true, false};
+        evidence.attempts = std::exchange(attempts, std::uint16_t{0x0142});
+        it->forwarding.quarantine.add_local_evidence(evidence, now);
+    }
+    group.run_for(milliseconds(300));
+    for (const auto& it : group.all) {
+        const auto known = it->forwarding.quarantine.decisions().evidence();
+        ASSERT_EQ(known.size(), 1u);
+        EXPECT_EQ(known.front().attempts, 0x1143);
+    }
+}
+
 // Guards against exchange traffic that grows over time while there is no new evidence.
 TEST(quarantine_exchange_test, a_calm_group_asks_once_a_second_each) {
     peer_group group(2, 3);
--- a/test/platform/request_trial_test.cpp
+++ b/test/platform/request_trial_test.cpp
@@ -212,5 +212,63 @@
     EXPECT_LT(monotonic_now() - began, milliseconds(100));
 }
 
+// Guards against refusing a request because of evidence against others that is still under way.
+TEST_F(request_trial, is_waited_for_until_the_evidence_has_settled) {
+    f_.state().trials = nullptr;
+    f_.add("i-0", [](scripted_connection& c) -> asio::awaitable<void> {
+        c.end_process();
+        co_return;
+    });
+    f_.finish(f_.ask("once", "first-attempt", "", body));
+    const auto evidence = f_.state().quarantine.decisions().evidence();
+    ASSERT_EQ(evidence.size(), 1u);
+    f_.state().trials = &arbiter_;
+    for (std::uint64_t server = 2; server <= 3; ++server) {
+        crash_evidence crash = evidence.front();
+        crash.at -= milliseconds(300 * server);
+        crash.server = server;
+        report(crash);
+    }
+    request_ = evidence.front().request;
+    ASSERT_EQ(f_.state().quarantine.verdict(request_), quarantine_verdict::contested);
+    f_.add("i-1", answering("sound"));
+    const auto view = ask("attempt-1");
+    f_.run_for(milliseconds(50));
+    EXPECT_FALSE(view->done) << "it waits for the decision";
+    f_.finish(view);
+    EXPECT_EQ(view->status(), 503);
+    EXPECT_EQ(f_.state().quarantine.verdict(request_), quarantine_verdict::confirmed);
+}
+
+// Guards against a trial that is crashed by a request which was open on the same servers, and
+// against refusing that request although few servers crashed under it.
+TEST_F(request_trial, of_a_request_that_many_callers_send_delays_the_others) {
+    f_.add("i-0", [](scripted_connection& c) -> asio::awaitable<void> {
+        c.end_process();
+        co_return;
+    });
+    f_.finish(f_.ask("once", "first-attempt", "", body));
+    const crash_evidence own = f_.state().quarantine.decisions().evidence().front();
+    for (std::uint64_t server = 1; server <= 3; ++server) {
+        crash_evidence popular = own;
+        popular.request = rival;
+        popular.at -= milliseconds(300 * server);
+        popular.server = server == 1 ? own.server : server;
+        popular.attempts = 7;
+        report(popular);
+    }
+    request_ = own.request;
+    ASSERT_EQ(f_.state().quarantine.verdict(rival), quarantine_verdict::contested);
+    ASSERT_EQ(f_.state().quarantine.verdict(request_), quarantine_verdict::deferred);
+    const auto& server = f_.add("i-1", answering("sound"));
+    const time_point began = monotonic_now();
+    const auto view = ask("attempt-1");
+    f_.run_for(milliseconds(200));
+    EXPECT_TRUE(server.requests().empty());
+    f_.finish(view);
+    EXPECT_EQ(view->status(), 200);
+    EXPECT_GT(monotonic_now() - began, milliseconds(400)) << "half of the route's timeout";
+}
+
 } // namespace
 } // namespace bamboostream::test
--- a/test/platform/system/harmful_request_test.cpp
+++ b/test/platform/system/harmful_request_test.cpp
@@ -248,6 +248,42 @@
     EXPECT_EQ(ended(), 4);
 }
 
+// Guards against holding a request that many callers send, but that was never answered, because
+// requests that crashed one server each were open beside it.
+TEST_F(contested_request_system, is_served_although_each_of_three_others_crashed_a_server) {
+    configure(1, "k");
+    for (int i = 0; i < 3; ++i) {
+        add_instance(serving_store_);
+    }
+    for (const auto& it : instances_) {
+        ASSERT_TRUE(wait_until([&] { return knows_all(*it); }));
+    }
+    const std::string path = fmt::format("{}x", innocent_prefix);
+    for (int number = 1; number <= 3; ++number) {
+        replace_server();
+        std::vector<std::shared_ptr<call_result>> callers;
+        for (const auto& it : instances_) {
+            callers.push_back(send_request(*it, "k", path));
+            callers.push_back(send_request(*it, "k", path));
+        }
+        crash_server_under(fmt::format("{}-{}", harmful_path, number), path);
+        for (const auto& caller : callers) {
+            wait_until_done(caller);
+            EXPECT_EQ(caller->body.find("ends_servers"), std::string::npos);
+        }
+    }
+    replace_server();
+    answers_ = true;
+    std::vector<std::shared_ptr<call_result>> callers;
+    for (const auto& it : instances_) {
+        callers.push_back(send_request(*it, "k", path));
+    }
+    for (const auto& caller : callers) {
+        wait_until_done(caller);
+        EXPECT_EQ(caller->status, 200) << caller->body;
+    }
+}
+
 // Guards against losing the knowledge of harmful requests when all instances are killed at once.
 TEST_F(harmful_request_system, is_known_after_all_instances_were_killed) {
     add_instances(3);
--- a/test/quarantine_load_test.cpp
+++ b/test/quarantine_load_test.cpp
@@ -78,6 +78,8 @@
     bool harmful = false;
     bool repeatable = false;
     bool on_trial = false;
+    /// Number of the caller's attempt that it belongs to.
+    std::uint64_t caller_attempt = 0;
 };
 
 /// An attempt that waits for the trial of its request.
@@ -106,6 +108,7 @@
         for (now_ = 0; now_ < simulated_ms; now_ += step_ms) {
             arrive();
             quarantine_.settle(clock());
+            withdraw_held();
             retry_waiting();
             crash_simultaneously();
             finish_work();
@@ -186,6 +189,7 @@
                                         [&](auto* a, auto* b) { return load(a) < load(b); });
         work.until += now_;
         ++work.sends;
+        work.caller_attempt = work.caller_attempt == 0 ? ++caller_attempts_ : work.caller_attempt;
         to.work.push_back(work);
     }
 
@@ -193,14 +197,19 @@
     bool begin_trial(attempt& work) {
         const suspect_state& held = *quarantine_.find_suspect(work.digest);
         work.on_trial = held.verdict != quarantine_verdict::confirmed &&
-                        held.trial_due <= clock() && on_trial_.insert(work.digest).second;
+                        held.verdict != quarantine_verdict::deferred && held.trial_due <= clock() &&
+                        on_trial_.insert(work.digest).second;
         return work.on_trial;
     }
 
     void wait_or_refuse(const waiting_attempt& it) {
-        const quarantine_verdict verdict = quarantine_.verdict(it.work.digest);
-        if (verdict != quarantine_verdict::confirmed && now_ - it.since < trial_wait_ms) {
+        const suspect_state& held = *quarantine_.find_suspect(it.work.digest);
+        if (held.verdict != quarantine_verdict::confirmed && now_ - it.since < trial_wait_ms) {
             waiting_.push_back(it);
+        } else if (held.verdict == quarantine_verdict::deferred || held.popular) {
+            attempt work = it.work;
+            work.on_trial = held.verdict == quarantine_verdict::contested;
+            send_to_engine(work, {});
         } else if (!it.work.harmful) {
             ++innocent_refused_;
         }
@@ -272,6 +281,7 @@
             seen.at = clock();
             seen.answering = true;
             seen.on_trial = w.on_trial;
+            seen.attempts = attempt_bit(std::to_string(w.caller_attempt));
             if (w.digest == popular) {
                 seen.cleared = responses_.contains(popular, clock());
                 seen.answered_before = parameters_.popular_answered_before ||
@@ -295,6 +305,7 @@
                 send(w, incarnation);
             } else if (++w.attempts < attempts_per_caller && !w.harmful) {
                 w.sends = 0;
+                w.caller_attempt = 0;
                 send(w, {});
             }
         }
@@ -321,6 +332,7 @@
     std::size_t innocent_refused_ = 0;
     std::set<request_digest> bystanders_held_;
     std::uint64_t incarnation_count_ = 0;
+    std::uint64_t caller_attempts_ = 0;
     std::uint64_t requests_ = 0;
     std::size_t served_ = 0;
     int now_ = 0;
--- a/test/request_quarantine_test.cpp
+++ b/test/request_quarantine_test.cpp
@@ -197,6 +197,24 @@
     EXPECT_EQ(one.suspicious_evidence().size(), 3u);
 }
 
+// Guards against instances that each know of their own attempts only.
+TEST(quarantine_evidence, of_attempts_is_merged) {
+    request_quarantine one;
+    request_quarantine other;
+    for (std::uint64_t server = 1; server <= 3; ++server) {
+        crash_evidence crash = evidence_at(1, server, static_cast<int>(server) * 400);
+        crash.attempts = 0x1001;
+        one.add_evidence(crash, start + seconds(2));
+        crash.attempts = 0x0102;
+        other.add_evidence(crash, start + seconds(2));
+    }
+    EXPECT_NE(one.fingerprint(), other.fingerprint());
+    EXPECT_TRUE(one.add_evidence(other.evidence(), start + seconds(2)));
+    EXPECT_TRUE(other.add_evidence(one.evidence(), start + seconds(2)));
+    EXPECT_EQ(one.evidence().front().attempts, 0x1103);
+    EXPECT_EQ(one.fingerprint(), other.fingerprint());
+}
+
 // Guards against a caller whose many requests evict the evidence against another caller's request.
 TEST(quarantine_evidence, of_one_caller_is_bounded) {
     request_quarantine quarantine = with_one_held();
