A connection that is reset proves neither a crash nor a working network

Cause: a partition that accepts connections and resets them. A reset that arrived before the connect call had returned counted as a refusal, and an established connection to another server, reset a moment later, counted as proof that the network works. Change: a reset while connecting is an accepted connection that was closed. One that is closed at once tells nothing when it is to prove that the network works, or when a witness is asked. Requests report a server as reached when it has responded.

--- a/bamboostream/src/Contracts/server_check.cpp
+++ b/bamboostream/src/Contracts/server_check.cpp
@@ -53,9 +53,13 @@
     }
     close_after(timer, socket, connect_timeout);
     co_await socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
-    if (error == asio::error::connection_refused || error == asio::error::connection_reset) {
+    if (error == asio::error::connection_refused) {
         co_return probe_result::refused;
     }
+    if (error == asio::error::connection_reset) {
+        // It was accepted before.
+        co_return probe_result::closed;
+    }
     if (error) {
         co_return probe_result::no_answer;
     }
@@ -70,7 +74,8 @@
 /// A process that is ending may accept a connection before it closes its listening socket, and a
 /// process at its connection limit closes new connections at once. Further attempts tell the two
 /// apart.
-asio::awaitable<process_state> probe_process(std::string address, std::string local_address) {
+asio::awaitable<process_state> probe_process(std::string address, std::string local_address,
+                                             process_state if_closed) {
     const auto endpoint = to_endpoint(address);
     if (!endpoint) {
         co_return process_state::unknown;
@@ -84,6 +89,9 @@
     if (result == probe_result::refused) {
         co_return process_state::ended;
     }
+    if (result == probe_result::closed) {
+        co_return if_closed;
+    }
     co_return result == probe_result::no_answer ? process_state::unknown : process_state::running;
 }
 
@@ -109,7 +117,7 @@
     const auto own = std::make_shared<pending_check>(co_await asio::this_coro::executor);
     own->done.expires_after(max_check_duration);
     checks_[id] = own;
-    own->state = co_await probe_process(std::move(address), local_address_);
+    own->state = co_await probe_process(std::move(address), local_address_, process_state::running);
     own->complete = true;
     own->valid_until =
         monotonic_now() + (own->state == process_state::ended ? result_lifetime : milliseconds(0));
@@ -119,7 +127,7 @@
 }
 
 asio::awaitable<process_state> server_check::check_now(std::string address) {
-    co_return co_await probe_process(std::move(address), local_address_);
+    co_return co_await probe_process(std::move(address), local_address_, process_state::unknown);
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Contracts/server_check.h
+++ b/bamboostream/src/Contracts/server_check.h
@@ -39,7 +39,8 @@
     void set_local_address(std::string ip) { local_address_ = std::move(ip); }
     /// Takes about 20 ms for a running process, less for one that has ended, and at most 0.4 s.
     boost::asio::awaitable<process_state> check(backend_id id, std::string address);
-    /// As above, but never shares a check with anyone.
+    /// As above, but never shares a check with anyone. A server that accepts connections and closes
+    /// them at once counts as unknown: a device in the network may do that.
     boost::asio::awaitable<process_state> check_now(std::string address);
     /// Number of checks that found a server ended. Requests that share a check count once.
     std::uint64_t ended_servers() const { return ended_servers_; }
--- a/bamboostream/src/Control/refusing_servers.h
+++ b/bamboostream/src/Control/refusing_servers.h
@@ -51,7 +51,7 @@
     void confirm_end(const backend_id& server);
     /// Records that the server accepts connections. Its listeners are dropped.
     void on_running(const backend_id& server) { erase(server); }
-    /// Records that this instance has connected to a server on behalf of a request.
+    /// Records that a server has responded to a request of this instance.
     void on_reached(const backend_id& server, time_point now);
 
     /// Calls `listener` once it is known that the process has ended; never if it runs or if that is
--- a/bamboostream/src/Control/server_verifier.h
+++ b/bamboostream/src/Control/server_verifier.h
@@ -21,7 +21,8 @@
     /// `verify` has returned `unknown`: while no server can be reached, a crash can't be told from
     /// a broken network. Has no effect if the server refused no connection.
     virtual void await_end(const backend_id& server, std::function<void()> listener) = 0;
-    /// Reports that this instance has connected to a server, which shows that its network works.
+    /// Reports that a server has responded to this instance, which shows that its network works. An
+    /// established connection alone doesn't: a device on the path may accept and reset it.
     virtual void note_reached(const backend_id& server) = 0;
 };
 
--- a/bamboostream/src/Forwarding/backend_connection.cpp
+++ b/bamboostream/src/Forwarding/backend_connection.cpp
@@ -168,9 +168,6 @@
         log_event(events::service_reachable, "service={} backend={}", server.service.text(),
                   server.id.text());
     }
-    if (state.server_states != nullptr) {
-        state.server_states->note_reached(server.id);
-    }
 }
 
 asio::awaitable<void> check_direct_connection(forwarding_state& state, registered_backend server) {
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -188,6 +188,9 @@
                        why.text);
     }
     response_head_received_ = true;
+    if (state_.server_states != nullptr && connection_->carrier().empty()) {
+        state_.server_states->note_reached(to.backend.id);
+    }
     co_return co_await handle_response(to);
 }
 
--- a/test/platform/server_state_exchange_test.cpp
+++ b/test/platform/server_state_exchange_test.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -236,6 +238,37 @@
     EXPECT_EQ(evidence(), 0u);
 }
 
+// Guards against a device in the network that accepts connections and resets them being taken for a
+// server, which would show that the network works.
+TEST_P(lost_server_pair, is_no_evidence_while_other_connections_are_reset) {
+    std::vector<std::unique_ptr<scripted_backend>> servers;
+    lose_both(servers);
+    asio::ip::tcp::acceptor resetting(group_.context, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::co_spawn(
+        group_.context,
+        [&resetting]() -> asio::awaitable<void> {
+            boost::system::error_code error;
+            while (!error) {
+                asio::ip::tcp::socket socket = co_await resetting.async_accept(
+                    asio::redirect_error(asio::use_awaitable, error));
+                if (!error) {
+                    socket.set_option(asio::socket_base::linger(true, 0));
+                }
+            }
+        },
+        asio::detached);
+    const std::string address = fmt::format("127.0.0.1:{}", resetting.local_endpoint().port());
+    add("i-2", "calls", address, address);
+    for (int i = 0; i < 10; ++i) {
+        const auto done = begin_request(fmt::format("{}f", i));
+        EXPECT_TRUE(run_until([&] { return *done; }));
+        group_.run_for(milliseconds(30));
+    }
+    EXPECT_EQ(evidence(), 0u);
+    resetting.close();
+    group_.run_for(milliseconds(20));
+}
+
 // Guards against evidence that is lost with the entry of a server that has restarted.
 TEST_P(lost_server_pair, is_evidence_once_the_servers_have_restarted) {
     std::vector<std::unique_ptr<scripted_backend>> servers;
