--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -201,7 +201,7 @@
 prove control_server $s/Control/server_state_exchange.cpp 'if (control == process_state::running) {' 'if (true) {' 'lost_server'
 prove popular_rivals $s/Limits/crash_attribution.cpp 'other.crashes.size() > (it.popular ? 0 : 1)' 'other.crashes.size() > 1' 'crash_attribution'
 prove rivals_deferred $s/Limits/crash_attribution.cpp 'it.verdict = quarantine_verdict::deferred;' '' 'crash_attribution'
-prove attempts_merged $s/Limits/request_quarantine.cpp 'to.attempts = attempts;' '' 'is_served_although|evidence_of_attempts'
+prove attempts_merged $s/Limits/request_quarantine.cpp 'to.attempts = attempts;' '' 'of_attempts_is_merged|is_served_although'
 prove found_late $s/Limits/crash_attribution.cpp 'return std::max(crash.at, crash.found_at) + rules_.settling_time;' 'return crash.at + rules_.settling_time;' 'found_late'
 prove unsettled_waits $s/Limits/crash_attribution.cpp 'it.known == certainty::unsettled' 'false' 'found_late'
 prove deferred_sent $s/Control/trial_arbiter.cpp 'if (now >= limit && (deferred || state->popular)) {' 'if (false) {' 'delays_the_others'
