--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -149,8 +149,7 @@
 prove harmful_held $s/Forwarding/forwarded_call.cpp 'if (verdict == quarantine_verdict::free || trial_continues) {' 'if (true) {' 'ends_no_more_than_three'
 prove harmful_withdrawn_not_sent_again $s/Forwarding/forwarded_call.cpp 'if (withdrawn_ || confirmed_harmful) {' 'if (false) {' 'is_ended_on_other_servers'
 prove harmful_withdrawn $s/Limits/quarantine_registry.cpp 'call->withdraw(request);' '' 'is_ended_on_other_servers'
-prove blame_needs_an_end $s/Forwarding/forwarded_attempt.cpp 'if (process == process_state::running || leaving) {' 'process = process_state::ended;
-    if (leaving) {' 'lost_connection'
+prove blame_needs_an_end $s/Forwarding/forwarded_attempt.cpp 'if (process == process_state::running || leaving) {' 'process = process_state::ended; if (leaving) {' 'lost_connection'
 prove no_blame_for_leaving $s/Forwarding/forwarded_attempt.cpp 'if (process == process_state::running || leaving) {' 'if (process == process_state::running) {' 'lost_connection'
 prove answer_clears $s/Forwarding/forwarded_call.cpp 'state_.quarantine.note_answer(digest(), monotonic_now());' '' 'lost_connection'
 prove ends_explained $s/Limits/crash_attribution.cpp 'attributed_.insert(crash->server);' '' 'quarantine'
