Log the software version of backend servers

Callers saw streams with events of two software versions (ORDER).

registered_backend has the version now, BackendFact carries it between instances, and the three lines print it; request_sent also says how many events the caller has, which tells a first attempt from one that goes on. An instance of the previous version sends no version: what is known of the same process is kept then, and otherwise it is unknown.

No decision uses the version yet.

--- a/bamboostream/src/Core/identities.h
+++ b/bamboostream/src/Core/identities.h
@@ -43,6 +43,14 @@
 /// A plain service to which the system routes calls.
 using service_id = typed_id<struct service_tag>;
 
+/// The version of the software that a backend server runs, as the server states it; empty when it
+/// is not known. Versions have no order. Not the version of a model's weights.
+using software_version = typed_id<struct software_version_tag>;
+
+/// The version as one word for log lines: "unknown" if it is empty, and "_" in place of any
+/// character that isn't printable ASCII or is a space.
+std::string printable(const software_version& version);
+
 /// One process of an instance: after a restart at the same address the start stamp is later.
 struct instance_id {
     /// Address for traffic between instances, "ip:port".
--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -197,7 +197,8 @@
                   source.id.text(), target.id.text(), why.text);
     }
     if (source_gone) {
-        finish_move(candidate, {target.id, target.address, {source.address, first->handle}});
+        finish_move(source, candidate,
+                    {target.id, target.address, {source.address, first->handle}});
     } else if (last && last->stopped) {
         // Never continue at an engine of a cordoned failure domain: little is missing from the
         // first copy.
@@ -205,18 +206,23 @@
             last->copied || state_.registry.cordoned().contains(source.failure_domain);
         const registered_backend& destination = to_target ? target : source;
         const std::string& handle = to_target && !last->copied ? first->handle : last->handle;
-        finish_move(candidate, {destination.id, destination.address, {source.address, handle}});
+        finish_move(source, candidate,
+                    {destination.id, destination.address, {source.address, handle}});
     }
     co_return last ? move_error::none : why.code;
 }
 
-void evacuation_service::finish_move(const move_candidate& candidate, const move_notice& notice) {
+void evacuation_service::finish_move(const registered_backend& source,
+                                     const move_candidate& candidate, const move_notice& notice) {
+    const registered_backend* target = state_.registry.find(notice.target);
     log_event(events::generation_moved,
-              "request={} source={} target={} instance={} memory_tokens={}",
-              candidate.generation.id, notice.copy.holder, notice.target.text(),
+              "request={} source={} source_version={} target={} target_version={} instance={} "
+              "memory_tokens={}",
+              candidate.generation.id, notice.copy.holder, printable(source.version),
+              notice.target.text(), printable(target ? target->version : software_version()),
               candidate.instance.empty() ? "here" : candidate.instance,
               candidate.generation.memory_tokens);
-    if (const registered_backend* target = state_.registry.find(notice.target)) {
+    if (target != nullptr) {
         record_send(state_, *target, monotonic_now());
     }
     if (candidate.instance.empty()) {
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -63,7 +63,8 @@
     boost::asio::awaitable<move_error> move_to(const registered_backend& source,
                                                const registered_backend& target,
                                                const move_candidate& candidate);
-    void finish_move(const move_candidate& candidate, const move_notice& notice);
+    void finish_move(const registered_backend& source, const move_candidate& candidate,
+                     const move_notice& notice);
 
     boost::asio::io_context& context_;
     forwarding_state& state_;
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -128,18 +128,21 @@
     const backend_work work = to.work ? *to.work : state_.loads.total(to.backend.id, now);
     const duration view_age = state_.entries_view.age(now);
     state_.latency.record(latency_stage::view_age, route_->repeats, view_age);
-    log_event(
-        events::request_sent,
-        "request={} route={} service={} backend={} address={} copy_of={} sends={} "
-        "configuration_version={} usable={} view_age_ms={:.0f} requests={} memory_tokens={} "
-        "of_memory={} "
-        "unread_tokens={} prompt_tokens={} expected_tokens={} time_left_ms={:.0f} after_ms={:.0f}",
-        request_.id, route_->name, service_->id.text(), to.backend.id.text(), to.backend.address,
-        to.copy ? to.copy->holder : "none", history_.sends, routes_->configuration().version,
-        state_.registry.usable(service_->id).size(), to_milliseconds(view_age), work.requests,
-        work.memory_tokens, service_->engine ? service_->engine->memory_tokens : 0,
-        work.unread_tokens, request_.prompt_tokens, request_.expected_output_tokens,
-        to_milliseconds(deadline_ - now), to_milliseconds(now - arrival_));
+    log_event(events::request_sent,
+              "request={} route={} service={} backend={} address={} software_version={} copy_of={} "
+              "sends={} "
+              "configuration_version={} usable={} view_age_ms={:.0f} requests={} memory_tokens={} "
+              "of_memory={} "
+              "unread_tokens={} prompt_tokens={} expected_tokens={} events={} time_left_ms={:.0f} "
+              "after_ms={:.0f}",
+              request_.id, route_->name, service_->id.text(), to.backend.id.text(),
+              to.backend.address, printable(to.backend.version), to.copy ? to.copy->holder : "none",
+              history_.sends, routes_->configuration().version,
+              state_.registry.usable(service_->id).size(), to_milliseconds(view_age), work.requests,
+              work.memory_tokens, service_->engine ? service_->engine->memory_tokens : 0,
+              work.unread_tokens, request_.prompt_tokens, request_.expected_output_tokens,
+              splitter_.events(), to_milliseconds(deadline_ - now),
+              to_milliseconds(now - arrival_));
 }
 
 asio::awaitable<std::optional<attempt_end>> forwarded_call::attempt(const destination& to) {
--- a/bamboostream/src/Gateway/deployment_state.cpp
+++ b/bamboostream/src/Gateway/deployment_state.cpp
@@ -257,12 +257,13 @@
 void deployment_state::report_changes(update_source source, time_point now) {
     for (const registry_change& change : forwarding_.registry.take_changes()) {
         const registered_backend& backend = change.backend;
-        log_event(event_of(change.event),
-                  "backend={} address={} service={} failure_domain={} started_ms={} source={} "
-                  "position={} view_age_ms={:.0f}",
-                  backend.id.text(), backend.address, backend.service.text(),
-                  backend.failure_domain.text(), backend.started_ms, to_string(source),
-                  entries_.position(), to_milliseconds(forwarding_.entries_view.age(now)));
+        log_event(
+            event_of(change.event),
+            "backend={} address={} service={} software_version={} failure_domain={} started_ms={} "
+            "source={} position={} view_age_ms={:.0f}",
+            backend.id.text(), backend.address, backend.service.text(), printable(backend.version),
+            backend.failure_domain.text(), backend.started_ms, to_string(source),
+            entries_.position(), to_milliseconds(forwarding_.entries_view.age(now)));
         if (backend_listener_) {
             backend_listener_(change);
         }
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -22,6 +22,7 @@
     out->failure_domain = backend.failure_domain.text();
     out->slots = backend.slots;
     out->started_ms = backend.started_ms;
+    out->software_version = backend.version.text();
     out->leaving = backend.leaving;
     const duration slow_for = std::max(duration{}, backend.slow_until - now);
     out->slow_for_ms = static_cast<std::int32_t>(to_milliseconds(slow_for));
@@ -36,6 +37,7 @@
     out.failure_domain = failure_domain_id(fact.failure_domain);
     out.slots = fact.slots;
     out.started_ms = fact.started_ms;
+    out.version = software_version(fact.software_version);
     out.leaving = fact.leaving;
     out.slow_until = now + milliseconds(fact.slow_for_ms);
     return out;
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -18,6 +18,9 @@
         changes_.push_back({registry_event::joined, received});
     } else {
         const bool restarted = backend.started_ms > found->second.backend.started_ms;
+        if (received.version.empty() && !restarted) {
+            received.version = found->second.backend.version;
+        }
         if (found->second.removal_due) {
             changes_.push_back({registry_event::kept, received});
         }
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -22,6 +22,8 @@
     std::int64_t started_ms = 0;
     std::string address;
     service_id service;
+    /// What servers of different versions write for one stream doesn't fit together.
+    software_version version;
     failure_domain_id failure_domain;
     /// Number of requests that it runs concurrently.
     int slots = 1;
@@ -73,7 +75,8 @@
     /// entry expires after three failed heartbeats of 1.2 s each.
     static constexpr milliseconds min_outage{1'000};
 
-    /// Adds or updates a server from its store entry. Entries of an earlier start are ignored.
+    /// Adds or updates a server from its store entry. Entries of an earlier start are ignored. One
+    /// without a software version leaves the version of the same process as it is known.
     void update(const registered_backend& backend, time_point now);
     /// Handles the removal of an entry from the store. The removal is deferred during and shortly
     /// after a store outage, unless the server was leaving.
--- a/test/platform/platform_codec_test.cpp
+++ b/test/platform/platform_codec_test.cpp
@@ -73,6 +73,7 @@
     ASSERT_TRUE(b) << why;
     EXPECT_TRUE(b->leaving);
     EXPECT_EQ(b->slots, 32);
+    EXPECT_EQ(b->version, software_version("v1"));
     EXPECT_EQ(b->slow_until, time_point{} + milliseconds(500));
     EXPECT_EQ(b->started_ms, 1'790'000'000'123);
 }
