Tests that fail: streams that go on at another software version

- evacuated_version (3 rows), notified_version (3), resumed_version (3): the target of a move, the target of a notice and the server of a resumption are chosen without regard to the software version.
One response holds { "blue", "v1.10" } after the old server leaves, and after it breaks off; and of twelve streams whose callers take them up at other instances, after theirs was killed, most go on at "blue".

The rows "same" and one_of_its_own show that a server of the same version is still used. The fixtures' servers have the version v1 now: without one they would all be of unknown versions.

--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <map>
+#include <set>
 
 namespace bamboostream::test {
 namespace {
@@ -106,11 +107,18 @@
             b.id = backend_id(fmt::format("i-{}", i));
             b.address = fmt::format("10.0.0.{}:80", i);
             b.service = service_id("engines");
+            b.version = software_version("v1");
             b.failure_domain = failure_domain_id("norra");
             state_.registry.update(b, monotonic_now());
         }
     }
 
+    void set_version(const std::string& id, const std::string& version) {
+        registered_backend changed = *state_.registry.find(backend_id(id));
+        changed.version = software_version(version);
+        state_.registry.update(changed, monotonic_now());
+    }
+
     void leave(const std::string& id) {
         state_.registry.mark_leaving(backend_id(id));
         service_.on_leaving(*state_.registry.find(backend_id(id)));
@@ -142,6 +150,38 @@
     EXPECT_EQ(peers_.notices_[0].notice.target_address, mover_.calls_[0].target);
 }
 
+/// The versions of the engines "i-1", which leaves, to "i-5", and where its generation may move.
+struct version_row {
+    std::string name;
+    std::vector<std::string> versions;
+    std::set<std::string> allowed;
+};
+
+class evacuated_version : public evacuation_test,
+                          public testing::WithParamInterface<version_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, evacuated_version,
+    testing::Values(version_row{"others_only", {"v1", "v1.10", "blue", "v1.10", "v1 "}, {}},
+                    version_row{
+                        "one_of_its_own", {"v1", "v1.10", "blue", "v1", "v2"}, {"10.0.0.4:80"}},
+                    version_row{"back_to_an_older_one", {"v2", "v1", "v1", "v1", "v1"}, {}}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a generation that is moved to an engine of another software version.
+TEST_P(evacuated_version, is_kept_by_the_move) {
+    for (std::size_t i = 0; i < GetParam().versions.size(); ++i) {
+        set_version(fmt::format("i-{}", i + 1), GetParam().versions[i]);
+    }
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    leave("i-1");
+    run_for(milliseconds(60));
+    for (const move_call& call : mover_.calls_) {
+        EXPECT_TRUE(GetParam().allowed.contains(call.target)) << call.target;
+    }
+    EXPECT_EQ(peers_.notices_.size(), GetParam().allowed.size());
+}
+
 // Two engines leave at once. Copies that share the link of one target take as long as both
 // together, and the final copy, during which the stream is paused, would wait behind the other one.
 TEST_F(evacuation_test, engines_that_leave_together_never_copy_to_one_target) {
--- a/test/platform/forwarding_fixture.cpp
+++ b/test/platform/forwarding_fixture.cpp
@@ -140,12 +140,13 @@
 }
 
 scripted_backend& forwarding_fixture::add(const std::string& id, backend_script script,
-                                          const std::string& service) {
+                                          const std::string& service, const std::string& version) {
     backends_.push_back(std::make_unique<scripted_backend>(context_, std::move(script)));
     registered_backend entry;
     entry.id = backend_id(id);
     entry.address = backends_.back()->address();
     entry.service = service_id(service);
+    entry.version = software_version(version);
     entry.failure_domain = failure_domain_id("norra");
     entry.slots = 6;
     state_->registry.update(entry, monotonic_now());
--- a/test/platform/forwarding_fixture.h
+++ b/test/platform/forwarding_fixture.h
@@ -40,7 +40,7 @@
 
     /// Registers a scripted backend server of the service "calls" or "engines".
     scripted_backend& add(const std::string& id, backend_script script,
-                          const std::string& service = "calls");
+                          const std::string& service = "calls", const std::string& version = "v1");
     /// Registers a new incarnation of the server with that id, at the address of the server that
     /// was added last.
     void note_start(const std::string& id, std::int64_t started_ms);
--- a/test/platform/forwarding_test.cpp
+++ b/test/platform/forwarding_test.cpp
@@ -296,12 +296,57 @@
     EXPECT_NE(second.requests().front().find("\r\nLast-Event-Id: 2\r\n"), std::string::npos);
 }
 
+/// The version of the server at which a stream could go on, and how often it may be sent there.
+struct continued_version_row {
+    std::string name;
+    std::string version;
+    std::size_t expected_requests;
+};
+
+const std::vector<continued_version_row> continued_versions = {
+    {"same", "v1", 1}, {"later", "v1.1", 0}, {"unordered", "blue", 0}, {"unknown", "", 0}};
+
+class resumed_version : public testing::TestWithParam<continued_version_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, resumed_version, testing::ValuesIn(continued_versions),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against a resumable stream that goes on at a server of another software version.
+TEST_P(resumed_version, is_that_of_the_first_event) {
+    forwarding_fixture f;
+    bool second_is_listed = false;
+    f.add(
+        "i-1",
+        [&second_is_listed](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(0, 2));
+            while (!second_is_listed) {
+                co_await c.pause(1);
+            }
+            c.reset();
+        },
+        "engines");
+    const auto view = f.ask("label", "a1");
+    for (int ms = 0; view->body() != events_text(0, 2) && ms < 5'000; ++ms) {
+        f.run_for(milliseconds(1));
+    }
+    scripted_backend& second = f.add(
+        "i-2",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(3, 4) + stream_end);
+        },
+        "engines", GetParam().version);
+    second_is_listed = true;
+    f.finish(view);
+    EXPECT_EQ(view->complete(), GetParam().expected_requests == 1) << view->bytes;
+    EXPECT_EQ(second.requests().size(), GetParam().expected_requests);
+}
+
 /// A stream whose source engine sends events 0 to 3 and then holds the connection open until
 /// `source_stops`, and the target engine to which its generation is copied. The constructor returns
 /// once the caller has received these events.
 class moving_stream {
 public:
-    moving_stream() {
+    explicit moving_stream(const std::string& target_version = "v1") {
         fixture.add(
             "i-1",
             [this](scripted_connection& c) -> asio::awaitable<void> {
@@ -321,7 +366,7 @@
             [](scripted_connection& c) -> asio::awaitable<void> {
                 co_await c.send(stream_head(c) + stream_events(4, 6) + stream_end);
             },
-            "engines");
+            "engines", target_version);
     }
 
     void notify(time_point when) {
@@ -369,6 +414,22 @@
     EXPECT_NE(sent.find("\r\nLast-Event-Id: 3\r\n"), std::string::npos) << sent;
 }
 
+class notified_version : public testing::TestWithParam<continued_version_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, notified_version, testing::ValuesIn(continued_versions),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against a move notice, of an instance that doesn't compare versions, that names an engine
+// of another software version.
+TEST_P(notified_version, is_compared_before_the_request_is_sent) {
+    moving_stream moving(GetParam().version);
+    moving.notify(monotonic_now());
+    moving.source_stops = true;
+    moving.fixture.finish(moving.view);
+    EXPECT_EQ(moving.view->complete(), GetParam().expected_requests == 1) << moving.view->bytes;
+    EXPECT_EQ(moving.target->requests().size(), GetParam().expected_requests);
+}
+
 /// The age of the move notice when the stream stops, and whether the target is leaving by then.
 struct old_move_row {
     std::string name;
