Keep a stream at the software version that began it

Cause: the version of an entry was checked and dropped, so no choice after the first event could respect it: the target of a move, the target of a move notice, the server of a resumption within one response. Class of fault: a fact of an entry that is needed later than where it is read.

Now the origin of a stream (service and version) is noted with its first event and limits every later choice: the evacuation offers only engines of that version, a notice is compared before it is followed, a resumption picks among the servers that fit, and the entry is compared once more before a request is sent and when its response begins. A version that isn't known, as of a server that an instance of the previous version told of, fits nothing. That works for all instances, since each one decides by the version that it noted itself. A generation whose version isn't known is not offered for a move, which would stop it.

stream_not_continued and streams_not_continued_total tell what could not go on and why.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -69,6 +69,7 @@
         generation_moved,
         move_failed,
         evacuation_started,
+        stream_not_continued,
         order_sent,
         order_refused,
         lease_won,
--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -125,16 +125,16 @@
     }
 }
 
-std::vector<move_target> evacuation_service::targets(const service_id& service) const {
+std::vector<move_target> evacuation_service::targets(const stream_origin& origin) const {
     std::vector<move_target> out;
-    const service_rule* rule = state_.routes->find_service(service);
+    const service_rule* rule = state_.routes->find_service(origin.service);
     if (rule == nullptr || !rule->engine) {
         return out;
     }
     const time_point now = monotonic_now();
     for (const registered_backend* backend :
-         servers_with_capacity(state_, service, own_role(state_, service), now)) {
-        if (!busy_targets_.contains(backend->id)) {
+         servers_with_capacity(state_, origin.service, own_role(state_, origin.service), now)) {
+        if (origin.allows(*backend) && !busy_targets_.contains(backend->id)) {
             out.push_back({*backend, state_.loads.total(backend->id, now),
                            rule->engine->memory_tokens, rule->engine->slots});
         }
@@ -144,7 +144,9 @@
 
 asio::awaitable<bool> evacuation_service::move_one(const registered_backend& source,
                                                    const move_candidate& candidate) {
-    std::vector<move_target> open = targets(source.service);
+    const software_version& begun_by = candidate.generation.version;
+    const stream_origin origin{source.service, begun_by.empty() ? source.version : begun_by};
+    std::vector<move_target> open = targets(origin);
     const service_rule* rule = state_.routes->find_service(source.service);
     const link_speed speed =
         rule && rule->engine ? link_speed{rule->engine->bytes_per_token, rule->engine->link_mbps}
@@ -153,7 +155,7 @@
                choose_target(candidate.generation, source.failure_domain, speed, open)) {
         const registered_backend target = open[*index].backend;
         open.erase(open.begin() + static_cast<std::ptrdiff_t>(*index));
-        if (!state_.registry.takes_work(target.id)) {
+        if (!may_receive(target)) {
             continue;
         }
         busy_targets_.insert(target.id);
@@ -166,6 +168,12 @@
     co_return true;
 }
 
+bool evacuation_service::may_receive(const registered_backend& target) const {
+    const registered_backend* known = state_.registry.find(target.id);
+    return known != nullptr && known->version == target.version &&
+           state_.registry.takes_work(target.id);
+}
+
 /// A complete first copy is used even when its source went away before the rest was copied: the
 /// target recomputes the tokens of the last moments, which takes milliseconds.
 asio::awaitable<move_error> evacuation_service::move_to(const registered_backend& source,
@@ -184,7 +192,7 @@
     // stream would go there up to 3 s after that announcement, when the target is gone. Until the
     // generation is stopped it may still go elsewhere, and after this check only the rest is
     // copied.
-    if (!state_.registry.takes_work(target.id)) {
+    if (!may_receive(target)) {
         log_event(events::move_failed, "request={} source={} target={} reason=target is leaving",
                   id, source.id.text(), target.id.text());
         co_return move_error::refused;
@@ -198,7 +206,7 @@
     }
     if (source_gone) {
         finish_move(source, candidate,
-                    {target.id, target.address, {source.address, first->handle}});
+                    {target.id, target.address, {source.address, first->handle}, target.version});
     } else if (last && last->stopped) {
         // Never continue at an engine of a cordoned failure domain: little is missing from the
         // first copy.
@@ -206,23 +214,23 @@
             last->copied || state_.registry.cordoned().contains(source.failure_domain);
         const registered_backend& destination = to_target ? target : source;
         const std::string& handle = to_target && !last->copied ? first->handle : last->handle;
-        finish_move(source, candidate,
-                    {destination.id, destination.address, {source.address, handle}});
+        finish_move(
+            source, candidate,
+            {destination.id, destination.address, {source.address, handle}, destination.version});
     }
     co_return last ? move_error::none : why.code;
 }
 
 void evacuation_service::finish_move(const registered_backend& source,
                                      const move_candidate& candidate, const move_notice& notice) {
-    const registered_backend* target = state_.registry.find(notice.target);
     log_event(events::generation_moved,
               "request={} source={} source_version={} target={} target_version={} instance={} "
               "memory_tokens={}",
               candidate.generation.id, notice.copy.holder, printable(source.version),
-              notice.target.text(), printable(target ? target->version : software_version()),
+              notice.target.text(), printable(notice.target_version),
               candidate.instance.empty() ? "here" : candidate.instance,
               candidate.generation.memory_tokens);
-    if (target != nullptr) {
+    if (const registered_backend* target = state_.registry.find(notice.target)) {
         record_send(state_, *target, monotonic_now());
     }
     if (candidate.instance.empty()) {
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -59,7 +59,10 @@
     /// Returns false when the source is gone.
     boost::asio::awaitable<bool> move_one(const registered_backend& source,
                                           const move_candidate& candidate);
-    std::vector<move_target> targets(const service_id& service) const;
+    /// Engines of one service and software version that may receive a copy.
+    std::vector<move_target> targets(const stream_origin& origin) const;
+    /// Whether the target, as it was when it was chosen, may still receive a generation.
+    bool may_receive(const registered_backend& target) const;
     boost::asio::awaitable<move_error> move_to(const registered_backend& source,
                                                const registered_backend& target,
                                                const move_candidate& candidate);
--- a/bamboostream/src/Forwarding/active_streams.cpp
+++ b/bamboostream/src/Forwarding/active_streams.cpp
@@ -32,12 +32,12 @@
     std::vector<movable_generation> out;
     for (const auto& [id, stream] : streams_) {
         if (stream->backend != backend || !stream->movable || stream->output_tokens == 0 ||
-            stream->moved) {
+            stream->moved || stream->origin.version.empty()) {
             continue;
         }
         stream->move_expected = true;
         out.push_back({id, stream->prompt_tokens + stream->output_tokens,
-                       estimate_remaining_tokens(*stream)});
+                       estimate_remaining_tokens(*stream), stream->origin.version});
     }
     return out;
 }
--- a/bamboostream/src/Forwarding/active_streams.h
+++ b/bamboostream/src/Forwarding/active_streams.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Core/identities.h"
 #include "bamboostream/src/Forwarding/forward_request.h"
+#include "bamboostream/src/Forwarding/stream_origin.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -20,6 +21,9 @@
     backend_id target;
     std::string target_address;
     generation_copy copy;
+    /// The target's software version as the sender of the notice knows it, for receivers that don't
+    /// know the target; empty if it comes from an instance of the previous version.
+    software_version target_version{};
 };
 
 /// A running generation that must not be run again, so that it survives the loss of its engine only
@@ -30,6 +34,9 @@
     std::int64_t memory_tokens = 0;
     /// Estimate of the output tokens still to come.
     std::int64_t tokens_left = 0;
+    /// The software version of the server that began it; empty if it comes from an instance of the
+    /// previous version.
+    software_version version{};
 
     bool operator==(const movable_generation&) const = default;
 };
@@ -42,6 +49,8 @@
 
     std::string id;
     backend_id backend;
+    /// Set with the first event.
+    stream_origin origin;
     /// The generation must not run again, but its engine can move it to another one.
     bool movable = false;
     std::int64_t prompt_tokens = 0;
@@ -75,7 +84,7 @@
     void add(std::shared_ptr<active_stream> stream);
     void remove(const std::string& id);
     /// Returns the generations at one engine that have produced output and can be moved, and marks
-    /// them as about to move.
+    /// them as about to move. One whose software version isn't known can't be moved.
     std::vector<movable_generation> claim_movable(const backend_id& backend);
     /// Tells a stream where its generation continues. Returns false if the stream has ended.
     bool notify(const std::string& id, move_notice notice, time_point now);
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -77,12 +77,12 @@
     return end;
 }
 
-attempt_end forwarded_call::skip_backend(const destination& to) {
+attempt_end forwarded_call::skip_backend(const destination& to, std::string_view reason) {
     history_.record(attempt_end::not_sent);
-    log_event(
-        events::attempt_failed,
-        "request={} route={} backend={} address={} end=not_sent reason=accepts no work sends={}",
-        request_.id, route_->name, to.backend.id.text(), to.backend.address, history_.sends);
+    log_event(events::attempt_failed,
+              "request={} route={} backend={} address={} end=not_sent reason={} sends={}",
+              request_.id, route_->name, to.backend.id.text(), to.backend.address, reason,
+              history_.sends);
     return attempt_end::not_sent;
 }
 
@@ -160,7 +160,14 @@
     // service.
     if (!to.copy && !state_.registry.takes_work(to.backend.id)) {
         give_back(to);
-        co_return skip_backend(to);
+        co_return skip_backend(to, "accepts no work");
+    }
+    const registered_backend* known = state_.registry.find(to.backend.id);
+    const registered_backend& server = known != nullptr ? *known : to.backend;
+    if (!fits_origin(server)) {
+        record_not_continued(continuation_refusal::version_differs, &server);
+        give_back(to);
+        co_return skip_backend(to, "software version differs");
     }
     attempt_parameters send;
     send.expected_backend = to.backend.id;
@@ -321,6 +328,8 @@
     if (!stream_started_) {
         stream_started_ = true;
         first_event_ = now;
+        origin_ = observe_origin();
+        stream_->origin = *origin_;
         record_prefill();
         const std::vector<http_field> fields = state_.codec.response_fields(*connection_);
         if (!co_await exchange_.begin_stream(status, {}, fields)) {
@@ -433,7 +442,12 @@
         target.id = notice.target;
         target.address = notice.target_address;
         target.service = service_->id;
+        target.version = notice.target_version;
         const destination to{known ? *known : target, notice.copy, std::nullopt};
+        if (!fits_origin(to.backend)) {
+            record_not_continued(continuation_refusal::version_differs, &to.backend);
+            co_return end;
+        }
         state_.budget.spend(service_->id, monotonic_now());
         const auto next = co_await attempt(to);
         if (!next) {
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -229,10 +229,16 @@
     wanted.server_memory_tokens = service_->engine ? service_->engine->memory_tokens : 0;
     const time_point now = monotonic_now();
     const sender_role role = service_->engine ? own_role(state_, service_->id) : sender_role::peer;
-    const auto servers = servers_with_capacity(state_, service_->id, role, now);
+    auto servers = servers_with_capacity(state_, service_->id, role, now);
+    std::erase_if(servers,
+                  [this](const registered_backend* server) { return !fits_origin(*server); });
     const registered_backend* chosen = state_.picker.pick(servers, state_.loads, wanted, now);
     if (chosen != nullptr) {
         record_send(state_, *chosen, now);
+    } else if (origin_) {
+        record_not_continued(origin_->version.empty() ? continuation_refusal::origin_unknown
+                                                      : continuation_refusal::version_unavailable,
+                             nullptr);
     }
     co_return chosen ? std::optional(destination{*chosen, {}, {}}) : std::nullopt;
 }
@@ -266,6 +272,30 @@
     co_return destination{*choice->engine, std::nullopt, choice->work};
 }
 
+/// The server's entry may have changed since the request was sent. Nothing is known then of the
+/// software that wrote the event.
+stream_origin forwarded_call::observe_origin() const {
+    const registered_backend* known = state_.registry.find(sent_to_.id);
+    const bool unchanged = known == nullptr || known->version == sent_to_.version;
+    return {service_->id, unchanged ? sent_to_.version : software_version()};
+}
+
+bool forwarded_call::fits_origin(const registered_backend& server) const {
+    return !origin_ || origin_->allows(server);
+}
+
+void forwarded_call::record_not_continued(continuation_refusal cause,
+                                          const registered_backend* server) const {
+    state_.counters.count(cause);
+    log_event(events::stream_not_continued,
+              "request={} route={} cause={} service={} software_version={} events={} backend={} "
+              "backend_version={}",
+              request_.id, route_->name, to_string(cause), origin_->service.text(),
+              printable(origin_->version), splitter_.events(),
+              server != nullptr ? server->id.text() : "none",
+              server != nullptr ? printable(server->version) : "none");
+}
+
 void forwarded_call::log_admission_refusal(const engine_choice& choice) const {
     log_event(events::request_refused,
               "request={} reason={} route={} backend={} memory_tokens={} unread_tokens={} of={}",
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -4,6 +4,7 @@
 #include "bamboostream/src/Forwarding/attempt_policy.h"
 #include "bamboostream/src/Forwarding/event_splitter.h"
 #include "bamboostream/src/Forwarding/forwarding_state.h"
+#include "bamboostream/src/Forwarding/stream_origin.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
@@ -70,6 +71,12 @@
     boost::asio::awaitable<std::optional<destination>> choose();
     boost::asio::awaitable<std::optional<destination>> choose_engine_for_generation();
     backend_work expected_work() const;
+    /// The origin of a stream whose first event has just arrived from the server of this attempt.
+    stream_origin observe_origin() const;
+    /// Whether the server may get the request as far as the origin of its stream is concerned.
+    bool fits_origin(const registered_backend& server) const;
+    /// Logs and counts that the stream can't go on at the server, or at any if it is null.
+    void record_not_continued(continuation_refusal cause, const registered_backend* server) const;
     void log_admission_refusal(const engine_choice& choice) const;
     /// Makes one attempt. Returns nothing if the caller has received its complete response.
     boost::asio::awaitable<std::optional<attempt_end>> attempt(const destination& to);
@@ -100,7 +107,7 @@
     void record_server_survived();
     attempt_end fail(const destination& to, attempt_end end, std::string_view reason);
     /// Ends an attempt because the server accepts no more work; not counted as its failure.
-    attempt_end skip_backend(const destination& to);
+    attempt_end skip_backend(const destination& to, std::string_view reason);
     /// Records for server selection whether the server served the request.
     void record_outcome(const backend_id& server, bool succeeded);
     /// Whether another attempt is allowed. Spends one unit of the service's retry budget if the
@@ -128,6 +135,8 @@
     std::shared_ptr<http_connection> connection_;
     event_splitter splitter_;
     std::shared_ptr<active_stream> stream_;
+    /// Set with the first event; limits the servers at which the stream may go on.
+    std::optional<stream_origin> origin_;
     std::optional<saved_response> failure_;
     /// Computed on first use; not needed as long as no server has crashed.
     std::optional<request_digest> digest_;
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -50,6 +50,21 @@
 /// Name of a result in metrics and log lines.
 std::string_view to_string(forward_result result);
 
+/// Why a stream that has begun can't go on at a server, for metrics.
+enum class continuation_refusal : std::uint8_t {
+    /// The server named by a move notice, or chosen before its entry changed, runs another software
+    /// version.
+    version_differs,
+    /// No server of the software version takes work.
+    version_unavailable,
+    /// It is not known which software version began the stream.
+    origin_unknown,
+    count_,
+};
+
+/// Name of a cause in metrics and log lines.
+std::string_view to_string(continuation_refusal cause);
+
 /// Request counters of one instance, exposed as metrics.
 struct forward_counters {
     std::array<std::uint64_t, static_cast<std::size_t>(forward_result::count_)> results{};
@@ -59,6 +74,8 @@
     std::uint64_t connects_timed_out = 0;
     std::uint64_t connects_refused = 0;
     std::uint64_t moved = 0;
+    std::array<std::uint64_t, static_cast<std::size_t>(continuation_refusal::count_)>
+        not_continued{};
     /// Sends through other instances, and tunnels that this instance has opened for them.
     std::uint64_t tunneled_sends = 0;
     std::uint64_t tunnels_opened = 0;
@@ -73,6 +90,7 @@
     std::uint64_t owner_timeouts = 0;
 
     void count(forward_result result) { ++results[static_cast<std::size_t>(result)]; }
+    void count(continuation_refusal cause) { ++not_continued[static_cast<std::size_t>(cause)]; }
 };
 
 /// State shared by all forwarded requests of an instance. All access is on one thread.
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -67,6 +67,12 @@
         fmt::format_to(std::back_inserter(out), "bamboostream_requests_total{{result=\"{}\"}} {}\n",
                        to_string(static_cast<forward_result>(i)), c.results[i]);
     }
+    out += "# TYPE bamboostream_streams_not_continued_total counter\n";
+    for (std::size_t i = 0; i < c.not_continued.size(); ++i) {
+        fmt::format_to(std::back_inserter(out),
+                       "bamboostream_streams_not_continued_total{{cause=\"{}\"}} {}\n",
+                       to_string(static_cast<continuation_refusal>(i)), c.not_continued[i]);
+    }
     append(out, "counter", "sends_total", c.sends);
     append(out, "counter", "new_connections_total", c.new_connections);
     append(out, "counter", "connects_timed_out_total", c.connects_timed_out);
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -162,6 +162,7 @@
         item->id = generation.id;
         item->memory_tokens = generation.memory_tokens;
         item->tokens_left = generation.tokens_left;
+        item->software_version = generation.version.text();
         reply.generations.push_back(std::move(item));
     }
     return reply;
@@ -170,7 +171,8 @@
 std::vector<movable_generation> from_wire(const wire::MovableReplyT& reply) {
     std::vector<movable_generation> out;
     for (const auto& item : reply.generations) {
-        out.push_back({item->id, item->memory_tokens, item->tokens_left});
+        out.push_back({item->id, item->memory_tokens, item->tokens_left,
+                       software_version(item->software_version)});
     }
     return out;
 }
@@ -182,11 +184,15 @@
     message.target_address = notice.target_address;
     message.holder = notice.copy.holder;
     message.handle = notice.copy.handle;
+    message.software_version = notice.target_version.text();
     return message;
 }
 
 move_notice from_wire(const wire::MoveNoticeT& message) {
-    return {backend_id(message.target), message.target_address, {message.holder, message.handle}};
+    return {backend_id(message.target),
+            message.target_address,
+            {message.holder, message.handle},
+            software_version(message.software_version)};
 }
 
 } // namespace bamboostream
--- a/test/platform/forwarding_test.cpp
+++ b/test/platform/forwarding_test.cpp
@@ -404,7 +404,8 @@
     moving_stream moving;
     const auto movable = moving.fixture.state().streams.claim_movable(backend_id("i-1"));
     ASSERT_EQ(movable.size(), 1u);
-    EXPECT_EQ(movable.front(), (movable_generation{"a1", 100 + 16, 40 - 16}));
+    EXPECT_EQ(movable.front(),
+              (movable_generation{"a1", 100 + 16, 40 - 16, software_version("v1")}));
     moving.source_stops = !GetParam().notice_first;
     moving.fixture.run_for(milliseconds(60));
     moving.notify(monotonic_now());
