Continue a stream that its caller takes up only at its version

In a run with real processes, of twelve streams whose instance was killed most went on at another software version.

Cause: nobody but the instance that forwarded a stream knew which version began it, and that instance forgot it with the response; `Resumes`, which names the attempt that brought the first event, was passed on unread.

The origin limits all choices from the first one on: the owner's (an owner of the previous version ignores it; its answer is compared), the service of a split route, and the check before the request is sent.

- Nobody knows the stream, or no server of its version takes work: 503 "not run" at once, with a Retry-After for that cause.
- Last-Event-Id without Resumes, Resumes without it, or an id that isn't a number: 400.
- The digest covers workspace, host, target and attempt, so that nobody takes up, or learns of, a stream of another workspace or route.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -70,6 +70,7 @@
         move_failed,
         evacuation_started,
         stream_not_continued,
+        stream_taken_up,
         order_sent,
         order_refused,
         lease_won,
--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -41,7 +41,10 @@
             state.admission, admission_terms, state.loads.total(engine.id, now),
             state.prefill.tokens_per_ms(request.service, backend_hash(engine.id)));
     };
-    const auto engines = servers_with_capacity(state, request.service, role, now);
+    auto engines = servers_with_capacity(state, request.service, role, now);
+    std::erase_if(engines, [&request](const registered_backend* engine) {
+        return !request.version.empty() && engine->version != request.version;
+    });
     std::vector<const registered_backend*> admitting = engines;
     std::erase_if(admitting, [&](const registered_backend* engine) {
         return check_engine(*engine) != admission_result::admit;
--- a/bamboostream/src/Forwarding/engine_choice.h
+++ b/bamboostream/src/Forwarding/engine_choice.h
@@ -25,6 +25,8 @@
     int priority = 0;
     /// Target time until the first event.
     duration objective{};
+    /// Only engines that run this software version may be chosen; any if it is empty.
+    software_version version;
     /// Excluded engines, for instance those at which the request has failed.
     std::vector<backend_id> avoid;
     /// Engines in this failure domain are preferred.
--- a/bamboostream/src/Forwarding/forward_request.h
+++ b/bamboostream/src/Forwarding/forward_request.h
@@ -26,6 +26,11 @@
     std::int64_t expected_output_tokens = 0;
     /// Id of the last event that the caller received, when it resumes a stream.
     std::optional<std::uint64_t> resume_after;
+    /// The caller sent an id of the last event that isn't a number.
+    bool malformed_resume_after = false;
+    /// Id of the attempt that brought the first event of the stream that the caller resumes; empty
+    /// if it resumes none.
+    std::string resumes;
 };
 
 /// A copy of a generation's cache memory, from which another engine continues the generation.
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -330,6 +330,7 @@
         first_event_ = now;
         origin_ = observe_origin();
         stream_->origin = *origin_;
+        share_origin();
         record_prefill();
         const std::vector<http_field> fields = state_.codec.response_fields(*connection_);
         if (!co_await exchange_.begin_stream(status, {}, fields)) {
@@ -349,6 +350,11 @@
         stream_->max_output_tokens = request_.max_output_tokens;
         state_.streams.add(stream_);
     }
+    if (origin_ && *origin_ != observe_origin()) {
+        record_not_continued(continuation_refusal::version_differs, &sent_to_);
+        connection_->close();
+        co_return fail(to, attempt_end::lost, "software version differs");
+    }
     stream_->backend = to.backend.id;
     stream_->moved.reset();
     stream_->move_expected = false;
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -21,6 +21,11 @@
 constexpr milliseconds max_configuration_wait{200};
 constexpr milliseconds configuration_poll_interval{10};
 
+/// The origin of a stream is kept for this many timeouts after its first event: one for the stream
+/// and one for its caller's return, at most for `max_origin_time`.
+constexpr int kept_timeouts = 2;
+constexpr std::chrono::minutes max_origin_time{5};
+
 std::string error_body(std::string_view code) {
     return boost::json::serialize(boost::json::object{{"error", {{"code", code}}}});
 }
@@ -45,6 +50,9 @@
     if (stream_) {
         state_.streams.remove(stream_->id);
     }
+    if (shared_stream_ && state_.origin_registry != nullptr) {
+        state_.origin_registry->close(*shared_stream_);
+    }
     if (connection_) {
         connection_->close();
     }
@@ -97,10 +105,72 @@
     }
     if (route_->repeats == repeat_policy::resumable) {
         splitter_ = event_splitter(request_.resume_after);
+        return check_resumption();
     }
     return std::nullopt;
 }
 
+/// Either field without the other is a mistake: a run from the start would repeat events, and one
+/// that goes on at any server would join events of two software versions.
+std::optional<forwarded_call::rejection> forwarded_call::check_resumption() const {
+    if (request_.malformed_resume_after ||
+        request_.resume_after.has_value() == request_.resumes.empty()) {
+        return rejection{400, "malformed_resumption", std::nullopt};
+    }
+    return std::nullopt;
+}
+
+bool forwarded_call::takes_stream_up() const {
+    return route_->repeats == repeat_policy::resumable && request_.resume_after.has_value();
+}
+
+asio::awaitable<std::optional<forwarded_call::rejection>> forwarded_call::find_origin() {
+    const request_digest stream =
+        stream_digest_of(exchange_.request(), workspace_, request_.resumes);
+    if (state_.origin_registry != nullptr) {
+        origin_ = co_await state_.origin_registry->find(stream);
+    } else if (const auto known = state_.origins.find(stream, monotonic_now())) {
+        origin_ = known->origin;
+    }
+    log_event(events::stream_taken_up,
+              "request={} resumes={} route={} service={} software_version={} after_event={}",
+              request_.id, request_.resumes, route_->name,
+              origin_ ? origin_->service.text() : "unknown",
+              printable(origin_ ? origin_->version : software_version()), *request_.resume_after);
+    if (!origin_) {
+        origin_.emplace();
+        record_not_continued(continuation_refusal::origin_unknown, nullptr);
+        co_return rejection{503, "stream_unknown", refusal_cause::stream_unknown};
+    }
+    const bool routed =
+        std::any_of(route_->services.begin(), route_->services.end(), [this](const auto& it) {
+            return it.service == origin_->service && it.weight > 0.0;
+        });
+    service_ = routed ? routes_->find_service(origin_->service) : nullptr;
+    if (service_ == nullptr) {
+        record_not_continued(continuation_refusal::service_not_routed, nullptr);
+        co_return rejection{503, "service_not_routed", refusal_cause::version_unavailable};
+    }
+    ++state_.counters.streams_taken_up;
+    co_return std::nullopt;
+}
+
+void forwarded_call::share_origin() {
+    if (route_->repeats != repeat_policy::resumable || origin_->version.empty()) {
+        return;
+    }
+    shared_stream_ = stream_digest_of(exchange_.request(), workspace_,
+                                      request_.resumes.empty() ? request_.id : request_.resumes);
+    const duration keep = std::min<duration>(
+        kept_timeouts *
+            std::max(request_.caller_timeout.value_or(route_->timeout), route_->timeout),
+        max_origin_time);
+    state_.origins.record(*shared_stream_, *origin_, monotonic_now() + keep);
+    if (state_.origin_registry != nullptr) {
+        state_.origin_registry->record(*shared_stream_, *origin_, keep);
+    }
+}
+
 /// Callers don't retry after 404 or 401. An instance that knows of a newer configuration but still
 /// uses the old one would permanently reject what the operator has allowed. It therefore waits for
 /// the newer configuration, and on a timeout responds with a retryable "not run".
@@ -162,8 +232,12 @@
     if (digest_ && state_.quarantine.verdict(*digest_) >= quarantine_verdict::suspected) {
         return quarantine_cause();
     }
-    const bool known =
-        !state_.registry.store_away() && !state_.registry.usable(service_->id).empty();
+    const auto servers = state_.registry.usable(service_->id);
+    if (origin_ && std::none_of(servers.begin(), servers.end(),
+                                [this](const auto* server) { return fits_origin(*server); })) {
+        return refusal_cause::version_unavailable;
+    }
+    const bool known = !state_.registry.store_away() && !servers.empty();
     return admission_refused_ || known ? refusal_cause::overloaded : refusal_cause::state_unknown;
 }
 
@@ -235,10 +309,8 @@
     const registered_backend* chosen = state_.picker.pick(servers, state_.loads, wanted, now);
     if (chosen != nullptr) {
         record_send(state_, *chosen, now);
-    } else if (origin_) {
-        record_not_continued(origin_->version.empty() ? continuation_refusal::origin_unknown
-                                                      : continuation_refusal::version_unavailable,
-                             nullptr);
+    } else {
+        record_no_server();
     }
     co_return chosen ? std::optional(destination{*chosen, {}, {}}) : std::nullopt;
 }
@@ -249,6 +321,7 @@
     wanted.service = service_->id;
     wanted.work = expected_work();
     wanted.engine_memory_tokens = service_->engine->memory_tokens;
+    wanted.version = origin_ ? origin_->version : software_version();
     wanted.priority = priority_;
     wanted.objective = route_->objective;
     wanted.avoid = avoid_;
@@ -261,6 +334,7 @@
         choice = choose_engine(state_, wanted, own_role(state_, service_->id), monotonic_now());
     }
     if (!choice->engine) {
+        record_no_server();
         co_return std::nullopt;
     }
     if (choice->result != admission_result::admit) {
@@ -296,6 +370,14 @@
               server != nullptr ? printable(server->version) : "none");
 }
 
+void forwarded_call::record_no_server() const {
+    if (origin_) {
+        record_not_continued(origin_->version.empty() ? continuation_refusal::origin_unknown
+                                                      : continuation_refusal::version_unavailable,
+                             nullptr);
+    }
+}
+
 void forwarded_call::log_admission_refusal(const engine_choice& choice) const {
     log_event(events::request_refused,
               "request={} reason={} route={} backend={} memory_tokens={} unread_tokens={} of={}",
@@ -330,6 +412,17 @@
         co_await reject(rejection{503, "ends_servers", quarantine_cause()});
         co_return;
     }
+    if (takes_stream_up()) {
+        const auto refused = co_await find_origin();
+        if (caller_left_) {
+            record_caller_left();
+            co_return;
+        }
+        if (refused) {
+            co_await reject(*refused);
+            co_return;
+        }
+    }
     state_.quarantine.add(*this);
     state_.budget.on_request(service_->id, arrival_);
     while (true) {
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -63,6 +63,14 @@
     /// that is known to be outdated.
     boost::asio::awaitable<std::optional<rejection>> prepare_with_newest_configuration();
     std::optional<rejection> find_workspace();
+    /// Checks the fields with which a caller takes a stream up, on a route where it may.
+    std::optional<rejection> check_resumption() const;
+    /// Whether the caller takes a stream up.
+    bool takes_stream_up() const;
+    /// Finds the origin of the stream that the caller takes up, and its service.
+    boost::asio::awaitable<std::optional<rejection>> find_origin();
+    /// Makes the origin known to other instances if the caller may take the stream up.
+    void share_origin();
     boost::asio::awaitable<void> reject(rejection why);
     duration retry_after_delay(refusal_cause cause) const;
     refusal_cause not_run_cause() const;
@@ -75,6 +83,8 @@
     stream_origin observe_origin() const;
     /// Whether the server may get the request as far as the origin of its stream is concerned.
     bool fits_origin(const registered_backend& server) const;
+    /// Logs and counts that no server can be chosen for a stream that has begun.
+    void record_no_server() const;
     /// Logs and counts that the stream can't go on at the server, or at any if it is null.
     void record_not_continued(continuation_refusal cause, const registered_backend* server) const;
     void log_admission_refusal(const engine_choice& choice) const;
@@ -135,8 +145,11 @@
     std::shared_ptr<http_connection> connection_;
     event_splitter splitter_;
     std::shared_ptr<active_stream> stream_;
-    /// Set with the first event; limits the servers at which the stream may go on.
+    /// Set with the first event, or at once if the caller takes a stream up; limits the servers to
+    /// which the request may be sent.
     std::optional<stream_origin> origin_;
+    /// Digest under which the origin is shared with other instances; nothing if it isn't.
+    std::optional<request_digest> shared_stream_;
     std::optional<saved_response> failure_;
     /// Computed on first use; not needed as long as no server has crashed.
     std::optional<request_digest> digest_;
--- a/bamboostream/src/Forwarding/forwarding_state.cpp
+++ b/bamboostream/src/Forwarding/forwarding_state.cpp
@@ -12,7 +12,7 @@
 std::string_view to_string(continuation_refusal cause) {
     static constexpr std::array<std::string_view,
                                 static_cast<std::size_t>(continuation_refusal::count_)>
-        names = {"version_differs", "version_unavailable", "origin_unknown"};
+        names = {"version_differs", "version_unavailable", "origin_unknown", "service_not_routed"};
     return names[static_cast<std::size_t>(cause)];
 }
 
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -7,6 +7,8 @@
 #include "bamboostream/src/Forwarding/backend_contract.h"
 #include "bamboostream/src/Forwarding/engine_choice.h"
 #include "bamboostream/src/Forwarding/latency_metrics.h"
+#include "bamboostream/src/Forwarding/stream_origin_registry.h"
+#include "bamboostream/src/Forwarding/stream_origin_table.h"
 #include "bamboostream/src/Forwarding/tunnel_dialer.h"
 #include "bamboostream/src/Http/http_connection_pool.h"
 #include "bamboostream/src/Limits/cold_start_limit.h"
@@ -59,6 +61,8 @@
     version_unavailable,
     /// It is not known which software version began the stream.
     origin_unknown,
+    /// The route no longer sends requests to the service that began the stream.
+    service_not_routed,
     count_,
 };
 
@@ -76,6 +80,8 @@
     std::uint64_t moved = 0;
     std::array<std::uint64_t, static_cast<std::size_t>(continuation_refusal::count_)>
         not_continued{};
+    /// Requests to take a stream up whose origin was known.
+    std::uint64_t streams_taken_up = 0;
     /// Sends through other instances, and tunnels that this instance has opened for them.
     std::uint64_t tunneled_sends = 0;
     std::uint64_t tunnels_opened = 0;
@@ -139,6 +145,9 @@
     /// Grants trials of held requests; null if there are none.
     trial_arbiter* trials = nullptr;
     active_streams streams;
+    stream_origin_table origins;
+    /// Shares the origins with other instances; null if there are none.
+    stream_origin_registry* origin_registry = nullptr;
     std::mt19937_64 random;
     forward_counters counters;
     latency_metrics latency;
--- a/bamboostream/src/Forwarding/request_identity.cpp
+++ b/bamboostream/src/Forwarding/request_identity.cpp
@@ -9,4 +9,11 @@
                                request.field("Host"), request.target, request.body});
 }
 
+request_digest stream_digest_of(const http_request& request,
+                                const std::optional<workspace_id>& caller,
+                                std::string_view attempt) {
+    return request_digest::of({"stream", caller ? caller->text() : std::string_view{},
+                               request.field("Host"), request.target, attempt});
+}
+
 } // namespace bamboostream
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "bamboostream/src/Gateway/gateway_metrics.h"
 #include "bamboostream/src/Gateway/peer_exchange.h"
 #include "bamboostream/src/Gateway/quarantine_persister.h"
+#include "bamboostream/src/Gateway/stream_origin_exchange.h"
 #include "bamboostream/src/Gateway/tunnel_client.h"
 #include "bamboostream/src/Gateway/tunnel_server.h"
 
@@ -87,6 +88,7 @@
     std::unique_ptr<quarantine_exchange> quarantine;
     std::unique_ptr<quarantine_persister> persister;
     std::unique_ptr<server_state_exchange> server_states;
+    std::unique_ptr<stream_origin_exchange> origins;
     std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<tunnel_client> tunnels;
     std::unique_ptr<tunnel_server> carried_tunnels;
@@ -128,6 +130,7 @@
     forwarding.trials = nullptr;
     forwarding.tunnels = nullptr;
     forwarding.server_states = nullptr;
+    forwarding.origin_registry = nullptr;
     forwarding.on_generation_change = nullptr;
     forwarding.quarantine.clear_listeners();
     forwarding.on_registry_change = nullptr;
@@ -169,9 +172,12 @@
     server_states = std::make_unique<server_state_exchange>(
         context, links, *membership, forwarding.server_checks, view_of_servers(forwarding), seed);
     forwarding.server_states = server_states.get();
+    origins =
+        std::make_unique<stream_origin_exchange>(context, links, *membership, forwarding.origins);
+    forwarding.origin_registry = origins.get();
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *store_updates,
                                             *distributor, *owner_engine_scheduler, *quarantine,
-                                            *server_states);
+                                            *server_states, *origins);
     tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding);
     forwarding.tunnels = tunnels.get();
     carried_tunnels = std::make_unique<tunnel_server>(context, forwarding);
@@ -273,6 +279,7 @@
     store_updates->start();
     store.start(*store_updates);
     peers->start();
+    origins->start();
     tunnels->start();
     carried_tunnels->start();
     quarantine->start();
@@ -290,6 +297,7 @@
     while (true) {
         forwarding.connections.expire(monotonic_now());
         forwarding.quarantine.expire(monotonic_now());
+        forwarding.origins.expire(monotonic_now());
         flush_log();
         if (!was_ready && state.ready()) {
             was_ready = true;
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -73,6 +73,8 @@
                        "bamboostream_streams_not_continued_total{{cause=\"{}\"}} {}\n",
                        to_string(static_cast<continuation_refusal>(i)), c.not_continued[i]);
     }
+    append(out, "counter", "streams_taken_up_total", c.streams_taken_up);
+    append(out, "gauge", "stream_origins", state.origins.size());
     append(out, "counter", "sends_total", c.sends);
     append(out, "counter", "new_connections_total", c.new_connections);
     append(out, "counter", "connects_timed_out_total", c.connects_timed_out);
--- a/bamboostream/src/Gateway/owner_scheduler.cpp
+++ b/bamboostream/src/Gateway/owner_scheduler.cpp
@@ -93,9 +93,11 @@
         }
         const wire::AdmitReplyT& answer = *reply->message.AsAdmitReply();
         // An engine that takes no work according to this instance isn't used even if the owner
-        // chooses it: the owner's view may be older.
+        // chooses it: the owner's view may be older, or it doesn't know software versions.
         const registered_backend* engine = forwarding_.registry.find(backend_id(answer.backend));
-        if (engine == nullptr || !forwarding_.registry.takes_work(engine->id)) {
+        const bool fits =
+            engine != nullptr && (request.version.empty() || engine->version == request.version);
+        if (!fits || !forwarding_.registry.takes_work(engine->id)) {
             co_return std::nullopt;
         }
         ++forwarding_.counters.placed_by_owner;
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -65,10 +65,12 @@
                              membership_service& membership, forwarding_state& forwarding,
                              store_update_exchange& store_updates,
                              configuration_distributor& distributor, owner_scheduler& scheduler,
-                             quarantine_exchange& quarantine, server_state_exchange& server_states)
+                             quarantine_exchange& quarantine, server_state_exchange& server_states,
+                             stream_origin_exchange& origins)
     : context_(context), links_(links), membership_(membership), forwarding_(forwarding),
       store_updates_(store_updates), distributor_(distributor), owner_scheduler_(scheduler),
-      quarantine_(quarantine), server_states_(server_states), load_due_(context) {}
+      quarantine_(quarantine), server_states_(server_states), origins_(origins),
+      load_due_(context) {}
 
 void peer_exchange::start() {
     asio::co_spawn(context_, load_loop(), asio::detached);
@@ -133,6 +135,11 @@
         co_return quarantine_.trials().answer(*frame->message.AsTrialRequest(), frame->sender);
     case wire::Message::ServerCheckRequest:
         co_return co_await server_states_.answer(*frame->message.AsServerCheckRequest());
+    case wire::Message::OriginReport:
+        origins_.hear(*frame->message.AsOriginReport());
+        co_return nullptr;
+    case wire::Message::OriginRequest:
+        co_return origins_.answer(*frame->message.AsOriginRequest());
     default:
         co_return nullptr;
     }
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -6,6 +6,7 @@
 #include "bamboostream/src/Evacuation/evacuation_service.h"
 #include "bamboostream/src/Gateway/owner_scheduler.h"
 #include "bamboostream/src/Gateway/store_update_exchange.h"
+#include "bamboostream/src/Gateway/stream_origin_exchange.h"
 #include "bamboostream/src/Links/peer_links.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -29,7 +30,7 @@
                   membership_service& membership, forwarding_state& forwarding,
                   store_update_exchange& store_updates, configuration_distributor& distributor,
                   owner_scheduler& scheduler, quarantine_exchange& quarantine,
-                  server_state_exchange& server_states);
+                  server_state_exchange& server_states, stream_origin_exchange& origins);
 
     void start();
     /// Handles a frame from another instance. Returns the reply, or null when there is none.
@@ -58,6 +59,7 @@
     owner_scheduler& owner_scheduler_;
     quarantine_exchange& quarantine_;
     server_state_exchange& server_states_;
+    stream_origin_exchange& origins_;
     boost::asio::steady_timer load_due_;
 };
 
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -114,6 +114,7 @@
     out.max_tokens = tokens_on_wire(request.work.memory_tokens - request.work.unread_tokens);
     out.objective_ms = age_to_wire(request.objective);
     out.failure_domain = request.preferred_domain.text();
+    out.software_version = request.version.text();
     for (const backend_id& id : request.avoid) {
         out.avoid.push_back(id.text());
     }
@@ -129,6 +130,7 @@
     out.work.memory_tokens = std::int64_t{request.prompt_tokens} + request.max_tokens;
     out.objective = milliseconds(request.objective_ms);
     out.preferred_domain = failure_domain_id(request.failure_domain);
+    out.version = software_version(request.software_version);
     for (const std::string& id : request.avoid) {
         out.avoid.emplace_back(id);
     }
@@ -177,6 +179,21 @@
     return out;
 }
 
+std::unique_ptr<wire::OriginEntryT> to_wire(const request_digest& stream,
+                                            const stream_origin& origin, duration keep) {
+    auto out = std::make_unique<wire::OriginEntryT>();
+    out->high = stream.high;
+    out->low = stream.low;
+    out->service = origin.service.text();
+    out->software_version = origin.version.text();
+    out->keep_ms = age_to_wire(keep);
+    return out;
+}
+
+stream_origin origin_from_wire(const wire::OriginEntryT& entry) {
+    return {service_id(entry.service), software_version(entry.software_version)};
+}
+
 wire::MoveNoticeT to_wire(const std::string& generation, const move_notice& notice) {
     wire::MoveNoticeT message;
     message.generation = generation;
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostream/src/Control/frames.h"
+#include "bamboostream/src/Core/request_digest.h"
 #include "bamboostream/src/Forwarding/active_streams.h"
 #include "bamboostream/src/Forwarding/engine_choice.h"
 #include "bamboostream/src/Gateway/deployment_contract.h"
@@ -49,6 +50,10 @@
 wire::MovableReplyT to_wire(std::span<const movable_generation> generations);
 std::vector<movable_generation> from_wire(const wire::MovableReplyT& reply);
 
+std::unique_ptr<wire::OriginEntryT> to_wire(const request_digest& stream,
+                                            const stream_origin& origin, duration keep);
+stream_origin origin_from_wire(const wire::OriginEntryT& entry);
+
 wire::MoveNoticeT to_wire(const std::string& generation, const move_notice& notice);
 move_notice from_wire(const wire::MoveNoticeT& message);
 
--- a/bamboostream/src/Limits/retry_delay.cpp
+++ b/bamboostream/src/Limits/retry_delay.cpp
@@ -44,7 +44,9 @@
     if (request.cause == refusal_cause::quarantined) {
         return request.quarantine;
     }
-    if (request.cause == refusal_cause::state_unknown && request.caller_timeout) {
+    const bool awaits_servers = request.cause == refusal_cause::state_unknown ||
+                                request.cause == refusal_cause::version_unavailable;
+    if (awaits_servers && request.caller_timeout) {
         const duration base = fraction_of(*request.caller_timeout, outage_fraction,
                                           min_outage_delay, max_outage_delay);
         return randomize(base, long_spread, random);
--- a/bamboostream/src/Limits/retry_delay.h
+++ b/bamboostream/src/Limits/retry_delay.h
@@ -22,6 +22,11 @@
     quarantined,
     /// The request is quarantined until its trial.
     awaiting_trial,
+    /// The request resumes a stream that isn't known to this instance; another one may know it.
+    stream_unknown,
+    /// The request resumes a stream, and no server of the software version that began it takes
+    /// work; one may start again.
+    version_unavailable,
 };
 
 /// The properties of a refused request that determine its retry delay.
--- a/test/platform/owner_scheduler_test.cpp
+++ b/test/platform/owner_scheduler_test.cpp
@@ -102,6 +102,46 @@
     EXPECT_EQ(owner().forwarding.loads.total(id, monotonic_now()).memory_tokens, 9'100);
 }
 
+class version_choice : public owner_scheduler_test {
+protected:
+    static void set_version(peer_instance& at, int engine, const std::string& version) {
+        registered_backend changed = backend(fmt::format("i-{}", engine));
+        changed.version = software_version(version);
+        at.forwarding.registry.update(changed, monotonic_now());
+    }
+    engine_request request_for(const std::string& version) const {
+        engine_request out = request();
+        out.version = software_version(version);
+        return out;
+    }
+};
+
+// Guards against an owner that chooses an engine of another software version for a stream that has
+// begun.
+TEST_F(version_choice, of_the_owner_is_limited) {
+    for (const auto& it : group_.all) {
+        set_version(*it, 7, "blue");
+        set_version(*it, 8, "v1.10");
+    }
+    for (int i = 0; i < 3; ++i) {
+        const auto choice = ask(asker(), request_for("blue"));
+        ASSERT_TRUE(choice && choice->engine);
+        EXPECT_EQ(choice->engine->id, backend_id("i-7"));
+    }
+    EXPECT_EQ(admit_requests(owner()), 3);
+    const auto none = ask(asker(), request_for("v2"));
+    EXPECT_FALSE(none && none->engine);
+}
+
+// Guards against the choice of an owner with an older view, or of the previous software, which
+// doesn't compare versions.
+TEST_F(version_choice, of_the_owner_is_checked) {
+    set_version(owner(), 7, "blue");
+    set_version(asker(), 7, "v2");
+    EXPECT_FALSE(ask(asker(), request_for("blue")));
+    EXPECT_EQ(admit_requests(owner()), 1);
+}
+
 // All engines are full. The owner's answer refuses the caller, as a local decision would.
 TEST_F(owner_scheduler_test, says_when_no_engine_has_room) {
     for (int i = 0; i < engine_count; ++i) {
--- a/test/platform/peer_group.cpp
+++ b/test/platform/peer_group.cpp
@@ -104,8 +104,12 @@
     server_states = std::make_unique<server_state_exchange>(
         context, links, *membership, forwarding.server_checks, view_of_servers(forwarding), 7);
     forwarding.server_states = server_states.get();
+    origins =
+        std::make_unique<stream_origin_exchange>(context, links, *membership, forwarding.origins);
+    forwarding.origin_registry = origins.get();
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news,
-                                            *distributor, *owner, *quarantine, *server_states);
+                                            *distributor, *owner, *quarantine, *server_states,
+                                            *origins);
     tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding);
     forwarding.tunnels = tunnels.get();
     carried_tunnels = std::make_unique<tunnel_server>(context, forwarding);
--- a/test/platform/system/stream_version_test.cpp
+++ b/test/platform/system/stream_version_test.cpp
@@ -204,17 +204,19 @@
         wait_until_all_know("backend_joined", id);
     }
     instances_.front()->running->signal(SIGKILL);
+    std::vector<std::shared_ptr<call_result>> rests;
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        wait_until_done(streams[i]);
+        rests.push_back(open(*instances_[1 + i % 3], "/label/x", fmt::format("b{}", i),
+                             {{"Resumes", fmt::format("a{}", i)},
+                              {"Last-Event-Id", std::to_string(last_event(streams[i]->body))}}));
+    }
     int continued = 0;
-    for (int i = 0; i < stream_count; ++i) {
-        wait_until_done(streams[static_cast<std::size_t>(i)]);
-        const std::string& begun = streams[static_cast<std::size_t>(i)]->body;
-        const auto rest = open(*instances_[static_cast<std::size_t>(1 + i % 3)], "/label/x",
-                               fmt::format("b{}", i),
-                               {{"Resumes", fmt::format("a{}", i)},
-                                {"Last-Event-Id", std::to_string(last_event(begun))}});
-        wait_until_done(rest);
-        EXPECT_EQ(versions_in(begun + rest->body), std::set<std::string>{"v1.10"});
-        continued += rest->status == 200 && last_event(rest->body) == events_per_stream ? 1 : 0;
+    for (std::size_t i = 0; i < streams.size(); ++i) {
+        wait_until_done(rests[i]);
+        EXPECT_EQ(versions_in(streams[i]->body + rests[i]->body), std::set<std::string>{"v1.10"});
+        continued +=
+            rests[i]->status == 200 && last_event(rests[i]->body) == events_per_stream ? 1 : 0;
     }
     EXPECT_EQ(continued, stream_count);
 }
--- a/tools/check_boundary.sh
+++ b/tools/check_boundary.sh
@@ -3,7 +3,7 @@
 # other code uses the names of this project and is independent of that platform.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names='Response-Seal|Attempt-Id|Not-Executed|Kv-From|Kv-Backup|Kv-Fetch|kv-move|kv-handle|Prompt-Prefix'
+names='"Resumes"|Response-Seal|Attempt-Id|Not-Executed|Kv-From|Kv-Backup|Kv-Fetch|kv-move|kv-handle|Prompt-Prefix'
 names+='|Token-Count|Length-Hint|Deadline-Ms|Expected-Instance|Replica-Load|Replica-Id|Request-Priority'
 names+='|log-append|log-read|log-newest|keyed\.(op|servers|status)|gap_slo_ms|slo_ms|traffic_split'
 names+='|api_keys|kv_tokens|kv_bytes|cold_left_ms|path_prefix"|BAMBOOSTREAM_SETTINGS|listen\.front'
