Follow a stream over its caller's tries in explain

A stream that was taken up has several requests, and explain showed the lines of one of them only. The line stream_taken_up names the attempt that brought the first event; explain joins the requests that name the same one.

--- a/bamboostream/src/Report/explanation.cpp
+++ b/bamboostream/src/Report/explanation.cpp
@@ -99,6 +99,24 @@
     return {};
 }
 
+/// Returns the ids of all requests with which a caller asked for the stream of this request.
+std::set<std::string_view> requests_for_stream(std::string_view request,
+                                               std::span<const log_line> lines) {
+    std::string_view first = request;
+    for (const log_line& line : lines) {
+        if (line.event == events::stream_taken_up.number && line.field("request") == request) {
+            first = line.field("resumes");
+        }
+    }
+    std::set<std::string_view> out = {request, first};
+    for (const log_line& line : lines) {
+        if (line.event == events::stream_taken_up.number && line.field("resumes") == first) {
+            out.insert(line.field("request"));
+        }
+    }
+    return out;
+}
+
 /// Whether a line reports a server that crashed while running a request, or a change of quarantine.
 bool is_evidence(const log_line& line) {
     const bool ended =
@@ -135,12 +153,13 @@
 
 std::vector<log_line> explain_request(std::string_view request, std::span<const log_line> lines) {
     const std::string_view digest = digest_of(request, lines);
+    const std::set<std::string_view> requests = requests_for_stream(request, lines);
     std::set<std::string_view> backends;
     std::set<std::string_view> sources;
     std::int64_t first = INT64_MAX;
     std::int64_t last = INT64_MIN;
     for (const log_line& line : lines) {
-        if (line.field("request") != request) {
+        if (!requests.contains(line.field("request"))) {
             continue;
         }
         first = std::min(first, line.time_ms);
@@ -153,7 +172,7 @@
     std::vector<log_line> out;
     std::set<std::tuple<int, std::string_view>> reported;
     for (const log_line& line : lines) {
-        const bool own = line.field("request") == request;
+        const bool own = requests.contains(line.field("request"));
         const bool in_time = first != INT64_MAX && line.time_ms >= first - lookback_ms &&
                              line.time_ms <= last + lookahead_ms;
         // Lines of other requests on the same server are left out; there may be very many of them.
--- a/bamboostream/src/Report/explanation.h
+++ b/bamboostream/src/Report/explanation.h
@@ -32,6 +32,7 @@
 ///  that
 ///    handled it (store, configuration, shutdown), from 5 s before its first line to 1 s after its
 ///    last one;
+///  - the lines of the other requests with which its caller asked for the same stream;
 ///  - when a line of the request names its digest: lines about servers that crashed while running
 ///    requests with this digest, and about the quarantine and release of such requests.
 ///
