Never copy two generations to one target after a refusal

Cause: the targets of a generation are listed once, without those that receive a copy just then. When the first one refuses, or begins to leave, the next one is taken from that list, although a copy of another engine may have begun there meanwhile. The final copy of one of the two waits behind the other while its stream is stopped. It was rare as long as there were many targets.

Now it is asked again before each copy.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -155,7 +155,8 @@
                choose_target(candidate.generation, source.failure_domain, speed, open)) {
         const registered_backend target = open[*index].backend;
         open.erase(open.begin() + static_cast<std::ptrdiff_t>(*index));
-        if (!may_receive(target)) {
+        // Another engine may have begun a copy there while an earlier target refused this one.
+        if (busy_targets_.contains(target.id) || !may_receive(target)) {
             continue;
         }
         busy_targets_.insert(target.id);
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -199,6 +199,22 @@
     EXPECT_EQ(mover_.max_moves_per_target_, 1);
 }
 
+// Guards against two copies to one target after another target has refused the first of them: the
+// final copy of one would wait behind the other.
+TEST_F(evacuation_test, a_refused_copy_never_shares_the_next_target) {
+    for (int i = 0; i < 6; ++i) {
+        const std::string id = fmt::format("g{}", i);
+        peers_.running_[id] = backend_id(i % 2 == 0 ? "i-1" : "i-2");
+        if (i % 2 == 0) {
+            mover_.errors_[id + "/first"] = move_error::refused;
+        }
+    }
+    leave("i-1");
+    leave("i-2");
+    run_for(milliseconds(150));
+    EXPECT_EQ(mover_.max_moves_per_target_, 1);
+}
+
 /// A failure in one of the two steps of a move.
 struct step_row {
     std::string name;
