Judge by the whole service how full the target of a move may become

Cause: a target may be filled to 0.95 while the service has room, down to 0.65 at the brim. With targets of one version only, the average was that of the servers that shrink and receive each other's streams, so that moves stopped while the new servers were nearly empty. And an evacuation ended after ten seconds, though leaving servers at times live longer: one stream was cut that way 11 s after its server's announcement.

Now the average is that of all engines of the service, and an evacuation lasts up to 40 s while there are generations left.

Cut streams remain possible in a release under load: at last no server of their version takes work.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-/// Engines are gone about 2 s after the notice, sometimes later. After this time nothing is left to
-/// move.
-constexpr seconds max_evacuation_time{10};
+/// Engines are gone about 2 s after the notice, at times many seconds later. While the servers of a
+/// software version leave, one of the few targets may have room only then.
+constexpr seconds max_evacuation_time{40};
 /// Interval at which an engine is polled for generations that have begun since: a queued prompt
 /// begins within this time.
 constexpr milliseconds poll_period{100};
@@ -134,9 +134,10 @@
     const time_point now = monotonic_now();
     for (const registered_backend* backend :
          servers_with_capacity(state_, origin.service, own_role(state_, origin.service), now)) {
-        if (origin.allows(*backend) && !busy_targets_.contains(backend->id)) {
+        if (!busy_targets_.contains(backend->id)) {
             out.push_back({*backend, state_.loads.total(backend->id, now),
-                           rule->engine->memory_tokens, rule->engine->slots});
+                           rule->engine->memory_tokens, rule->engine->slots,
+                           origin.allows(*backend)});
         }
     }
     return out;
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -59,7 +59,7 @@
     /// Returns false when the source is gone.
     boost::asio::awaitable<bool> move_one(const registered_backend& source,
                                           const move_candidate& candidate);
-    /// Engines of one service and software version that may receive a copy.
+    /// The engines of the service that aren't receiving a copy, and whether they fit the origin.
     std::vector<move_target> targets(const stream_origin& origin) const;
     /// Whether the target, as it was when it was chosen, may still receive a generation.
     bool may_receive(const registered_backend& target) const;
--- a/bamboostream/src/Evacuation/move_plan.cpp
+++ b/bamboostream/src/Evacuation/move_plan.cpp
@@ -74,7 +74,7 @@
         const std::int64_t after =
             t.work.memory_tokens + generation.memory_tokens + generation.tokens_left;
         const double fill = fraction_of(after, t.memory_tokens);
-        if (fill > max_fill || t.work.requests >= t.slots) {
+        if (!t.fits || fill > max_fill || t.work.requests >= t.slots) {
             continue;
         }
         const bool cross_domain = t.backend.failure_domain != source_domain;
--- a/bamboostream/src/Evacuation/move_plan.h
+++ b/bamboostream/src/Evacuation/move_plan.h
@@ -20,12 +20,15 @@
     bool operator==(const move_candidate&) const = default;
 };
 
-/// An engine that a generation may move to.
+/// An engine that takes work, to which a generation may move if it fits.
 struct move_target {
     registered_backend backend;
     backend_work work;
     std::int64_t memory_tokens = 0;
     int slots = 0;
+    /// The engine runs the software version that began the generation. The others only tell how
+    /// full the service is.
+    bool fits = true;
 };
 
 /// The speed at which a generation's memory is copied.
@@ -52,10 +55,10 @@
 /// other requests wait. While the other engines have room, new requests go there and the target may
 /// be filled. When all engines are nearly full, a moved generation delays others, so room is kept.
 struct move_limits {
-    /// Applies while the average fill of the targets is at most `low_average`.
+    /// Applies while the average fill of all engines is at most `low_average`.
     double max_fill = 0.95;
     double low_average = 0.5;
-    /// Applies when the average fill of the targets is at least `high_average`.
+    /// Applies when the average fill of all engines is at least `high_average`.
     double max_fill_when_busy = 0.65;
     double high_average = 0.85;
 };
@@ -64,7 +67,8 @@
 /// `low_average` and `high_average`.
 double max_fill_after_move(const move_limits& limits, double average);
 
-/// Chooses the target with the lowest cost in copy time and memory pressure. Returns nothing when
+/// Chooses the target with the lowest cost in copy time and memory pressure, among those that fit.
+/// `targets` contains all engines of the service that may receive a copy now. Returns nothing when
 /// no target has room.
 std::optional<std::size_t> choose_target(const movable_generation& generation,
                                          const failure_domain_id& source_domain, link_speed speed,
--- a/test/platform/stream_decisions_test.cpp
+++ b/test/platform/stream_decisions_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace bamboostream {
 namespace {
@@ -190,6 +191,8 @@
     std::vector<std::string> domains;
     std::vector<int> requests;
     int expected;
+    /// Indexes of engines that run another software version.
+    std::set<std::size_t> unfit{};
 };
 
 class move_targets : public testing::TestWithParam<target_row> {};
@@ -211,6 +214,20 @@
                                {"norra", "norra", "norra"},
                                {3, 24, 24},
                                0},
+                    target_row{"only_one_fits",
+                               {20'000, 5'000, 1'000},
+                               {"norra", "norra", "norra"},
+                               {3, 1, 1},
+                               0,
+                               {1, 2}},
+                    // The servers of its version are nearly full, the service isn't.
+                    target_row{"few_fit_and_the_service_has_room",
+                               {24'000, 25'000, 1'000, 1'000, 1'000},
+                               {"norra", "norra", "norra", "norra", "norra"},
+                               {3, 3, 1, 1, 1},
+                               0,
+                               {2, 3, 4}},
+                    target_row{"none_fits", {5'000}, {"norra"}, {3}, -1, {0}},
                     target_row{"no_memory", {29'000}, {"norra"}, {9}, -1},
                     target_row{"no_slot", {5'000}, {"norra"}, {24}, -1}),
     [](const auto& info) { return info.param.name; });
@@ -221,7 +238,8 @@
         targets.push_back({backend(fmt::format("i-{}", i), GetParam().domains[i]),
                            {GetParam().requests[i], GetParam().memory[i], 0},
                            30'000,
-                           24});
+                           24,
+                           !GetParam().unfit.contains(i)});
     }
     const auto chosen =
         choose_target({"g", 3'000, 400}, failure_domain_id("norra"), {96'256.0, 14'000.0}, targets);
