--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -69,6 +69,8 @@
         generation_moved,
         move_failed,
         evacuation_started,
+        stream_not_continued,
+        stream_taken_up,
         order_sent,
         order_refused,
         lease_won,
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -4,6 +4,7 @@
 #include "bamboostream/src/Forwarding/attempt_policy.h"
 #include "bamboostream/src/Forwarding/event_splitter.h"
 #include "bamboostream/src/Forwarding/forwarding_state.h"
+#include "bamboostream/src/Forwarding/stream_origin.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
@@ -62,6 +63,14 @@
     /// that is known to be outdated.
     boost::asio::awaitable<std::optional<rejection>> prepare_with_newest_configuration();
     std::optional<rejection> find_workspace();
+    /// Checks the fields with which a caller takes a stream up, on a route where it may.
+    std::optional<rejection> check_resumption() const;
+    /// Whether the caller takes a stream up.
+    bool takes_stream_up() const;
+    /// Finds the origin of the stream that the caller takes up, and its service.
+    boost::asio::awaitable<std::optional<rejection>> find_origin();
+    /// Makes the origin known to other instances if the caller may take the stream up.
+    void share_origin();
     boost::asio::awaitable<void> reject(rejection why);
     duration retry_after_delay(refusal_cause cause) const;
     refusal_cause not_run_cause() const;
@@ -70,6 +79,14 @@
     boost::asio::awaitable<std::optional<destination>> choose();
     boost::asio::awaitable<std::optional<destination>> choose_engine_for_generation();
     backend_work expected_work() const;
+    /// The origin of a stream whose first event has just arrived from the server of this attempt.
+    stream_origin observe_origin() const;
+    /// Whether the server may get the request as far as the origin of its stream is concerned.
+    bool fits_origin(const registered_backend& server) const;
+    /// Logs and counts that no server can be chosen for a stream that has begun.
+    void record_no_server() const;
+    /// Logs and counts that the stream can't go on at the server, or at any if it is null.
+    void record_not_continued(continuation_refusal cause, const registered_backend* server) const;
     void log_admission_refusal(const engine_choice& choice) const;
     /// Makes one attempt. Returns nothing if the caller has received its complete response.
     boost::asio::awaitable<std::optional<attempt_end>> attempt(const destination& to);
@@ -100,7 +117,7 @@
     void record_server_survived();
     attempt_end fail(const destination& to, attempt_end end, std::string_view reason);
     /// Ends an attempt because the server accepts no more work; not counted as its failure.
-    attempt_end skip_backend(const destination& to);
+    attempt_end skip_backend(const destination& to, std::string_view reason);
     /// Records for server selection whether the server served the request.
     void record_outcome(const backend_id& server, bool succeeded);
     /// Whether another attempt is allowed. Spends one unit of the service's retry budget if the
@@ -128,6 +145,11 @@
     std::shared_ptr<http_connection> connection_;
     event_splitter splitter_;
     std::shared_ptr<active_stream> stream_;
+    /// Set with the first event, or at once if the caller takes a stream up; limits the servers to
+    /// which the request may be sent.
+    std::optional<stream_origin> origin_;
+    /// Digest under which the origin is shared with other instances; nothing if it isn't.
+    std::optional<request_digest> shared_stream_;
     std::optional<saved_response> failure_;
     /// Computed on first use; not needed as long as no server has crashed.
     std::optional<request_digest> digest_;
