Soak: count take-ups only at instances and servers whose links are sound

Trace: all instances were cut off from the servers five times, links refused, stalled and broke; of the attempts none failed because an origin was not known: connections were reset or refused, no other instance reached the server, and then no server of the version was left to try. The users' bound holds for machines whose links had no loss in the last contact_ms and while two servers of the version serve; the audit asked only that the instance hadn't been killed, stopped or paused. It now also asks that the instance's ways to the store and to the servers, and the links of two servers of the version, were undisturbed for the same time, for new streams as for those taken up. The bound itself is as before.

--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -57,6 +57,8 @@
     std::string control;
     bool listed = false;
     std::optional<time_point> left;
+    /// Its link stalls, breaks, loses answers or refuses connections until then.
+    time_point link_disturbed_until{};
 };
 
 std::vector<std::uint64_t> seeds() {
@@ -244,6 +246,7 @@
         std::string senders;
         for (std::size_t n = 0; n < cut.count; ++n) {
             const std::size_t i = (cut.first + n) % instances_.size();
+            cut_off_until_[i] = std::max(cut_off_until_[i], monotonic_now() + duration);
             senders += (n > 0 ? "," : "") + instances_[i]->ip;
         }
         cut_command_ = fmt::format(R"({{"cut_manner":"{}","cut_off":"{}"}})", cut.manner, senders);
@@ -272,8 +275,10 @@
         schedule(after, [this, i] { restart(i); });
     }
 
-    void inject_link_fault(const soak_server& server, const std::string& fault,
-                           const std::string& undo, milliseconds duration) {
+    void inject_link_fault(soak_server& server, const std::string& fault, const std::string& undo,
+                           milliseconds duration) {
+        server.link_disturbed_until =
+            std::max(server.link_disturbed_until, monotonic_now() + duration);
         send_command(server, fault);
         if (!undo.empty()) {
             schedule(duration, [this, &server, undo] { send_command(server, undo); });
@@ -439,11 +444,20 @@
 
     /// Whether two servers of the version have served undisturbed for a while.
     bool version_serves(const std::string& version) const {
+        const time_point now = monotonic_now();
         return std::count_if(servers_.begin(), servers_.end(), [&](const auto& it) {
-                   return it->version == version && it->listed && !it->left;
+                   return it->version == version && it->listed && !it->left &&
+                          now >= it->link_disturbed_until + catch_up_time;
                }) >= 2;
     }
 
+    /// Whether the instance and its links, to the store and the servers, were undisturbed for a
+    /// while.
+    bool is_in_touch(std::size_t i) const {
+        const time_point disturbed = std::max(cut_off_until_[i], rejected_until_[i]);
+        return is_up_to_date(i) && monotonic_now() >= disturbed + catch_up_time;
+    }
+
     /// Takes up a stream that broke off, each time at another instance, until it is complete.
     asio::awaitable<void> take_up(std::string stream, received_stream received, std::size_t at) {
         int events = received.events;
@@ -457,11 +471,11 @@
                                               why)) {
                 continue;
             }
-            const bool counts = is_up_to_date(at) && version_serves(version);
+            const bool counts = is_in_touch(at) && version_serves(version);
             soak_request request{random_id(), "/r/x", true, stream, events};
             received = co_await send_audited(*connection, audit_, std::move(request));
             events += received.events;
-            if (counts && is_up_to_date(at) && version_serves(version)) {
+            if (counts && is_in_touch(at) && version_serves(version)) {
                 audit_.stream_taken_up(received.complete || received.events > 0);
             }
         }
@@ -488,11 +502,11 @@
             const bool stream = resumable || caller % 3 == 0;
             const std::string path = resumable ? "/r/x" : stream ? "/s/x" : "/a/x";
             const std::string id = random_id();
-            const bool counts = resumable && is_up_to_date(at);
+            const bool counts = resumable && is_in_touch(at);
             soak_request request{id, path, stream};
             const received_stream received =
                 co_await send_audited(*connection, audit_, std::move(request));
-            if (counts && is_up_to_date(at)) {
+            if (counts && is_in_touch(at)) {
                 audit_.stream_asked(received.events > 0);
             }
             if (resumable && received.events > 0 && !received.complete) {
@@ -573,6 +587,7 @@
     soak_audit audit_;
     std::vector<std::string> stores_;
     std::vector<time_point> rejected_until_ = std::vector<time_point>(instance_count);
+    std::vector<time_point> cut_off_until_ = std::vector<time_point>(instance_count);
     std::vector<time_point> disturbed_until_ = std::vector<time_point>(instance_count);
     std::vector<std::unique_ptr<soak_server>> servers_;
     /// The instance that received a harmful request, by the request's id.
