--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -130,11 +130,9 @@
     state_.latency.record(latency_stage::view_age, route_->repeats, view_age);
     log_event(events::request_sent,
               "request={} route={} service={} backend={} address={} software_version={} copy_of={} "
-              "sends={} "
-              "configuration_version={} usable={} view_age_ms={:.0f} requests={} memory_tokens={} "
-              "of_memory={} "
-              "unread_tokens={} prompt_tokens={} expected_tokens={} events={} time_left_ms={:.0f} "
-              "after_ms={:.0f}",
+              "sends={} configuration_version={} usable={} view_age_ms={:.0f} requests={} "
+              "memory_tokens={} of_memory={} unread_tokens={} prompt_tokens={} expected_tokens={} "
+              "events={} time_left_ms={:.0f} after_ms={:.0f}",
               request_.id, route_->name, service_->id.text(), to.backend.id.text(),
               to.backend.address, printable(to.backend.version), to.copy ? to.copy->holder : "none",
               history_.sends, routes_->configuration().version,
