--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -72,7 +72,7 @@
 prove budget_bound $s/Routing/window_budget.cpp 'if (static_cast<double>(a.spent.size()) + 1.0 > allowed) {' 'if (allowed < 0.0) {' 'window_budget_test'
 prove early_answer $s/Http/http_connection.cpp 'const bool request_consumed = request_bytes_.size() <= max_reusable_request_bytes;' 'const bool request_consumed = true;' 'an_answer_before_the_body'
 prove driver_takeover $s/Evacuation/evacuation_service.cpp 'take_over_delegated(monotonic_now());' '' 'the_next_owner_takes_over'
-prove return_after_outage $s/Limits/retry_delay.cpp 'if (request.cause == refusal_cause::state_unknown && request.caller_timeout) {' 'if (false) {' 'retry_delay_case'
+prove return_after_outage $s/Limits/retry_delay.cpp 'if (awaits_servers && request.caller_timeout) {' 'if (false) {' 'retry_delay_case'
 prove store_pause_grows $s/Gateway/store_read_policy.cpp 'if (role == store_read_role::reader) {' 'if (true) {' 'store_pause'
 prove workspace_rank $s/Forwarding/forwarded_call.cpp 'priority_ = workspace->priority.value_or(route_->priority);' '' 'workspace_s_rank'
 prove log_flood $s/Core/log_limit.cpp 'if (bucket.tokens < 1.0) {' 'if (false) {' 'bounds_a_flood'
@@ -91,7 +91,7 @@
 prove own_outage $s/Membership/backend_registry.h 'min_outage{1' 'min_outage{0' 'outage|an_outage_of_one_reader'
 prove overtaken_list $s/Gateway/store_follower.cpp 'if (page.next < known && (!all || known_before <= page.next)) {' 'if (false) {' 'store_follower_test'
 prove overtaken_page $s/Gateway/store_follower.cpp 'if (!all) {' 'if (false) {' 'store_follower_test'
-prove target_leaves $s/Evacuation/evacuation_service.cpp 'if (!state_.registry.takes_work(target.id)) {
+prove target_leaves $s/Evacuation/evacuation_service.cpp 'if (!may_receive(target)) {
         log' 'if (false) {
         log' 'a_target_that_begins'
 prove old_notice $s/Forwarding/forwarded_attempt.cpp 'if (!may_follow_move(notice, monotonic_now())) {' 'if (false) {' 'old_move'
@@ -100,7 +100,14 @@
 prove choice_counted_at_once $s/Gateway/owner_scheduler.cpp 'if (choice.engine && choice.result == admission_result::admit) {' 'if (false) {' 'counts_each_choice_at_once'
 prove deputy $s/Gateway/owner_scheduler.cpp 'owners_per_service = 2' 'owners_per_service = 1' 'the_deputy_answers'
 prove silent_owner $s/Gateway/owner_scheduler.cpp 'unresponsive_until_[owner] = now + silent_owner_pause;' '' 'the_deputy_answers'
-prove leaving_engine_of_owner $s/Gateway/owner_scheduler.cpp 'engine == nullptr || !forwarding_.registry.takes_work(engine->id)' 'engine == nullptr' 'known_to_leave_is_not_taken'
+prove leaving_engine_of_owner $s/Gateway/owner_scheduler.cpp '!fits || !forwarding_.registry.takes_work(engine->id)' '!fits' 'known_to_leave_is_not_taken'
+prove version_of_owner_answer $s/Gateway/owner_scheduler.cpp '(request.version.empty() || engine->version == request.version)' 'true' 'of_the_owner_is_checked'
+prove version_of_owner_choice $s/Forwarding/engine_choice.cpp 'return !request.version.empty() && engine->version != request.version;' 'return false;' 'of_the_owner_is_limited'
+prove version_of_move_target $s/Evacuation/move_plan.cpp '!t.fits || fill > max_fill' 'fill > max_fill' 'evacuated_version|move_targets'
+prove version_of_continuation $s/Forwarding/stream_continuation.cpp 'return !origin_ || origin_->allows(server);' 'return true;' 'resumed_version|notified_version'
+prove ambiguous_origin $s/Forwarding/stream_origin_table.cpp 'found->second.ambiguous || found->second.origin != origin' 'false' 'two_origins'
+prove origin_is_renewed $s/Gateway/stream_origin_exchange.cpp '        report_open_streams();' '' 'reported_again'
+prove busy_target_again $s/Evacuation/evacuation_service.cpp 'busy_targets_.contains(target.id) || !may_receive' '!may_receive' 'never_shares_the_next_target'
 prove failures_told $s/Gateway/owner_scheduler.cpp 'if (engine != nullptr) {' 'if (false && engine != nullptr) {' 'an_engine_that_fails_others'
 prove handed_on $s/Gateway/configuration_distributor.cpp 'if (const auto outgoing_request = fetcher_.next(now)) {' 'if (const auto outgoing_request = fetcher_.next(now); outgoing_request && false) {' 'a_configuration_is_handed_on'
 prove document_digest $s/Configuration/document_encoding.cpp '|| digest_of(out) != encoded.digest' '' 'damaged_encoding'
