Log and count the answers of instances that are asked for a tunnel

Cause: an instance that got no tunnel logged only "no other instance reaches the server". Who was asked, in which failure domain, and what each answered could be put together from tunnel_requested lines of all instances at best, so the hypotheses about a partitioned failure domain couldn't be told apart: only its own instances asked, the wrong thing remembered, or carriers that are full.

Change: event carriers_asked with the request's id names each instance that was asked, its answer and its time; counter carrier_answers_total by answer. No decision changes.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -71,6 +71,7 @@
         evacuation_started,
         stream_not_continued,
         stream_taken_up,
+        carriers_asked,
         order_sent,
         order_refused,
         lease_won,
--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -73,6 +73,7 @@
 inline constexpr event_kind evacuation_started{442, event_level::info, "evacuation_started", "This instance moves the generations of a leaving engine."};
 inline constexpr event_kind stream_not_continued{443, event_level::info, "stream_not_continued", "A stream that has begun can't go on: the server runs another software version than the one that began it, no server of that version takes work, or the version is not known."};
 inline constexpr event_kind stream_taken_up{444, event_level::info, "stream_taken_up", "A caller takes a stream up again; the line names the attempt that brought its first event and the software version that began it."};
+inline constexpr event_kind carriers_asked{445, event_level::info, "carriers_asked", "Other instances were asked for a tunnel to a backend server; the line names each of them and its answer. Not logged if the first one opened it."};
 inline constexpr event_kind record_rejected{330, event_level::warning, "record_rejected", "A record of the platform's store could not be read; the previous state stays in use."};
 inline constexpr event_kind store_unavailable{331, event_level::warning, "store_unavailable", "A topic of the platform's store can't be read; peers are asked instead."};
 inline constexpr event_kind store_available{332, event_level::info, "store_available", "A topic of the platform's store can be read again."};
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -19,6 +19,7 @@
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Membership/view_age.h"
 #include "bamboostream/src/Routing/backend_picker.h"
+#include "bamboostream/src/Routing/carrier_answer.h"
 #include "bamboostream/src/Routing/load_table.h"
 #include "bamboostream/src/Routing/outcome_collector.h"
 #include "bamboostream/src/Routing/prefill_rates.h"
@@ -85,6 +86,8 @@
     /// Sends through other instances, and tunnels that this instance has opened for them.
     std::uint64_t tunneled_sends = 0;
     std::uint64_t tunnels_opened = 0;
+    /// Answers of other instances that were asked for a tunnel.
+    std::array<std::uint64_t, static_cast<std::size_t>(carrier_answer::count_)> carrier_answers{};
     /// Tunnels carried for other instances, in total and at present.
     std::uint64_t tunnels_carried = 0;
     std::uint64_t open_tunnels = 0;
@@ -97,6 +100,7 @@
 
     void count(forward_result result) { ++results[static_cast<std::size_t>(result)]; }
     void count(continuation_refusal cause) { ++not_continued[static_cast<std::size_t>(cause)]; }
+    void count(carrier_answer answer) { ++carrier_answers[static_cast<std::size_t>(answer)]; }
 };
 
 /// State shared by all forwarded requests of an instance. All access is on one thread.
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -73,6 +73,12 @@
                        "bamboostream_streams_not_continued_total{{cause=\"{}\"}} {}\n",
                        to_string(static_cast<continuation_refusal>(i)), c.not_continued[i]);
     }
+    out += "# TYPE bamboostream_carrier_answers_total counter\n";
+    for (std::size_t i = 0; i < c.carrier_answers.size(); ++i) {
+        fmt::format_to(std::back_inserter(out),
+                       "bamboostream_carrier_answers_total{{answer=\"{}\"}} {}\n",
+                       to_string(static_cast<carrier_answer>(i)), c.carrier_answers[i]);
+    }
     append(out, "counter", "streams_taken_up_total", c.streams_taken_up);
     append(out, "gauge", "stream_origins", state.origins.size());
     append(out, "counter", "sends_total", c.sends);
--- a/bamboostream/src/Gateway/tunnel_client.cpp
+++ b/bamboostream/src/Gateway/tunnel_client.cpp
@@ -14,7 +14,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
-#include <optional>
+#include <fmt/format.h>
+#include <iterator>
 #include <unordered_set>
 
 namespace bamboostream {
@@ -49,14 +50,28 @@
     return asio::redirect_error(asio::use_awaitable, ec);
 }
 
-/// Connects to another instance and asks it for a tunnel. Returns nothing when no valid reply
-/// arrives in time; on `connected`, `socket` is the tunnel.
-asio::awaitable<std::optional<wire::TunnelResult>>
-request_tunnel(std::shared_ptr<tcp::socket> socket, std::string carrier, wire::FrameT request,
-               milliseconds timeout) {
+carrier_answer from_wire(wire::TunnelResult result) {
+    switch (result) {
+    case wire::TunnelResult::connected:
+        return carrier_answer::connected;
+    case wire::TunnelResult::refused:
+        return carrier_answer::refused;
+    case wire::TunnelResult::no_answer:
+        return carrier_answer::no_answer;
+    case wire::TunnelResult::cut_off:
+        return carrier_answer::cut_off;
+    default:
+        return carrier_answer::busy;
+    }
+}
+
+/// Connects to another instance and asks it for a tunnel. On `connected`, `socket` is the tunnel.
+asio::awaitable<carrier_answer> request_tunnel(std::shared_ptr<tcp::socket> socket,
+                                               std::string carrier, wire::FrameT request,
+                                               milliseconds timeout) {
     const auto endpoint = to_endpoint(carrier);
     if (!endpoint) {
-        co_return std::nullopt;
+        co_return carrier_answer::no_reply;
     }
     asio::steady_timer limit(co_await asio::this_coro::executor, timeout);
     limit.async_wait([weak = std::weak_ptr(socket)](const error_code& expired) {
@@ -78,16 +93,23 @@
     }
     const std::uint32_t length = ec ? 0 : decode_length(head);
     if (length == 0 || length > max_reply_bytes) {
-        co_return std::nullopt;
+        co_return carrier_answer::no_reply;
     }
     std::string body(length, '\0');
     co_await asio::async_read(*socket, asio::buffer(body), token(ec));
     limit.cancel();
     const auto reply = ec ? nullptr : decode_frame(body);
     if (!reply || reply->message.type != wire::Message::TunnelReply || !socket->is_open()) {
-        co_return std::nullopt;
+        co_return carrier_answer::no_reply;
     }
-    co_return reply->message.AsTunnelReply()->result;
+    co_return from_wire(reply->message.AsTunnelReply()->result);
+}
+
+/// `asked` has the address, answer and milliseconds of each instance.
+void log_carriers_asked(const std::string& request_id, const registered_backend& server,
+                        std::string_view asked) {
+    log_event(events::carriers_asked, "request={} service={} backend={} carriers={}", request_id,
+              server.service.text(), server.id.text(), asked.empty() ? "none" : asked);
 }
 
 } // namespace
@@ -146,6 +168,7 @@
     why.set(tunnel_error::unavailable, "no other instance reaches the server");
     std::vector<std::string> carriers = carriers_for(server.id, monotonic_now());
     carriers.resize(std::min(carriers.size(), max_carriers_per_tunnel));
+    std::string asked;
     for (const std::string& carrier : carriers) {
         const milliseconds left = std::min(
             carrier_timeout, std::chrono::duration_cast<milliseconds>(until - monotonic_now()));
@@ -159,24 +182,33 @@
         const auto socket = std::make_shared<tcp::socket>(context_);
         wire::FrameT frame = make_frame(std::move(request));
         frame.sender = membership_.own_address();
-        const auto result = co_await request_tunnel(socket, carrier, std::move(frame), left);
+        const time_point asked_at = monotonic_now();
+        const carrier_answer answer =
+            co_await request_tunnel(socket, carrier, std::move(frame), left);
         const time_point now = monotonic_now();
-        if (result == wire::TunnelResult::connected) {
+        forwarding_.counters.count(answer);
+        fmt::format_to(std::back_inserter(asked), "{}{}:{}:{:.0f}", asked.empty() ? "" : ",",
+                       carrier, to_string(answer), to_milliseconds(now - asked_at));
+        if (answer == carrier_answer::connected) {
+            if (asked.find(',') != std::string::npos) {
+                log_carriers_asked(request_id, server, asked);
+            }
             carriers_[carrier].last_connected = now;
             ++forwarding_.counters.tunnels_opened;
             auto connection = std::make_shared<http_connection>(context_.get_executor());
             connection->adopt_tunnel(std::move(*socket), carrier);
             co_return connection;
         }
-        if (result == wire::TunnelResult::refused) {
+        if (answer == carrier_answer::refused) {
             why.text = "refused at another instance, too";
             failed_until_[std::pair(carrier, server.id)] = now + refused_pause;
-        } else if (result == wire::TunnelResult::no_answer) {
+        } else if (answer == carrier_answer::no_answer) {
             failed_until_[std::pair(carrier, server.id)] = now + no_answer_pause;
         } else {
             carriers_[carrier] = {now + carrier_pause, {}};
         }
     }
+    log_carriers_asked(request_id, server, asked);
     co_return nullptr;
 }
 
