A carrier tells a server that is down from a network failure of its own

What callers saw: first tries refused at a failure domain that had lost its links to the backend servers.

Cause: an instance that was asked for a tunnel answered "refused" or "no answer" whether the server was down or the instance itself was cut off, so the asking instance took the fate of its peers for that of the server. A local failure taken for a remote one, at the second instance.

Change: when a carrier can't connect, it also connects to two other servers of the service, at once after a refusal and after 20 ms without an answer, unless it has connected to the service meanwhile. The reply says whether it reached one, and how loaded it is. One such control per service runs at a time, shared by all that wait.

Nothing uses the replies yet.

--- a/bamboostream/src/Gateway/tunnel_server.cpp
+++ b/bamboostream/src/Gateway/tunnel_server.cpp
@@ -7,6 +7,7 @@
 #include "bamboostream/src/Http/address.h"
 #include "bamboostream/src/Links/frame_codec.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -32,6 +33,12 @@
 /// instance has vanished without closing it is idle for longer.
 constexpr seconds max_idle{60};
 constexpr seconds idle_check_period{5};
+/// A connection to a server takes a few milliseconds. If one takes longer, the network may be
+/// broken, and connections to other servers are tried.
+constexpr milliseconds control_delay{20};
+constexpr milliseconds control_timeout{80};
+/// Another server may be down as well.
+constexpr std::size_t max_controls = 2;
 
 auto token(error_code& ec) {
     return asio::redirect_error(asio::use_awaitable, ec);
@@ -43,10 +50,26 @@
     return names.at(static_cast<std::size_t>(result));
 }
 
+constexpr std::string_view to_string(wire::ServiceReach service) {
+    constexpr std::array<std::string_view, 3> names = {"unknown", "reached", "not_reached"};
+    return names.at(static_cast<std::size_t>(service));
+}
+
 } // namespace
 
 namespace internal {
 
+/// Connections to servers of one service, which show whether this instance reaches it.
+struct control_connections {
+    explicit control_connections(asio::io_context& context) : done(context, time_point::max()) {}
+
+    time_point began = monotonic_now();
+    std::size_t open = 0;
+    bool complete = false;
+    /// Cancelled when a connection has succeeded or all have failed.
+    asio::steady_timer done;
+};
+
 /// One tunnel and its two connections.
 struct open_tunnel {
     explicit open_tunnel(tcp::socket socket)
@@ -132,60 +155,130 @@
         asio::detached);
 }
 
-asio::awaitable<std::uint8_t> tunnel_server::connect(tunnel_ptr tunnel,
-                                                     const wire::TunnelRequestT& request) {
+bool tunnel_server::reached_since(const service_id& service, time_point began) const {
+    return forwarding_.reachability.last_connected(service) >= began;
+}
+
+asio::awaitable<void> tunnel_server::connect_to_control(control_ptr control,
+                                                        registered_backend server) {
+    const auto connection = std::make_shared<http_connection>(context_.get_executor());
+    http_failure ignored;
+    ++forwarding_.counters.new_connections;
+    const bool connected = co_await connection->connect(server.address, control_timeout, ignored,
+                                                        forwarding_.outbound_address);
+    connection->close();
+    if (connected) {
+        record_direct_connection(forwarding_, server, monotonic_now());
+    }
+    --control->open;
+    if (connected || control->open == 0) {
+        control->complete = true;
+        control->done.cancel();
+    }
+}
+
+tunnel_server::control_ptr tunnel_server::control_for(const registered_backend& failed,
+                                                      time_point began) {
+    const auto found = controls_.find(failed.service);
+    if (found != controls_.end() && (!found->second->complete || found->second->began >= began)) {
+        return found->second;
+    }
+    std::vector<const registered_backend*> others = forwarding_.registry.usable(failed.service);
+    std::erase_if(others, [&failed](const auto* other) { return other->id == failed.id; });
+    if (others.empty()) {
+        return nullptr;
+    }
+    std::shuffle(others.begin(), others.end(), forwarding_.random);
+    others.resize(std::min(others.size(), max_controls));
+    const auto control = std::make_shared<internal::control_connections>(context_);
+    control->open = others.size();
+    controls_[failed.service] = control;
+    for (const registered_backend* other : others) {
+        asio::co_spawn(context_, connect_to_control(control, *other), asio::detached);
+    }
+    return control;
+}
+
+asio::awaitable<void> tunnel_server::connect(tunnel_ptr tunnel, const wire::TunnelRequestT& request,
+                                             wire::TunnelReplyT& reply) {
     const backend_id id(request.backend);
     const registered_backend* known = forwarding_.registry.find(id);
+    reply.load_permille = static_cast<std::uint16_t>(tunnels_.size() * 1'000 / max_tunnels);
     if (forwarding_.leaving || tunnels_.size() >= max_tunnels) {
-        co_return static_cast<std::uint8_t>(wire::TunnelResult::busy);
+        reply.result = wire::TunnelResult::busy;
+        co_return;
     }
     if (known == nullptr) {
-        co_return static_cast<std::uint8_t>(wire::TunnelResult::no_answer);
+        co_return;
     }
     const registered_backend server = *known;
     if (forwarding_.reachability.is_found_cut_off(server.service, id)) {
-        co_return static_cast<std::uint8_t>(wire::TunnelResult::cut_off);
+        reply.result = wire::TunnelResult::cut_off;
+        reply.service = forwarding_.reachability.is_cut_off(server.service)
+                            ? wire::ServiceReach::not_reached
+                            : wire::ServiceReach::unknown;
+        co_return;
     }
     const auto endpoint = to_endpoint(server.address);
-    error_code ec = asio::error::invalid_argument;
-    if (endpoint) {
-        ec = {};
-        if (!forwarding_.outbound_address.empty()) {
-            bind_to(tunnel->server, forwarding_.outbound_address, ec);
-        }
-        asio::steady_timer limit(context_, milliseconds(request.timeout_ms));
-        limit.async_wait([tunnel](const error_code& expired) {
-            error_code ignored;
-            if (!expired) {
-                tunnel->server.close(ignored);
-            }
-        });
-        ++forwarding_.counters.new_connections;
-        co_await tunnel->server.async_connect(*endpoint, token(ec));
+    if (!endpoint) {
+        co_return;
+    }
+    const time_point began = monotonic_now();
+    error_code ec;
+    if (!forwarding_.outbound_address.empty()) {
+        bind_to(tunnel->server, forwarding_.outbound_address, ec);
     }
+    asio::steady_timer limit(context_, began + milliseconds(request.timeout_ms));
+    limit.async_wait([tunnel](const error_code& expired) {
+        error_code ignored;
+        if (!expired) {
+            tunnel->server.close(ignored);
+        }
+    });
+    asio::steady_timer control_due(context_, began + control_delay);
+    control_due.async_wait([this, server, began](const error_code& cancelled) {
+        if (!cancelled) {
+            control_for(server, began);
+        }
+    });
+    ++forwarding_.counters.new_connections;
+    co_await tunnel->server.async_connect(*endpoint, token(ec));
+    control_due.cancel();
     if (!ec && tunnel->server.is_open()) {
         tunnel->server.set_option(tcp::no_delay(true), ec);
         tunnel->origin.set_option(tcp::no_delay(true), ec);
         record_direct_connection(forwarding_, server, monotonic_now());
-        co_return static_cast<std::uint8_t>(wire::TunnelResult::connected);
+        reply.result = wire::TunnelResult::connected;
+        co_return;
+    }
+    if (ec == asio::error::connection_refused || ec == asio::error::connection_reset) {
+        reply.result = wire::TunnelResult::refused;
+    }
+    if (!reached_since(server.service, began)) {
+        const control_ptr control = control_for(server, began);
+        if (!control) {
+            co_return;
+        }
+        if (!control->complete) {
+            co_await control->done.async_wait(token(ec));
+        }
     }
-    const bool refused =
-        ec == asio::error::connection_refused || ec == asio::error::connection_reset;
-    co_return static_cast<std::uint8_t>(refused ? wire::TunnelResult::refused
-                                                : wire::TunnelResult::no_answer);
+    reply.service = reached_since(server.service, began) ? wire::ServiceReach::reached
+                                                         : wire::ServiceReach::not_reached;
 }
 
 asio::awaitable<void> tunnel_server::serve(tunnel_ptr tunnel, std::unique_ptr<wire::FrameT> frame) {
     const wire::TunnelRequestT& request = *frame->message.AsTunnelRequest();
-    const auto result = static_cast<wire::TunnelResult>(co_await connect(tunnel, request));
-    log_event(events::tunnel_requested, "request={} backend={} instance={} result={}",
-              request.request, request.backend, frame->sender, to_string(result));
     wire::TunnelReplyT reply;
-    reply.result = result;
+    co_await connect(tunnel, request, reply);
+    log_event(events::tunnel_requested,
+              "request={} backend={} instance={} result={} service={} load_permille={}",
+              request.request, request.backend, frame->sender, to_string(reply.result),
+              to_string(reply.service), reply.load_permille);
     const std::string bytes = encode_frame(make_frame(reply));
     error_code ec;
     co_await asio::async_write(tunnel->origin, asio::buffer(bytes), token(ec));
-    if (ec || result != wire::TunnelResult::connected) {
+    if (ec || reply.result != wire::TunnelResult::connected) {
         tunnel->close();
         co_return;
     }
--- a/bamboostream/src/Routing/reachability_tracker.cpp
+++ b/bamboostream/src/Routing/reachability_tracker.cpp
@@ -18,6 +18,7 @@
 
 bool reachability_tracker::on_connected(const service_id& service, const backend_id& server,
                                         time_point now) {
+    last_connected_[service] = now;
     const auto found = services_.find(service);
     if (found == services_.end()) {
         return false;
@@ -90,6 +91,11 @@
     return found != services_.end() && found->second.cut_off;
 }
 
+time_point reachability_tracker::last_connected(const service_id& service) const {
+    const auto found = last_connected_.find(service);
+    return found == last_connected_.end() ? time_point::min() : found->second;
+}
+
 std::size_t reachability_tracker::servers_cut_off(const service_id& service) const {
     const auto found = services_.find(service);
     return found == services_.end() ? 0 : found->second.servers.size();
--- a/bamboostream/src/Routing/reachability_tracker.h
+++ b/bamboostream/src/Routing/reachability_tracker.h
@@ -37,6 +37,9 @@
     /// As above, but false if the server is only assumed to be cut off because its service is.
     bool is_found_cut_off(const service_id& service, const backend_id& server) const;
     bool is_cut_off(const service_id& service) const;
+    /// When this instance last connected directly to any server of the service;
+    /// `time_point::min()` if it never did.
+    time_point last_connected(const service_id& service) const;
     /// Servers that have been found cut off, of one service and of all.
     std::size_t servers_cut_off(const service_id& service) const;
     std::size_t servers_cut_off() const;
@@ -66,6 +69,7 @@
         bool cut_off = false;
     };
     std::unordered_map<service_id, service_state> services_;
+    std::unordered_map<service_id, time_point> last_connected_;
 };
 
 } // namespace bamboostream
--- a/test/platform/tunnel_test.cpp
+++ b/test/platform/tunnel_test.cpp
@@ -3,11 +3,13 @@
 
 #include "bamboostream/src/Forwarding/backend_connection.h"
 #include "bamboostream/src/Http/address.h"
+#include "bamboostream/src/Links/frame_codec.h"
 #include "test/platform/peer_group.h"
 #include "test/platform/scripted_backend.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -99,6 +101,35 @@
         return result;
     }
 
+    /// Asks an instance for a tunnel, like another instance does.
+    wire::TunnelReplyT ask(const peer_instance& carrier, const std::string& id) {
+        wire::TunnelReplyT reply;
+        bool done = false;
+        asio::co_spawn(
+            group_.context,
+            [&]() -> asio::awaitable<void> {
+                tcp::socket socket(group_.context);
+                co_await socket.async_connect(*to_endpoint(carrier.address()), asio::use_awaitable);
+                wire::TunnelRequestT request;
+                request.backend = id;
+                request.timeout_ms = 100;
+                const std::string frame = encode_frame(make_frame(std::move(request)));
+                co_await asio::async_write(socket, asio::buffer(frame), asio::use_awaitable);
+                std::array<unsigned char, 4> head{};
+                co_await asio::async_read(socket, asio::buffer(head), asio::use_awaitable);
+                std::string body(decode_length(head), '\0');
+                co_await asio::async_read(socket, asio::buffer(body), asio::use_awaitable);
+                reply = *decode_frame(body)->message.AsTunnelReply();
+                done = true;
+            },
+            asio::detached);
+        for (const time_point limit = monotonic_now() + seconds(2);
+             !done && monotonic_now() < limit;) {
+            group_.run_for(milliseconds(5));
+        }
+        return reply;
+    }
+
     std::string refusing_address() const { return refusing_address_; }
     std::string silent_address() const { return to_text(full_.local_endpoint()); }
 
@@ -206,6 +237,48 @@
     server.stop();
 }
 
+/// How a carrier sees the server that it is asked for, and the other servers of the service.
+struct carrier_view_row {
+    std::string name;
+    bool silent;
+    enum class others : std::uint8_t { none, reached, like_the_server } rest;
+    wire::ServiceReach expected;
+    friend void PrintTo(const carrier_view_row& row, std::ostream* out) { *out << row.name; }
+};
+
+class carrier_view : public tunnel_test, public testing::WithParamInterface<carrier_view_row> {};
+
+using other_servers = carrier_view_row::others;
+INSTANTIATE_TEST_SUITE_P(
+    table, carrier_view,
+    testing::Values(
+        carrier_view_row{"refused_alone", false, other_servers::reached,
+                         wire::ServiceReach::reached},
+        carrier_view_row{"silent_alone", true, other_servers::reached, wire::ServiceReach::reached},
+        carrier_view_row{"all_refused", false, other_servers::like_the_server,
+                         wire::ServiceReach::not_reached},
+        carrier_view_row{"all_silent", true, other_servers::like_the_server,
+                         wire::ServiceReach::not_reached},
+        carrier_view_row{"only_server", false, other_servers::none, wire::ServiceReach::unknown}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a server being taken for down because an instance asked that is cut off itself.
+TEST_P(carrier_view, tells_a_server_that_is_down_from_a_network_failure_of_its_own) {
+    scripted_backend server(group_.context, answering_with(framed_response));
+    const std::string lost = GetParam().silent ? silent_address() : refusing_address();
+    add_server("i-0", lost, lost);
+    if (GetParam().rest != other_servers::none) {
+        const bool reached = GetParam().rest == other_servers::reached;
+        add_server("i-1", reached ? server.address() : lost, lost);
+        add_server("i-2", reached ? server.address() : lost, lost);
+    }
+    const wire::TunnelReplyT reply = ask(*group_.all[1], "i-0");
+    EXPECT_EQ(reply.result,
+              GetParam().silent ? wire::TunnelResult::no_answer : wire::TunnelResult::refused);
+    EXPECT_EQ(reply.service, GetParam().expected);
+    server.stop();
+}
+
 /// How a server ends a response that has no length.
 struct end_row {
     std::string name;
