Look for a tunnel in all failure domains, until one is found or the server is down

What callers saw: a failure domain of 8 or 25 instances that had lost its links to all backend servers was refused for as long as that lasted.

Cause: a try asked three instances, one after the other, those of the own failure domain first. If that was cut off whole, all three were, on every try; what it learned was by instance and server and forgotten before it was complete. No instance heard of a server that is reached, so none believed that it was cut off. Where one was found, it carried for all until it was full, and was then forgotten.

Change: carrier_selector, a decision without I/O. A search goes on in another failure domain each time, asks others after 30 ms without giving up those asked, and doubles the number asked. It ends when a tunnel stands, when three instances that reach the service did not reach the server, or when none is left (128 at most, 8 for a while after a long search in vain). What is learned is about the instance and the service, and its failure domain by the majority of those known. Concurrent searches share it. Tunnels are spread by capacity over all instances not known to be cut off, those of the server's failure domain first; a full one is passed over for a second and stays known.

--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -178,7 +178,7 @@
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *store_updates,
                                             *distributor, *owner_engine_scheduler, *quarantine,
                                             *server_states, *origins);
-    tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding);
+    tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding, seed);
     forwarding.tunnels = tunnels.get();
     carried_tunnels = std::make_unique<tunnel_server>(context, forwarding);
     links.on_tunnel_request(
--- a/bamboostream/src/Gateway/tunnel_client.cpp
+++ b/bamboostream/src/Gateway/tunnel_client.cpp
@@ -26,21 +26,10 @@
 
 namespace {
 
-/// Time for one carrier, which connects to the server within a few milliseconds. Callers that wait
-/// for 0.6 s have the time for three.
-constexpr milliseconds carrier_timeout{150};
-/// The carrier answers this much before that, so that its answer arrives in time.
+/// Longest time in which a carrier connects to the server, which takes a few milliseconds.
+constexpr milliseconds carrier_timeout{100};
+/// The carrier answers this much before the end of the search, so that its answer arrives in time.
 constexpr milliseconds answer_margin{30};
-constexpr std::size_t max_carriers_per_tunnel = 3;
-/// An instance that does not carry tunnels now is asked again after this time.
-constexpr milliseconds carrier_pause{1'000};
-/// An instance that got no answer from a server is asked for that server again after this time.
-constexpr milliseconds no_answer_pause{2'500};
-/// As above after a refused connection. Either the server's process has ended, or the carrier's own
-/// network refuses connections, so another instance is asked as well.
-constexpr milliseconds refused_pause{500};
-/// A carrier that has connected within this time is preferred.
-constexpr seconds connected_lately{5};
 /// Interval at which due checks are looked up while a server is cut off.
 constexpr milliseconds check_loop_period{50};
 /// A reply is much smaller than this.
@@ -65,15 +54,25 @@
     }
 }
 
+carrier_reply from_wire(const wire::TunnelReplyT& reply) {
+    carrier_reply out;
+    out.answer = from_wire(reply.result);
+    out.service = reply.service == wire::ServiceReach::reached       ? service_reach::reached
+                  : reply.service == wire::ServiceReach::not_reached ? service_reach::not_reached
+                                                                     : service_reach::unknown;
+    out.load = reply.load_permille / 1'000.0;
+    return out;
+}
+
 /// Connects to another instance and asks it for a tunnel. On `connected`, `socket` is the tunnel.
-asio::awaitable<carrier_answer> request_tunnel(std::shared_ptr<tcp::socket> socket,
-                                               std::string carrier, wire::FrameT request,
-                                               milliseconds timeout) {
+asio::awaitable<carrier_reply> request_tunnel(std::shared_ptr<tcp::socket> socket,
+                                              std::string carrier, wire::FrameT request,
+                                              time_point until) {
     const auto endpoint = to_endpoint(carrier);
     if (!endpoint) {
-        co_return carrier_answer::no_reply;
+        co_return carrier_reply{};
     }
-    asio::steady_timer limit(co_await asio::this_coro::executor, timeout);
+    asio::steady_timer limit(co_await asio::this_coro::executor, until);
     limit.async_wait([weak = std::weak_ptr(socket)](const error_code& expired) {
         const auto open = weak.lock();
         error_code ignored;
@@ -93,72 +92,140 @@
     }
     const std::uint32_t length = ec ? 0 : decode_length(head);
     if (length == 0 || length > max_reply_bytes) {
-        co_return carrier_answer::no_reply;
+        co_return carrier_reply{};
     }
     std::string body(length, '\0');
     co_await asio::async_read(*socket, asio::buffer(body), token(ec));
     limit.cancel();
     const auto reply = ec ? nullptr : decode_frame(body);
     if (!reply || reply->message.type != wire::Message::TunnelReply || !socket->is_open()) {
-        co_return carrier_answer::no_reply;
+        co_return carrier_reply{};
     }
-    co_return from_wire(reply->message.AsTunnelReply()->result);
+    co_return from_wire(*reply->message.AsTunnelReply());
 }
 
-/// `asked` has the address, answer and milliseconds of each instance.
-void log_carriers_asked(const std::string& request_id, const registered_backend& server,
-                        std::string_view asked) {
-    log_event(events::carriers_asked, "request={} service={} backend={} carriers={}", request_id,
-              server.service.text(), server.id.text(), asked.empty() ? "none" : asked);
+constexpr std::string_view describe(service_reach service) {
+    switch (service) {
+    case service_reach::reached:
+        return "+service_reached";
+    case service_reach::not_reached:
+        return "+service_not_reached";
+    default:
+        return "";
+    }
 }
 
 } // namespace
 
+namespace internal {
+
+/// A search and what it has found out.
+struct tunnel_search {
+    tunnel_search(asio::io_context& context, registered_backend wanted, std::string request,
+                  time_point limit)
+        : server(std::move(wanted)), request_id(std::move(request)), until(limit),
+          changed(context) {
+        state.service = server.service;
+        state.server = server.id;
+        state.server_domain = server.failure_domain.text();
+    }
+
+    registered_backend server;
+    std::string request_id;
+    time_point until;
+    carrier_search state;
+    std::shared_ptr<http_connection> tunnel;
+    bool over = false;
+    /// Of each instance that has answered: its address, what was known of it, its answer, and
+    /// milliseconds.
+    std::string answers;
+    /// Cancelled by each answer.
+    asio::steady_timer changed;
+};
+
+} // namespace internal
+
 void tunnel_client::start() {
     asio::co_spawn(context_, check_loop(), asio::detached);
 }
 
-void tunnel_client::expire(time_point now) {
-    std::erase_if(failed_until_, [now](const auto& item) { return now >= item.second; });
-    std::erase_if(carriers_, [now](const auto& item) {
-        return now >= item.second.excluded_until &&
-               now >= item.second.last_connected + connected_lately;
-    });
+std::span<const carrier_candidate> tunnel_client::candidates() {
+    const member_table& members = membership_.members();
+    if (candidates_revision_ != members.revision()) {
+        candidates_revision_ = members.revision();
+        candidates_.clear();
+        for (const member_facts& member : members.usable()) {
+            if (member.id.address != membership_.own_address()) {
+                candidates_.push_back({member.id.address, member.failure_domain.text(),
+                                       static_cast<double>(std::max(member.capacity, 1U))});
+            }
+        }
+    }
+    return candidates_;
 }
 
-std::vector<std::string> tunnel_client::carriers_for(const backend_id& server, time_point now) {
-    /// How much an instance is preferred: lower is better.
-    struct candidate {
-        int rank = 0;
-        std::string peer;
-    };
-    constexpr int not_connected_lately = 2;
-    constexpr int other_failure_domain = 1;
-    expire(now);
-    const std::vector<std::string> near_list =
-        membership_.usable_peers_in(membership_.own_failure_domain().text());
-    const std::unordered_set<std::string> near(near_list.begin(), near_list.end());
-    std::vector<candidate> candidates;
-    for (const std::string& peer : membership_.usable_peers()) {
-        const auto known = carriers_.find(peer);
-        const bool excluded = known != carriers_.end() && now < known->second.excluded_until;
-        if (excluded || failed_until_.contains(std::pair(peer, server))) {
-            continue;
+void tunnel_client::wake_searches(const service_id& service) {
+    for (const search_ptr& it : searches_) {
+        if (it->state.service == service) {
+            it->changed.cancel();
         }
-        const bool connected =
-            known != carriers_.end() && now < known->second.last_connected + connected_lately;
-        candidates.push_back({(connected ? 0 : not_connected_lately) +
-                                  (near.contains(peer) ? 0 : other_failure_domain),
-                              peer});
-    }
-    std::shuffle(candidates.begin(), candidates.end(), forwarding_.random);
-    std::stable_sort(candidates.begin(), candidates.end(),
-                     [](const candidate& a, const candidate& b) { return a.rank < b.rank; });
-    std::vector<std::string> out;
-    for (candidate& it : candidates) {
-        out.push_back(std::move(it.peer));
     }
-    return out;
+}
+
+asio::awaitable<void> tunnel_client::ask(search_ptr search, carrier_candidate carrier,
+                                         std::string known) {
+    const time_point began = monotonic_now();
+    const auto left = std::chrono::duration_cast<milliseconds>(search->until - began);
+    wire::TunnelRequestT request;
+    request.backend = search->server.id.text();
+    request.request = search->request_id;
+    request.timeout_ms =
+        static_cast<std::uint32_t>(std::min(carrier_timeout, left - answer_margin).count());
+    const auto socket = std::make_shared<tcp::socket>(context_);
+    wire::FrameT frame = make_frame(std::move(request));
+    frame.sender = membership_.own_address();
+    const carrier_reply reply =
+        co_await request_tunnel(socket, carrier.address, std::move(frame), search->until);
+    const time_point now = monotonic_now();
+    selector_.record(search->state, carrier, reply, now);
+    forwarding_.counters.count(reply.answer);
+    fmt::format_to(std::back_inserter(search->answers), "{}{}/{}/{}{}/{:.0f}",
+                   search->answers.empty() ? "" : ",", carrier.address, known,
+                   to_string(reply.answer), describe(reply.service), to_milliseconds(now - began));
+    if (reply.answer == carrier_answer::connected) {
+        if (search->over || search->tunnel) {
+            error_code ignored;
+            socket->close(ignored);
+        } else {
+            search->tunnel = std::make_shared<http_connection>(context_.get_executor());
+            search->tunnel->adopt_tunnel(std::move(*socket), carrier.address);
+        }
+        wake_searches(search->state.service);
+    }
+    search->changed.cancel();
+}
+
+asio::awaitable<void> tunnel_client::run(search_ptr search) {
+    while (!search->tunnel && search->until - monotonic_now() > answer_margin) {
+        for (const chosen_carrier& it :
+             selector_.choose(search->state, candidates(), monotonic_now())) {
+            asio::co_spawn(context_, ask(search, *it.carrier, std::string(it.known)),
+                           asio::detached);
+        }
+        if (carrier_selector::is_exhausted(search->state)) {
+            break;
+        }
+        co_await wait_on(search->changed, std::min(search->until, search->state.next_round));
+    }
+    // Answers may still arrive, and one of them may be a tunnel.
+    while (!search->tunnel && search->state.in_flight > 0 && monotonic_now() < search->until &&
+           !carrier_selector::is_exhausted(search->state)) {
+        co_await wait_on(search->changed, search->until);
+    }
+    search->over = true;
+    if (!search->tunnel) {
+        selector_.record_not_found(search->state, monotonic_now());
+    }
 }
 
 asio::awaitable<std::shared_ptr<http_connection>> tunnel_client::open(registered_backend server,
@@ -166,50 +233,31 @@
                                                                       time_point until,
                                                                       tunnel_failure& why) {
     why.set(tunnel_error::unavailable, "no other instance reaches the server");
-    std::vector<std::string> carriers = carriers_for(server.id, monotonic_now());
-    carriers.resize(std::min(carriers.size(), max_carriers_per_tunnel));
-    std::string asked;
-    for (const std::string& carrier : carriers) {
-        const milliseconds left = std::min(
-            carrier_timeout, std::chrono::duration_cast<milliseconds>(until - monotonic_now()));
-        if (left <= answer_margin) {
-            break;
-        }
-        wire::TunnelRequestT request;
-        request.backend = server.id.text();
-        request.request = request_id;
-        request.timeout_ms = static_cast<std::uint32_t>((left - answer_margin).count());
-        const auto socket = std::make_shared<tcp::socket>(context_);
-        wire::FrameT frame = make_frame(std::move(request));
-        frame.sender = membership_.own_address();
-        const time_point asked_at = monotonic_now();
-        const carrier_answer answer =
-            co_await request_tunnel(socket, carrier, std::move(frame), left);
-        const time_point now = monotonic_now();
-        forwarding_.counters.count(answer);
-        fmt::format_to(std::back_inserter(asked), "{}{}:{}:{:.0f}", asked.empty() ? "" : ",",
-                       carrier, to_string(answer), to_milliseconds(now - asked_at));
-        if (answer == carrier_answer::connected) {
-            if (asked.find(',') != std::string::npos) {
-                log_carriers_asked(request_id, server, asked);
-            }
-            carriers_[carrier].last_connected = now;
-            ++forwarding_.counters.tunnels_opened;
-            auto connection = std::make_shared<http_connection>(context_.get_executor());
-            connection->adopt_tunnel(std::move(*socket), carrier);
-            co_return connection;
-        }
-        if (answer == carrier_answer::refused) {
-            why.text = "refused at another instance, too";
-            failed_until_[std::pair(carrier, server.id)] = now + refused_pause;
-        } else if (answer == carrier_answer::no_answer) {
-            failed_until_[std::pair(carrier, server.id)] = now + no_answer_pause;
-        } else {
-            carriers_[carrier] = {now + carrier_pause, {}};
-        }
+    const time_point now = monotonic_now();
+    selector_.expire(now);
+    if (!selector_.may_search(server.id, now)) {
+        co_return nullptr;
+    }
+    const auto search = std::make_shared<internal::tunnel_search>(context_, std::move(server),
+                                                                  std::move(request_id), until);
+    searches_.insert(search);
+    co_await run(search);
+    searches_.erase(search);
+    if (!search->tunnel || search->state.asked > 1) {
+        log_event(events::carriers_asked,
+                  "request={} service={} backend={} result={} asked={} after_ms={:.0f} "
+                  "carriers={}",
+                  search->request_id, search->server.service.text(), search->server.id.text(),
+                  search->tunnel ? "opened" : "none", search->state.asked,
+                  to_milliseconds(monotonic_now() - now),
+                  search->answers.empty() ? "none" : search->answers);
+    }
+    if (search->tunnel) {
+        ++forwarding_.counters.tunnels_opened;
+    } else if (search->state.server_failures > 0) {
+        why.text = "refused at another instance, too";
     }
-    log_carriers_asked(request_id, server, asked);
-    co_return nullptr;
+    co_return search->tunnel;
 }
 
 asio::awaitable<void> tunnel_client::check_loop() {
--- a/test/platform/peer_group.cpp
+++ b/test/platform/peer_group.cpp
@@ -110,7 +110,8 @@
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news,
                                             *distributor, *owner, *quarantine, *server_states,
                                             *origins);
-    tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding);
+    tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding,
+                                              stable_hash(self.id.address));
     forwarding.tunnels = tunnels.get();
     carried_tunnels = std::make_unique<tunnel_server>(context, forwarding);
     links.on_tunnel_request(
