Ask carriers that failed lately again if no other is left

Cause: the instances that could carry were partitioned, too, for 0.7 s. What they had answered then kept the search from asking them for 2.5 s, though nobody else was left: a belief about the past taken for a reason to refuse.

Change: an instance that has failed longer ago than 250 ms is asked again, one at a time and two per search at most, when there is no other. A server that was searched for in vain is searched for again after 250 ms, not 500 ms.

Result: carrier_selector.asks_again_soon_if_no_instance_is_left passes; 52 tests of carriers, tunnels and partitioned failure domains pass.

--- a/bamboostream/src/Routing/carrier_selector.cpp
+++ b/bamboostream/src/Routing/carrier_selector.cpp
@@ -28,21 +28,34 @@
 /// How long it counts that an instance has connected.
 constexpr seconds connected_validity{5};
 constexpr seconds load_validity{5};
-constexpr milliseconds unreachable_pause{500};
+constexpr milliseconds unreachable_pause{250};
+/// If no other instance is left, those that failed longer ago than this are asked again, so that a
+/// network failure that ends is noticed soon, but only few in each search.
+constexpr milliseconds retry_pause{250};
+constexpr std::size_t max_asked_again = 2;
 /// Instances that carry a greater share of what they can are no longer preferred.
 constexpr double loaded = 0.5;
 /// How many instances of other failure domains are asked before one of a failure domain that is
 /// probably cut off.
 constexpr std::size_t cut_off_handicap = 2;
 
-bool holds(const std::unordered_map<std::string, time_point>& until, const std::string& key,
-           time_point now) {
-    const auto found = until.find(key);
-    return found != until.end() && now < found->second;
+/// The end of the validity of a fact.
+time_point end_of(time_point until) {
+    return until;
 }
 
-template <typename map_type> void erase_over(map_type& until, time_point now) {
-    std::erase_if(until, [now](const auto& item) { return now >= item.second; });
+template <typename record> time_point end_of(const record& it) {
+    return it.until;
+}
+
+template <typename map_type, typename key_type>
+auto find_valid(const map_type& facts, const key_type& key, time_point now) {
+    const auto found = facts.find(key);
+    return found != facts.end() && now < end_of(found->second) ? &found->second : nullptr;
+}
+
+template <typename map_type> void erase_over(map_type& facts, time_point now) {
+    std::erase_if(facts, [now](const auto& item) { return now >= end_of(item.second); });
 }
 
 } // namespace
@@ -64,8 +77,8 @@
     domain_tallies out;
     for (const carrier_candidate& it : candidates) {
         domain_tally& domain = out[it.failure_domain];
-        domain.connected += holds(service.connected_until, it.address, now) ? 1 : 0;
-        domain.cut_off += holds(service.cut_off_until, it.address, now) ? 1 : 0;
+        domain.connected += find_valid(service.connected_until, it.address, now) != nullptr ? 1 : 0;
+        domain.cut_off += find_valid(service.cut_off, it.address, now) != nullptr ? 1 : 0;
     }
     return out;
 }
@@ -74,7 +87,7 @@
                                                     const domain_tallies& domains,
                                                     const carrier_candidate& carrier,
                                                     time_point now) {
-    if (holds(service.connected_until, carrier.address, now)) {
+    if (find_valid(service.connected_until, carrier.address, now) != nullptr) {
         return belief::connected;
     }
     const domain_tally& domain = domains.at(carrier.failure_domain);
@@ -90,18 +103,23 @@
            found->second.load >= loaded;
 }
 
-bool carrier_selector::may_ask(const carrier_search& search, const service_state& service,
-                               const carrier_candidate& carrier, time_point now) const {
+carrier_selector::eligibility carrier_selector::may_ask(const carrier_search& search,
+                                                        const service_state& service,
+                                                        const carrier_candidate& carrier,
+                                                        time_point now) const {
     const auto known = carriers_.find(carrier.address);
     if (known != carriers_.end() && now < known->second.excluded_until) {
-        return false;
+        return eligibility::excluded;
     }
-    const auto failed = failed_until_.find(std::pair(carrier.address, search.server));
-    if (holds(service.cut_off_until, carrier.address, now) ||
-        (failed != failed_until_.end() && now < failed->second)) {
-        return false;
+    const failure_record* cut_off = find_valid(service.cut_off, carrier.address, now);
+    const failure_record* failed =
+        find_valid(failures_, std::pair(carrier.address, search.server), now);
+    if (cut_off == nullptr && failed == nullptr) {
+        return eligibility::first;
     }
-    return true;
+    const time_point latest = std::max(cut_off != nullptr ? cut_off->at : time_point::min(),
+                                       failed != nullptr ? failed->at : time_point::min());
+    return now >= latest + retry_pause ? eligibility::last : eligibility::excluded;
 }
 
 int carrier_selector::rank(const carrier_search& search, const carrier_candidate& carrier,
@@ -158,9 +176,11 @@
     service_state& service = services_[search.service];
     const domain_tallies domains = tally(service, candidates, now);
     std::vector<ranked_candidate> ranked;
+    std::vector<ranked_candidate> failed;
     search.waits_for_others = false;
     for (const carrier_candidate& it : candidates) {
-        if (!may_ask(search, service, it, now)) {
+        const eligibility eligible = may_ask(search, service, it, now);
+        if (eligible == eligibility::excluded) {
             continue;
         }
         const belief known = known_of(service, domains, it, now);
@@ -168,9 +188,16 @@
             search.waits_for_others = true;
             continue;
         }
-        ranked.push_back({prefer(search, it, known, now), {&it, to_string(known)}});
+        (eligible == eligibility::first ? ranked : failed)
+            .push_back({prefer(search, it, known, now), {&it, to_string(known)}});
+    }
+    std::size_t count = std::min(round_size(search, service, now), ranked.size());
+    if (ranked.empty() && !search.waits_for_others && !failed.empty() && search.in_flight == 0 &&
+        search.asked_again < max_asked_again) {
+        ranked = std::move(failed);
+        count = 1;
+        ++search.asked_again;
     }
-    const std::size_t count = std::min(round_size(search, service, now), ranked.size());
     std::partial_sort(
         ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
         [](const ranked_candidate& a, const ranked_candidate& b) { return a.order < b.order; });
@@ -198,7 +225,8 @@
     switch (reply.answer) {
     case carrier_answer::connected:
         service.connected_until[carrier.address] = now + connected_validity;
-        service.cut_off_until.erase(carrier.address);
+        service.cut_off.erase(carrier.address);
+        failures_.erase(std::pair(carrier.address, search.server));
         carriers_[carrier.address] = {now, reply.load, now + load_validity};
         break;
     case carrier_answer::busy:
@@ -206,10 +234,10 @@
         carriers_[carrier.address] = {now + carrier_pause, 1.0, now + load_validity};
         break;
     default:
-        failed_until_[std::pair(carrier.address, search.server)] =
-            now + (reply.answer == carrier_answer::refused ? refused_pause : no_answer_pause);
+        failures_[std::pair(carrier.address, search.server)] = {
+            now, now + (reply.answer == carrier_answer::refused ? refused_pause : no_answer_pause)};
         if (reply.service == service_reach::not_reached) {
-            service.cut_off_until[carrier.address] = now + cut_off_pause;
+            service.cut_off[carrier.address] = {now, now + cut_off_pause};
             service.connected_until.erase(carrier.address);
         } else if (reply.service == service_reach::reached) {
             ++search.server_failures;
@@ -234,27 +262,26 @@
 }
 
 void carrier_selector::expire(time_point now) {
-    erase_over(failed_until_, now);
+    erase_over(failures_, now);
     erase_over(unreachable_until_, now);
     std::erase_if(carriers_, [now](const auto& item) {
         return now >= item.second.excluded_until && now >= item.second.load_known_until;
     });
     for (auto& [id, service] : services_) {
         erase_over(service.connected_until, now);
-        erase_over(service.cut_off_until, now);
+        erase_over(service.cut_off, now);
     }
     std::erase_if(services_, [now](const auto& item) {
         const service_state& it = item.second;
-        return it.connected_until.empty() && it.cut_off_until.empty() && it.in_flight.empty() &&
+        return it.connected_until.empty() && it.cut_off.empty() && it.in_flight.empty() &&
                now >= it.limited_until;
     });
 }
 
 std::size_t carrier_selector::size() const {
-    std::size_t count = carriers_.size() + failed_until_.size() + unreachable_until_.size();
+    std::size_t count = carriers_.size() + failures_.size() + unreachable_until_.size();
     for (const auto& [id, service] : services_) {
-        count += service.connected_until.size() + service.cut_off_until.size() +
-                 service.in_flight.size();
+        count += service.connected_until.size() + service.cut_off.size() + service.in_flight.size();
     }
     return count;
 }
--- a/bamboostream/src/Routing/carrier_selector.h
+++ b/bamboostream/src/Routing/carrier_selector.h
@@ -47,6 +47,8 @@
     std::size_t rounds = 0;
     std::size_t asked = 0;
     std::size_t in_flight = 0;
+    /// Instances asked again that had failed lately.
+    std::size_t asked_again = 0;
     /// Instances that reach the service but not this server.
     std::size_t server_failures = 0;
     /// Other searches are asking instances that this one could ask next.
@@ -119,9 +121,14 @@
         std::size_t cut_off = 0;
     };
     using domain_tallies = std::unordered_map<std::string_view, domain_tally>;
+    /// A failed request for a tunnel, and until when others are asked instead.
+    struct failure_record {
+        time_point at{};
+        time_point until{};
+    };
     struct service_state {
         std::unordered_map<std::string, time_point> connected_until;
-        std::unordered_map<std::string, time_point> cut_off_until;
+        std::unordered_map<std::string, failure_record> cut_off;
         /// Requests without an answer, by instance.
         std::unordered_map<std::string, std::size_t> in_flight;
         /// Searches are short until then, since a long one has found no instance.
@@ -139,9 +146,10 @@
     static std::string_view to_string(belief known);
     static domain_tallies tally(const service_state& service,
                                 std::span<const carrier_candidate> candidates, time_point now);
-    /// Whether the search may ask the instance, apart from other searches that ask it now.
-    bool may_ask(const carrier_search& search, const service_state& service,
-                 const carrier_candidate& carrier, time_point now) const;
+    /// Whether a search asks an instance: at once, if there is no other, or not now.
+    enum class eligibility : std::uint8_t { first, last, excluded };
+    eligibility may_ask(const carrier_search& search, const service_state& service,
+                        const carrier_candidate& carrier, time_point now) const;
     static belief known_of(const service_state& service, const domain_tallies& domains,
                            const carrier_candidate& carrier, time_point now);
     bool is_loaded(const std::string& carrier, time_point now) const;
@@ -156,8 +164,8 @@
     std::mt19937_64 random_;
     std::unordered_map<std::string, carrier_state> carriers_;
     std::unordered_map<service_id, service_state> services_;
-    /// Instances that did not connect to a server, and until when they are not asked for it again.
-    std::map<std::pair<std::string, backend_id>, time_point> failed_until_;
+    /// Instances that did not connect to a server.
+    std::map<std::pair<std::string, backend_id>, failure_record> failures_;
     /// Servers for which a search has just ended without a tunnel.
     std::unordered_map<backend_id, time_point> unreachable_until_;
 };
--- a/test/carrier_selector_test.cpp
+++ b/test/carrier_selector_test.cpp
@@ -110,6 +110,7 @@
                                     const std::string& server = "i-0") {
         selector.expire(now);
         if (!selector.may_search(backend_id(server), now)) {
+            now += milliseconds(1);
             return std::nullopt;
         }
         return run(std::vector{search_for(server_domain, server)}).front();
@@ -297,6 +298,26 @@
     EXPECT_LE(simulation.asked.size(), 20u * 100u);
 }
 
+// Guards against callers being refused after a network failure of all instances has ended for some.
+TEST(carrier_selector, asks_again_soon_if_no_instance_is_left) {
+    for (const cut_manner manner : {cut_manner::refused, cut_manner::silent}) {
+        carriers_simulation simulation(3, 3, 11);
+        simulation.manner = manner;
+        for (const carrier_candidate& it : simulation.candidates) {
+            simulation.cut_off.insert(it.address);
+        }
+        simulation.run("d0");
+        simulation.cut_off.clear();
+        simulation.cut_off_domain("d0");
+        std::optional<milliseconds> found;
+        const time_point ended = simulation.now;
+        while (!found && simulation.now < ended + seconds(2)) {
+            found = simulation.run("d0");
+        }
+        EXPECT_LE(simulation.now - ended, seconds(1));
+    }
+}
+
 TEST(carrier_selector, forgets_what_is_old) {
     carriers_simulation simulation(3, 25, 10);
     simulation.cut_off_domain("d0");
