Prefer carriers that have connected where some of their failure domain are cut off

Cause: an instance of which nothing was known was taken to be as good as one that had connected, also where others of its failure domain were cut off.

Change: in such a failure domain, those that have connected come first.

Result: carrier_selector.prefers_instances_that_have_connected_where_some_are_cut_off passes, 53 tests of carriers, tunnels and partitioned failure domains pass.

--- a/bamboostream/src/Routing/carrier_selector.cpp
+++ b/bamboostream/src/Routing/carrier_selector.cpp
@@ -67,7 +67,7 @@
 
 std::string_view carrier_selector::to_string(belief known) {
     constexpr std::array<std::string_view, static_cast<std::size_t>(belief::count_)> names = {
-        "domain_cut_off", "unknown", "domain_connected", "connected"};
+        "domain_cut_off", "domain_mixed", "unknown", "domain_connected", "connected"};
     return names.at(static_cast<std::size_t>(known));
 }
 
@@ -91,8 +91,8 @@
         return belief::connected;
     }
     const domain_tally& domain = domains.at(carrier.failure_domain);
-    if (domain.cut_off > domain.connected) {
-        return belief::cut_off;
+    if (domain.cut_off > 0) {
+        return domain.cut_off > domain.connected ? belief::domain_cut_off : belief::domain_mixed;
     }
     return domain.connected > 0 ? belief::domain_connected : belief::unknown;
 }
@@ -126,10 +126,10 @@
                            belief known, time_point now) const {
     const bool own = carrier.failure_domain == own_domain_;
     const bool at_server = carrier.failure_domain == search.server_domain;
-    if (known == belief::cut_off) {
+    if (known == belief::domain_cut_off) {
         return 3;
     }
-    if (is_loaded(carrier.address, now)) {
+    if (known == belief::domain_mixed || is_loaded(carrier.address, now)) {
         return 2;
     }
     // The own failure domain is likely to share the fate of this instance, until it is known.
@@ -142,7 +142,7 @@
     preference out;
     const auto asked = search.asked_in.find(carrier.failure_domain);
     out.asked_before = (asked == search.asked_in.end() ? 0 : asked->second) +
-                       (known == belief::cut_off ? cut_off_handicap : 0);
+                       (known == belief::domain_cut_off ? cut_off_handicap : 0);
     out.rank = rank(search, carrier, known, now);
     // The smallest of several such values belongs to each candidate with a probability in
     // proportion to its weight.
--- a/bamboostream/src/Routing/carrier_selector.h
+++ b/bamboostream/src/Routing/carrier_selector.h
@@ -134,7 +134,16 @@
         /// Searches are short until then, since a long one has found no instance.
         time_point limited_until{};
     };
-    enum class belief : std::uint8_t { cut_off, unknown, domain_connected, connected, count_ };
+    enum class belief : std::uint8_t {
+        /// Of the failure domain's instances of which anything is known, most are cut off; some
+        /// are.
+        domain_cut_off,
+        domain_mixed,
+        unknown,
+        domain_connected,
+        connected,
+        count_,
+    };
     /// Lower is better; instances of the same preference are chosen at random.
     struct preference {
         std::size_t asked_before = 0;
--- a/test/carrier_selector_test.cpp
+++ b/test/carrier_selector_test.cpp
@@ -193,6 +193,25 @@
     EXPECT_LE(simulation.asked.size(), 20u + static_cast<std::size_t>(pauses));
 }
 
+// Guards against time lost on instances of which nothing is known where many are cut off.
+TEST(carrier_selector, prefers_instances_that_have_connected_where_some_are_cut_off) {
+    carriers_simulation simulation(3, 25, 12);
+    simulation.manner = cut_manner::silent;
+    for (std::size_t i = 0; i < simulation.candidates.size(); i += 2) {
+        simulation.cut_off.insert(simulation.candidates[i].address);
+    }
+    for (int i = 0; i < 20; ++i) {
+        simulation.run(fmt::format("d{}", i % 3), fmt::format("i-{}", i % 12));
+    }
+    int slow = 0;
+    for (int i = 0; i < 60; ++i) {
+        const auto found = simulation.run(fmt::format("d{}", i % 3), fmt::format("i-{}", i % 12));
+        ASSERT_TRUE(found);
+        slow += *found > connect_time ? 1 : 0;
+    }
+    EXPECT_LE(slow, 15);
+}
+
 // Guards against all tunnels leading over the instances that were found first.
 TEST(carrier_selector, spreads_tunnels_over_all_instances_that_reach_the_service) {
     carriers_simulation simulation(3, 25, 3);
