Soak: partition whole failure domains of several instances, and audit first tries

Cause: the soak had one instance in each failure domain, cut off runs of instances whatever their failure domain, and never compared how callers there were served with the others.

Change: SOAK_INSTANCES and SOAK_DOMAINS set the size, SOAK_CUT_MANNER how whole failure domains are partitioned; such a partition lasts 4 s and more, beside all other faults. First tries at otherwise undisturbed instances, from 1 s on, must be served at least two thirds as often as those at the others in the same quarter of a second, if more than 10 and one in 50 fail. The plans of the seeds keep their other steps.

--- a/bamboostream/src/Gateway/tunnel_server.cpp
+++ b/bamboostream/src/Gateway/tunnel_server.cpp
@@ -190,7 +190,7 @@
     }
     std::shuffle(others.begin(), others.end(), forwarding_.random);
     others.resize(std::min(others.size(), max_controls));
-    const auto control = std::make_shared<internal::control_connections>(context_);
+    auto control = std::make_shared<internal::control_connections>(context_);
     control->open = others.size();
     controls_[failed.service] = control;
     for (const registered_backend* other : others) {
--- a/test/platform/cut_off_domain_test.cpp
+++ b/test/platform/cut_off_domain_test.cpp
@@ -42,6 +42,10 @@
 };
 
 class cut_off_domain : public testing::TestWithParam<domain_cut_row> {
+public:
+    cut_off_domain(const cut_off_domain&) = delete;
+    cut_off_domain& operator=(const cut_off_domain&) = delete;
+
 protected:
     cut_off_domain() : group_(failure_domains, GetParam().instances) {
         refusing_.close();
--- a/test/platform/soak_audit.cpp
+++ b/test/platform/soak_audit.cpp
@@ -7,6 +7,14 @@
 namespace {
 
 constexpr std::size_t min_taken_up = 12;
+/// First tries that may fail at partitioned instances, beside a share of all.
+constexpr std::size_t tolerated_failures = 10;
+constexpr std::size_t tries_per_tolerated_failure = 50;
+/// Share of what the other instances serve that the partitioned ones must reach.
+constexpr double min_share_of_others = 2.0 / 3.0;
+/// First tries are compared with those of the others in times of this length, if there are enough.
+constexpr milliseconds try_slice{250};
+constexpr std::size_t min_other_tries = 3;
 constexpr int crashes_until_quarantine = 3;
 constexpr milliseconds quarantine_delay{3'000};
 /// How many servers a path may still crash after that delay, by requests that up-to-date instances
@@ -76,6 +84,37 @@
     }
 }
 
+void soak_audit::first_try_ended(time_point now, bool cut_off, bool served) {
+    try_shares& at = tries_[now.time_since_epoch() / try_slice];
+    (cut_off ? at.cut_off : at.others).count(served);
+    tried_cut_off_ += cut_off ? 1 : 0;
+    served_cut_off_ += cut_off && served ? 1 : 0;
+}
+
+void soak_audit::check_first_tries() {
+    std::size_t all = 0;
+    std::size_t tried = 0;
+    std::size_t served = 0;
+    double served_like_others = 0.0;
+    for (const auto& [slice, at] : tries_) {
+        if (at.others.all >= min_other_tries) {
+            all += at.cut_off.all + at.others.all;
+            tried += at.cut_off.all;
+            served += at.cut_off.succeeded;
+            served_like_others += static_cast<double>(at.cut_off.all) *
+                                  static_cast<double>(at.others.succeeded) /
+                                  static_cast<double>(at.others.all);
+        }
+    }
+    const bool many_failed =
+        tried - served > tolerated_failures + all / tries_per_tolerated_failure;
+    if (many_failed && static_cast<double>(served) < min_share_of_others * served_like_others) {
+        violations_.push_back(fmt::format("partitioned instances served {} of {} first tries, the "
+                                          "others would have served {:.0f}",
+                                          served, tried, served_like_others));
+    }
+}
+
 void soak_audit::completed(const std::string& request, int events) {
     ++answered_;
     if (next_event_[request] != events) {
--- a/test/platform/soak_audit.h
+++ b/test/platform/soak_audit.h
@@ -38,6 +38,12 @@
     void stream_taken_up(bool continued);
     /// Checks the share of streams that went on when they were taken up, if there were enough.
     void check_taken_up();
+    /// The first try of a request ended at an otherwise undisturbed instance. `cut_off`: the
+    /// instance was partitioned from all servers for long enough to have found another way.
+    void first_try_ended(time_point now, bool cut_off, bool served);
+    /// Checks that first tries at partitioned instances are served like those at the others at the
+    /// same time: other faults may leave no server to any of them for a while.
+    void check_first_tries();
     /// A stream that consists of `events` events was reported as complete.
     void completed(const std::string& request, int events);
     /// A request was sent to a server that had left longer ago than the bound allows.
@@ -59,6 +65,9 @@
 
     std::size_t taken_up() const { return taken_up_.all; }
     std::size_t continued() const { return taken_up_.succeeded; }
+    /// First tries at partitioned instances.
+    std::size_t tried_cut_off() const { return tried_cut_off_; }
+    std::size_t served_cut_off() const { return served_cut_off_; }
 
 private:
     struct share {
@@ -81,6 +90,14 @@
     std::map<std::string, std::string> version_by_stream_;
     share new_streams_;
     share taken_up_;
+    /// First tries at partitioned instances and at the others, by the time at which they ended.
+    struct try_shares {
+        share cut_off;
+        share others;
+    };
+    std::map<std::int64_t, try_shares> tries_;
+    std::size_t tried_cut_off_ = 0;
+    std::size_t served_cut_off_ = 0;
     std::map<std::string, crash_record> crashes_by_path_;
     std::vector<std::string> violations_;
     std::size_t answered_ = 0;
--- a/test/platform/soak_audit_test.cpp
+++ b/test/platform/soak_audit_test.cpp
@@ -32,6 +32,18 @@
     audit.check_taken_up();
 }
 
+/// `tried` first tries at partitioned instances, of which `served` are served, beside 20 at others.
+void try_first(soak_audit& audit, int tried, int others_served, int served) {
+    const time_point now = time_point(std::chrono::hours(1));
+    for (int i = 0; i < 20; ++i) {
+        audit.first_try_ended(now, false, i < others_served);
+    }
+    for (int i = 0; i < tried; ++i) {
+        audit.first_try_ended(now, true, i < served);
+    }
+    audit.check_first_tries();
+}
+
 class soak_audit_test : public testing::TestWithParam<audit_row> {};
 
 INSTANTIATE_TEST_SUITE_P(
@@ -71,6 +83,14 @@
                   1},
         audit_row{"few_streams_go_on", [](soak_audit& a) { take_up(a, 12, 5); }, 1},
         audit_row{"half_of_the_streams_go_on", [](soak_audit& a) { take_up(a, 12, 6); }, 0},
+        audit_row{"first_tries_at_partitioned_instances",
+                  [](soak_audit& a) { try_first(a, 40, 20, 19); }, 1},
+        audit_row{"first_tries_like_the_others", [](soak_audit& a) { try_first(a, 40, 20, 30); },
+                  0},
+        audit_row{"few_first_tries_at_partitioned_instances",
+                  [](soak_audit& a) { try_first(a, 10, 20, 0); }, 0},
+        audit_row{"first_tries_while_the_others_serve_none",
+                  [](soak_audit& a) { try_first(a, 40, 0, 0); }, 0},
         audit_row{"few_streams_taken_up", [](soak_audit& a) { take_up(a, 11, 0); }, 0},
         audit_row{"refused_after_a_run",
                   [](soak_audit& a) {
--- a/test/platform/soak_plan.cpp
+++ b/test/platform/soak_plan.cpp
@@ -26,7 +26,8 @@
     "server_removed",
     "store_is_silent_to_half",
     "harmful_request",
-    "instances_cut_off"};
+    "instances_cut_off",
+    "domain_cut_off"};
 /// Mean time between steps. Short compared to most durations, so that several faults are active at
 /// any time.
 constexpr double mean_gap_ms = 350.0;
@@ -38,6 +39,10 @@
 constexpr std::uint64_t cut_seed_offset = 1'000'003;
 constexpr double mean_cut_gap_ms = 1'500.0;
 constexpr std::array<std::string_view, 3> cut_manners = {"silent", "no_new_connections", "reset"};
+constexpr std::uint64_t domain_cut_seed_offset = 2'000'003;
+constexpr double mean_domain_cut_gap_ms = 2'000.0;
+/// Long enough that callers' first tries are counted during the partition.
+constexpr milliseconds min_domain_cut{4'000};
 
 /// Appends steps with exponential gaps; `draw_fault` draws the kind of each.
 template <typename draw>
@@ -69,6 +74,14 @@
                  [&] { return static_cast<soak_fault>(fault(random)); });
     append_steps(out, cut_random, mean_cut_gap_ms, length,
                  [] { return soak_fault::instances_cut_off; });
+    std::vector<soak_step> domain_cuts;
+    std::mt19937_64 domain_cut_random(seed + domain_cut_seed_offset);
+    append_steps(domain_cuts, domain_cut_random, mean_domain_cut_gap_ms, length,
+                 [] { return soak_fault::domain_cut_off; });
+    for (soak_step& step : domain_cuts) {
+        step.duration = std::min(min_domain_cut + step.duration, length - step.at);
+    }
+    out.insert(out.end(), domain_cuts.begin(), domain_cuts.end());
     std::stable_sort(out.begin(), out.end(),
                      [](const soak_step& a, const soak_step& b) { return a.at < b.at; });
     return out;
--- a/test/platform/soak_plan.h
+++ b/test/platform/soak_plan.h
@@ -32,6 +32,8 @@
     harmful_request,
     /// Some instances are partitioned from all servers.
     instances_cut_off,
+    /// A whole failure domain is partitioned from all servers, for longer than other faults last.
+    domain_cut_off,
     count_,
 };
 
--- a/test/platform/system/soak_requests.cpp
+++ b/test/platform/system/soak_requests.cpp
@@ -62,6 +62,7 @@
             record_events(audit, request.stream_id(), body, received);
         }
     }
+    received.status = head ? connection.status() : 0;
     const bool answer_complete = head && connection.complete();
     if (request.stream && answer_complete && connection.status() == 200) {
         audit.completed(request.stream_id(), events_per_stream);
--- a/test/platform/system/soak_requests.h
+++ b/test/platform/system/soak_requests.h
@@ -31,6 +31,8 @@
 struct received_stream {
     int events = 0;
     bool complete = false;
+    /// Zero if there was no response.
+    int status = 0;
     /// The software version that wrote the last event.
     std::string version{};
 };
--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -1,6 +1,8 @@
 // Runs real gateway processes under a series of overlapping injected faults and continuous calls.
 // SOAK_SEEDS (for example "1-50" or "7") selects the seeds and SOAK_SECONDS the length of each run;
-// the default is one run of 6 s with seed 1.
+// the default is one run of 6 s with seed 1. SOAK_INSTANCES sets the number of instances and
+// SOAK_DOMAINS that of their failure domains; by default, there are four with one of their own
+// each.
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "test/platform/soak_audit.h"
@@ -18,7 +20,7 @@
 namespace bamboostream::test {
 namespace {
 
-constexpr int instance_count = 4;
+constexpr int default_instance_count = 4;
 constexpr int caller_count = 12;
 constexpr int server_count = 4;
 /// The software versions of the servers, by turns.
@@ -39,6 +41,8 @@
 constexpr milliseconds restart_after_term{5'000};
 /// An instance that was undisturbed for this long knows what the others know.
 constexpr milliseconds catch_up_time{3'000};
+/// From this time after the beginning of a partition, first tries at the instance count.
+constexpr milliseconds contact_time{1'000};
 constexpr milliseconds harmful_interval{150};
 constexpr int harmful_callers = 2;
 constexpr const char* harmful_prefix = "/a/harmful-";
@@ -75,12 +79,57 @@
     return out;
 }
 
+int number_from_environment(const char* name, int otherwise) {
+    const char* text = std::getenv(name);
+    return text ? std::stoi(text) : otherwise;
+}
+
 milliseconds length() {
-    const char* text = std::getenv("SOAK_SECONDS");
-    return seconds(text ? std::stoi(text) : 6);
+    return seconds(number_from_environment("SOAK_SECONDS", 6));
+}
+
+struct soak_row {
+    std::uint64_t seed = 0;
+    int instances = default_instance_count;
+    int domains = default_instance_count;
+    milliseconds length{0};
+    /// How failure domains are partitioned: a manner of the fault proxy.
+    std::string cut_manner{};
+    friend void PrintTo(const soak_row& row, std::ostream* out) {
+        *out << fmt::format("seed {}, {} instances, {} failure domains, {}", row.seed,
+                            row.instances, row.domains, row.cut_manner);
+    }
+};
+
+std::vector<soak_row> rows_from_environment() {
+    std::vector<soak_row> out;
+    for (const std::uint64_t seed : seeds()) {
+        soak_row row;
+        row.seed = seed;
+        row.instances = number_from_environment("SOAK_INSTANCES", default_instance_count);
+        row.domains = number_from_environment("SOAK_DOMAINS", row.instances);
+        row.length = length();
+        const char* manner = std::getenv("SOAK_CUT_MANNER");
+        row.cut_manner = manner != nullptr ? manner
+                         : seed % 2 == 0   ? "silent"
+                                           : "no_new_connections";
+        out.push_back(row);
+    }
+    return out;
 }
 
-class soak_test : public gateway_test, public testing::WithParamInterface<std::uint64_t> {
+/// Short runs in which failure domains have several instances, unless the environment names seeds.
+std::vector<soak_row> rows_of_few_domains() {
+    if (std::getenv("SOAK_SEEDS") != nullptr) {
+        return {};
+    }
+    constexpr int instances = 9;
+    constexpr int domains = 3;
+    return {{8, instances, domains, seconds(10), "silent"},
+            {2, instances, domains, seconds(10), "no_new_connections"}};
+}
+
+class soak_test : public gateway_test, public testing::WithParamInterface<soak_row> {
 public:
     soak_test(const soak_test&) = delete;
     soak_test& operator=(const soak_test&) = delete;
@@ -90,13 +139,13 @@
     ~soak_test() override { stop_callers(); }
 
     void run_soak() {
-        const auto plan = make_soak_plan(GetParam(), length());
-        fmt::print("seed {}\n{}", GetParam(), print(plan));
+        const auto plan = make_soak_plan(GetParam().seed, GetParam().length);
+        fmt::print("seed {}\n{}", GetParam().seed, print(plan));
         configure(version_, "k", other_route_count);
         for (int i = 0; i < server_count; ++i) {
             add_server();
         }
-        for (int i = 0; i < instance_count; ++i) {
+        for (int i = 0; i < GetParam().instances; ++i) {
             stores_.push_back(store_.add_address());
             add_instance(stores_.back());
             stopping_.push_back(false);
@@ -110,12 +159,15 @@
             run_until(began + step.at);
             inject(step);
         }
-        run_until(began + length());
+        run_until(began + GetParam().length);
         stop_harmful_requests();
         run_scheduled();
         expect_recovery();
         stop_callers();
         audit_.check_taken_up();
+        audit_.check_first_tries();
+        fmt::print("first tries at partitioned instances: {}, served {}\n", audit_.tried_cut_off(),
+                   audit_.served_cut_off());
         fmt::print("taken up {} of which went on {}\n", audit_.taken_up(), audit_.continued());
         fmt::print("answered {} refused {} unknown {}\n", audit_.answered(), audit_.refused(),
                    audit_.unknown());
@@ -123,6 +175,10 @@
         EXPECT_TRUE(audit_.violations().empty()) << audit_.violations().front();
     }
 
+    std::string failure_domain_of(int index) const override {
+        return fmt::format("z{}", index % GetParam().domains);
+    }
+
 private:
     struct scheduled_action {
         time_point at;
@@ -235,6 +291,9 @@
         case soak_fault::instances_cut_off:
             cut_off(cut_of(step, instances_.size()), step.duration);
             break;
+        case soak_fault::domain_cut_off:
+            cut_off_domain(step);
+            break;
         case soak_fault::count_:
             break;
         }
@@ -249,17 +308,45 @@
             cut_off_until_[i] = std::max(cut_off_until_[i], monotonic_now() + duration);
             senders += (n > 0 ? "," : "") + instances_[i]->ip;
         }
-        cut_command_ = fmt::format(R"({{"cut_manner":"{}","cut_off":"{}"}})", cut.manner, senders);
+        cut_senders_ = {senders, std::string(cut.manner)};
         send_cut_command();
         schedule(duration, [this, number = ++cut_number_] {
             if (number == cut_number_) {
-                cut_command_ = R"({"cut_manner":"none"})";
+                cut_senders_ = {};
                 send_cut_command();
             }
         });
     }
 
+    /// Partitions a failure domain, beside the instances that another step partitions. Has no
+    /// effect while one is partitioned, or if failure domains have one instance each.
+    void cut_off_domain(const soak_step& step) {
+        const auto domains = static_cast<std::size_t>(GetParam().domains);
+        if (!domain_cut_senders_.addresses.empty() || domains >= instances_.size()) {
+            return;
+        }
+        std::string senders;
+        for (std::size_t i = step.target % domains; i < instances_.size(); i += domains) {
+            domain_cut_[i] = {monotonic_now(), monotonic_now() + step.duration};
+            cut_off_until_[i] = std::max(cut_off_until_[i], domain_cut_[i].until);
+            senders += (senders.empty() ? "" : ",") + instances_[i]->ip;
+        }
+        domain_cut_senders_ = {senders, GetParam().cut_manner};
+        send_cut_command();
+        schedule(step.duration, [this] {
+            domain_cut_senders_ = {};
+            send_cut_command();
+        });
+    }
+
     void send_cut_command() {
+        const partition& domain = domain_cut_senders_;
+        const partition& some = cut_senders_;
+        const bool both = !domain.addresses.empty() && !some.addresses.empty();
+        const std::string& manner = domain.addresses.empty() ? some.manner : domain.manner;
+        cut_command_ =
+            fmt::format(R"({{"cut_manner":"{}","cut_off":"{}"}})", manner.empty() ? "none" : manner,
+                        domain.addresses + (both ? "," : "") + some.addresses);
         for (const auto& server : servers_) {
             send_command(*server, cut_command_);
         }
@@ -458,6 +545,25 @@
         return is_up_to_date(i) && monotonic_now() >= disturbed + catch_up_time;
     }
 
+    /// Whether a first try counts that begins or ends now: a failure domain has been partitioned
+    /// for long enough, and the instance is undisturbed apart from that.
+    enum class try_kind : std::uint8_t { not_counted, cut_off, other };
+    try_kind first_try_kind(std::size_t i) const {
+        const time_point now = monotonic_now();
+        if (!is_up_to_date(i) || now < rejected_until_[i] + catch_up_time) {
+            return try_kind::not_counted;
+        }
+        const auto counts = [now](const domain_cut& cut) {
+            return now >= cut.from + contact_time && now < cut.until;
+        };
+        if (counts(domain_cut_[i])) {
+            return try_kind::cut_off;
+        }
+        const bool cut_now = std::any_of(domain_cut_.begin(), domain_cut_.end(), counts);
+        return cut_now && now >= cut_off_until_[i] + catch_up_time ? try_kind::other
+                                                                   : try_kind::not_counted;
+    }
+
     /// Takes up a stream that broke off, each time at another instance, until it is complete.
     asio::awaitable<void> take_up(std::string stream, received_stream received, std::size_t at) {
         int events = received.events;
@@ -503,12 +609,17 @@
             const std::string path = resumable ? "/r/x" : stream ? "/s/x" : "/a/x";
             const std::string id = random_id();
             const bool counts = resumable && is_in_touch(at);
+            const try_kind kind = first_try_kind(at);
             soak_request request{id, path, stream};
             const received_stream received =
                 co_await send_audited(*connection, audit_, std::move(request));
             if (counts && is_in_touch(at)) {
                 audit_.stream_asked(received.events > 0);
             }
+            if (kind != try_kind::not_counted && kind == first_try_kind(at)) {
+                audit_.first_try_ended(monotonic_now(), kind == try_kind::cut_off,
+                                       received.status == 200);
+            }
             if (resumable && received.events > 0 && !received.complete) {
                 co_await take_up(id, received, at);
             }
@@ -578,17 +689,32 @@
         }
     }
 
+    template <typename value_type> static std::vector<value_type> per_instance() {
+        return std::vector<value_type>(static_cast<std::size_t>(GetParam().instances));
+    }
+
     void stop_callers() {
         stop_ = true;
         wait_until([this] { return callers_ == 0; });
     }
 
-    std::mt19937_64 random_{GetParam()};
+    /// Instances that are partitioned from all servers, and how.
+    struct partition {
+        std::string addresses{};
+        std::string manner{};
+    };
+    struct domain_cut {
+        time_point from{};
+        time_point until{};
+    };
+
+    std::mt19937_64 random_{GetParam().seed};
     soak_audit audit_;
     std::vector<std::string> stores_;
-    std::vector<time_point> rejected_until_ = std::vector<time_point>(instance_count);
-    std::vector<time_point> cut_off_until_ = std::vector<time_point>(instance_count);
-    std::vector<time_point> disturbed_until_ = std::vector<time_point>(instance_count);
+    std::vector<time_point> rejected_until_ = per_instance<time_point>();
+    std::vector<time_point> cut_off_until_ = per_instance<time_point>();
+    std::vector<time_point> disturbed_until_ = per_instance<time_point>();
+    std::vector<domain_cut> domain_cut_ = per_instance<domain_cut>();
     std::vector<std::unique_ptr<soak_server>> servers_;
     /// The instance that received a harmful request, by the request's id.
     std::map<std::string, std::size_t> instance_of_request_;
@@ -597,6 +723,8 @@
     std::deque<scheduled_action> scheduled_;
     /// The latest command about partitions to the servers' proxies; empty before the first.
     std::string cut_command_;
+    partition cut_senders_;
+    partition domain_cut_senders_;
     int cut_number_ = 0;
     int version_ = 1;
     int callers_ = 0;
@@ -607,8 +735,11 @@
     time_point learning_disturbed_until_{};
 };
 
-INSTANTIATE_TEST_SUITE_P(seeds, soak_test, testing::ValuesIn(seeds()),
-                         [](const auto& info) { return std::to_string(info.param); });
+INSTANTIATE_TEST_SUITE_P(seeds, soak_test, testing::ValuesIn(rows_from_environment()),
+                         [](const auto& info) { return std::to_string(info.param.seed); });
+INSTANTIATE_TEST_SUITE_P(few_domains, soak_test, testing::ValuesIn(rows_of_few_domains()),
+                         [](const auto& info) { return info.param.cut_manner; });
+GTEST_ALLOW_UNINSTANTIATED_PARAMETERIZED_TEST(soak_test);
 
 // Callers send requests continuously while processes are killed, paused, terminated and restarted,
 // the store fails calls and loses its history, links stall and break, and servers join, leave and
