--- a/test/carrier_selector_test.cpp
+++ b/test/carrier_selector_test.cpp
@@ -311,7 +311,27 @@
     for (const auto& found : simulation.run(searches)) {
         EXPECT_LE(found.value(), milliseconds(100));
     }
-    EXPECT_LE(simulation.asked.size(), 75u + 20u);
+    std::map<std::string, int> asked;
+    for (const carrier_candidate* it : simulation.asked) {
+        if (simulation.cut_off.contains(it->address)) {
+            EXPECT_EQ(++asked[it->address], 1) << it->address;
+        }
+    }
+}
+
+TEST(carrier_selector, asks_twice_in_other_failure_domains_before_one_that_is_cut_off) {
+    carriers_simulation simulation(3, 25, 14);
+    simulation.cut_off_domain("d0");
+    simulation.run("d0");
+    carrier_search search = search_for("d1");
+    constexpr std::size_t asked_in_others = 4;
+    while (search.asked < asked_in_others) {
+        for (const chosen_carrier& it :
+             simulation.selector.choose(search, simulation.candidates, simulation.now)) {
+            EXPECT_NE(it.carrier->failure_domain, "d0") << search.asked;
+        }
+        simulation.now = search.next_round;
+    }
 }
 
 TEST(carrier_selector, asks_few_instances_while_none_reaches_the_service) {
