Test carriers that are killed while a failure domain is cut off

Cause: carriers that end were tested without connections only.

Change: a row of cut_off_domain kills eight of the 50 instances that carry for a failure domain of 25 after a second. The addresses at which connections fail are shared by two fixtures.

--- a/test/platform/cut_off_domain_test.cpp
+++ b/test/platform/cut_off_domain_test.cpp
@@ -3,9 +3,9 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Forwarding/backend_connection.h"
-#include "bamboostream/src/Http/address.h"
 #include "test/platform/peer_group.h"
 #include "test/platform/scripted_backend.h"
+#include "test/platform/unreachable_addresses.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,7 +16,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 constexpr int failure_domains = 3;
 constexpr std::size_t server_count = 12;
@@ -38,6 +37,8 @@
     /// How many of each failure domain are cut off, those of the first one first.
     std::array<int, failure_domains> cut_off;
     cut_manner manner;
+    /// Instances of the last failure domain that are killed after the first second.
+    int killed = 0;
     friend void PrintTo(const domain_cut_row& row, std::ostream* out) { *out << row.name; }
 };
 
@@ -48,12 +49,6 @@
 
 protected:
     cut_off_domain() : group_(failure_domains, GetParam().instances) {
-        refusing_.close();
-        // Nothing accepts connections there, and its queue for them is full.
-        full_.listen(0);
-        for (auto& socket : waiting_) {
-            socket.async_connect(full_.local_endpoint(), [](boost::system::error_code) {});
-        }
         for (std::size_t i = 0; i < server_count; ++i) {
             servers_.push_back(std::make_unique<scripted_backend>(
                 group_.context, [](scripted_connection& c) -> asio::awaitable<void> {
@@ -76,9 +71,8 @@
 
     /// Registers the servers at all instances, at addresses as each of them sees them.
     void register_servers(bool cut) {
-        const std::string lost = GetParam().manner == cut_manner::refused
-                                     ? refusing_address_
-                                     : to_text(full_.local_endpoint());
+        const std::string lost = GetParam().manner == cut_manner::refused ? unreachable_.refusing()
+                                                                          : unreachable_.silent();
         for (std::size_t at = 0; at < group_.all.size(); ++at) {
             for (std::size_t i = 0; i < server_count; ++i) {
                 registered_backend entry;
@@ -117,6 +111,9 @@
     /// Each instance that is cut off connects to one server after the other.
     void connect_all() {
         for (int second = 0; second < measured_seconds; ++second) {
+            if (second == 1) {
+                kill_carriers();
+            }
             const time_point end = monotonic_now() + seconds(1);
             for (std::size_t round = 0; monotonic_now() < end; ++round) {
                 for (std::size_t at = 0; at < group_.all.size(); ++at) {
@@ -135,12 +132,16 @@
         }
     }
 
+    void kill_carriers() {
+        for (int i = 0; i < GetParam().killed; ++i) {
+            const int last = GetParam().instances - 1 - i;
+            group_.kill(*group_.all.at(
+                static_cast<std::size_t>(last * failure_domains + failure_domains - 1)));
+        }
+    }
+
     peer_group group_;
-    tcp::acceptor refusing_{group_.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
-    std::string refusing_address_ = to_text(refusing_.local_endpoint());
-    tcp::acceptor full_{group_.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
-    std::array<tcp::socket, 3> waiting_{tcp::socket(group_.context), tcp::socket(group_.context),
-                                        tcp::socket(group_.context)};
+    unreachable_addresses unreachable_{group_.context};
     std::vector<std::unique_ptr<scripted_backend>> servers_;
     std::vector<bool> is_cut_off_;
     int open_ = 0;
@@ -152,17 +153,20 @@
 
 INSTANTIATE_TEST_SUITE_P(
     table, cut_off_domain,
-    testing::Values(domain_cut_row{"three_of_three_refused", 3, {3, 0, 0}, cut_manner::refused},
-                    domain_cut_row{"eight_of_eight_refused", 8, {8, 0, 0}, cut_manner::refused},
-                    domain_cut_row{"eight_of_eight_silent", 8, {8, 0, 0}, cut_manner::silent},
-                    domain_cut_row{"most_of_25_refused", 25, {23, 0, 0}, cut_manner::refused},
-                    domain_cut_row{"most_of_25_silent", 25, {23, 0, 0}, cut_manner::silent},
-                    domain_cut_row{"all_of_25_refused", 25, {25, 0, 0}, cut_manner::refused},
-                    domain_cut_row{"all_of_25_silent", 25, {25, 0, 0}, cut_manner::silent},
-                    domain_cut_row{"two_domains_refused", 8, {8, 8, 0}, cut_manner::refused},
-                    domain_cut_row{"two_domains_silent", 8, {8, 8, 0}, cut_manner::silent},
-                    domain_cut_row{"all_but_one_refused", 8, {8, 8, 7}, cut_manner::refused},
-                    domain_cut_row{"all_but_one_silent", 8, {8, 8, 7}, cut_manner::silent}),
+    testing::Values(
+        domain_cut_row{"three_of_three_refused", 3, {3, 0, 0}, cut_manner::refused},
+        domain_cut_row{"eight_of_eight_refused", 8, {8, 0, 0}, cut_manner::refused},
+        domain_cut_row{"eight_of_eight_silent", 8, {8, 0, 0}, cut_manner::silent},
+        domain_cut_row{"most_of_25_refused", 25, {23, 0, 0}, cut_manner::refused},
+        domain_cut_row{"most_of_25_silent", 25, {23, 0, 0}, cut_manner::silent},
+        domain_cut_row{"all_of_25_refused", 25, {25, 0, 0}, cut_manner::refused},
+        domain_cut_row{"all_of_25_silent", 25, {25, 0, 0}, cut_manner::silent},
+        domain_cut_row{
+            "all_of_25_refused_and_carriers_killed", 25, {25, 0, 0}, cut_manner::refused, 8},
+        domain_cut_row{"two_domains_refused", 8, {8, 8, 0}, cut_manner::refused},
+        domain_cut_row{"two_domains_silent", 8, {8, 8, 0}, cut_manner::silent},
+        domain_cut_row{"all_but_one_refused", 8, {8, 8, 7}, cut_manner::refused},
+        domain_cut_row{"all_but_one_silent", 8, {8, 8, 7}, cut_manner::silent}),
     [](const auto& info) { return info.param.name; });
 
 // Guards against callers of a failure domain that has lost its links to all backend servers being
--- a/test/platform/tunnel_test.cpp
+++ b/test/platform/tunnel_test.cpp
@@ -6,6 +6,7 @@
 #include "bamboostream/src/Links/frame_codec.h"
 #include "test/platform/peer_group.h"
 #include "test/platform/scripted_backend.h"
+#include "test/platform/unreachable_addresses.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -35,15 +36,7 @@
 
 class tunnel_test : public testing::Test {
 protected:
-    tunnel_test() : group_(1, 3) {
-        refusing_.close();
-        // Nothing accepts connections there, and its queue for them is full.
-        full_.listen(0);
-        for (auto& socket : waiting_) {
-            socket.async_connect(full_.local_endpoint(), [](boost::system::error_code) {});
-        }
-        group_.run_for(milliseconds(20));
-    }
+    tunnel_test() : group_(1, 3) { group_.run_for(milliseconds(20)); }
 
     peer_instance& origin() { return *group_.all.front(); }
 
@@ -130,15 +123,11 @@
         return reply;
     }
 
-    std::string refusing_address() const { return refusing_address_; }
-    std::string silent_address() const { return to_text(full_.local_endpoint()); }
+    std::string refusing_address() const { return unreachable_.refusing(); }
+    std::string silent_address() const { return unreachable_.silent(); }
 
     peer_group group_;
-    tcp::acceptor refusing_{group_.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
-    std::string refusing_address_ = to_text(refusing_.local_endpoint());
-    tcp::acceptor full_{group_.context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)};
-    std::array<tcp::socket, 3> waiting_{tcp::socket(group_.context), tcp::socket(group_.context),
-                                        tcp::socket(group_.context)};
+    unreachable_addresses unreachable_{group_.context};
     std::shared_ptr<http_connection> connection_;
 };
 
