Tests hold the port at which connections are refused

Cause: the test closed a socket and used its address as one that refuses connections. Another process may take that port; the run's log has neither tunnel_requested nor carriers_asked, so the direct connection succeeded.

Change: the socket stays bound and doesn't listen, which refuses connections and keeps the port. The checks are the same.

--- a/test/platform/unreachable_addresses.h
+++ b/test/platform/unreachable_addresses.h
@@ -14,12 +14,14 @@
 public:
     /// Takes effect once `context` has run for some milliseconds.
     explicit unreachable_addresses(boost::asio::io_context& context)
-        : refusing_(context, any_port()),
+        : refusing_(context),
           full_(context, any_port()), waiting_{boost::asio::ip::tcp::socket(context),
                                                boost::asio::ip::tcp::socket(context),
                                                boost::asio::ip::tcp::socket(context)} {
+        // Bound and not listening: connections are refused, and no other process can take the port.
+        refusing_.open(any_port().protocol());
+        refusing_.bind(any_port());
         refusing_address_ = to_text(refusing_.local_endpoint());
-        refusing_.close();
         // Nothing accepts connections there, and its queue for them is full.
         full_.listen(0);
         for (auto& socket : waiting_) {
