Never send a negative connect timeout to a carrier

Cause, found by reading: a search asks while more than 30 ms are left, but the request is built when its coroutine runs, which may be later on a busy instance. The difference, then negative, became a timeout of 49 days, so the carrier's connection to a silent server would stay until the system gives it up.

Change: at least a millisecond is sent.

--- a/bamboostream/src/Gateway/tunnel_client.cpp
+++ b/bamboostream/src/Gateway/tunnel_client.cpp
@@ -179,8 +179,8 @@
     wire::TunnelRequestT request;
     request.backend = search->server.id.text();
     request.request = search->request_id;
-    request.timeout_ms =
-        static_cast<std::uint32_t>(std::min(carrier_timeout, left - answer_margin).count());
+    request.timeout_ms = static_cast<std::uint32_t>(
+        std::clamp(left - answer_margin, milliseconds(1), carrier_timeout).count());
     const auto socket = std::make_shared<tcp::socket>(context_);
     wire::FrameT frame = make_frame(std::move(request));
     frame.sender = membership_.own_address();
