Log the parts of a prompt when a server crashes under the request

The logs of the incident couldn't tell what the requests had in common under which servers crashed: nothing read the list of a prompt's parts.

--- a/bamboostream/src/Forwarding/forward_request.h
+++ b/bamboostream/src/Forwarding/forward_request.h
@@ -2,10 +2,12 @@
 
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Core/identities.h"
+#include "bamboostream/src/Core/prompt_part.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace bamboostream {
 
@@ -31,6 +33,9 @@
     /// Id of the attempt that brought the first event of the stream that the caller resumes; empty
     /// if it resumes none.
     std::string resumes;
+    /// The parts of the prompt that other requests may have too, in order; empty if the caller
+    /// named none.
+    std::vector<prompt_part> shared_parts;
 };
 
 /// A copy of a generation's cache memory, from which another engine continues the generation.
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -273,11 +273,11 @@
         process = co_await state_.server_checks.check(sent_to_.id, sent_to_.address);
     }
     log_event(events::backend_connection_lost,
-              "request={} digest={} backend={} address={} process={} leaving={} answer_begun={} "
-              "events={} after_send_ms={:.0f}",
-              request_.id, digest().text(), sent_to_.id.text(), sent_to_.address,
-              to_string(process), leaving, response_head_received_, splitter_.events(),
-              to_milliseconds(lost_at - sent_at_));
+              "request={} digest={} parts={} backend={} address={} process={} leaving={} "
+              "answer_begun={} events={} after_send_ms={:.0f}",
+              request_.id, digest().text(), labels_of(request_.shared_parts), sent_to_.id.text(),
+              sent_to_.address, to_string(process), leaving, response_head_received_,
+              splitter_.events(), to_milliseconds(lost_at - sent_at_));
     if (process == process_state::running || leaving) {
         co_return;
     }
