Hold requests by a part of their prompts that crashes servers

What callers saw: requests with one part in common crashed 75 to 91 engines in half a minute, one after the other, and the streams beside them.

Cause: evidence of a crash counted against whole requests only. Requests that share a harmful part but are never alike have one crashed server each (or three, with retries), so each was held for itself, after its crashes. Class: harm carried by something that different requests share.

Change: evidence carries the parts of the request's prompt. part_attribution decides about parts and whole requests together, the one that explains most crashes first: a part is held after three servers (six if it was answered before) crashed since it was last answered. Answers clear the parts that sound requests share with harmful ones; parts that were always together are held together only, so that requests with one of them show which it is; a stream that has outlasted the crashed ones clears its parts as well. Held parts are announced, asked for, stored, tried and released like requests. Frames have new fields, which an older instance ignores.

Servers that crash without a cause in requests: nothing held, as before.

--- a/bamboostream/src/Control/frames.cpp
+++ b/bamboostream/src/Control/frames.cpp
@@ -12,6 +12,8 @@
 /// The upper marks hold the attempts that don't fit into their own field.
 constexpr unsigned upper_attempts_shift = 3;
 constexpr unsigned attempts_in_field = 8;
+/// Limits what a damaged report can make an instance remember.
+constexpr std::size_t max_parts_per_request = 32;
 
 std::uint8_t marks_of(const crash_evidence& evidence) {
     return static_cast<std::uint8_t>(
@@ -88,6 +90,15 @@
         report.entries.emplace_back(it.request.high, it.request.low, it.server, it.caller,
                                     age_to_wire(now - it.at), it.answering, it.cleared,
                                     marks_of(it), static_cast<std::uint8_t>(it.attempts));
+        if (!it.parts.empty()) {
+            auto parts = std::make_unique<wire::HarmPartsT>();
+            parts->entry = static_cast<std::uint32_t>(report.entries.size() - 1);
+            parts->streamed_ms = age_to_wire(it.streamed_for);
+            for (const request_digest& part : it.parts) {
+                parts->parts.emplace_back(part.high, part.low);
+            }
+            report.parts.push_back(std::move(parts));
+        }
     }
     return report;
 }
@@ -106,6 +117,32 @@
                        (entry.marks() & shared_mark) != 0,
                        attempts_of(entry)});
     }
+    for (const auto& it : report.parts) {
+        if (it == nullptr || it->entry >= out.size()) {
+            continue;
+        }
+        crash_evidence& evidence = out[it->entry];
+        evidence.streamed_for = milliseconds(it->streamed_ms);
+        const std::size_t count = std::min(it->parts.size(), max_parts_per_request);
+        for (std::size_t i = 0; i < count && evidence.parts.size() < count; ++i) {
+            evidence.parts.push_back({it->parts[i].high(), it->parts[i].low()});
+        }
+    }
+    return out;
+}
+
+void add_part_answers(wire::HarmReportT& report, std::span<const part_answer> answers,
+                      time_point now) {
+    for (const part_answer& it : answers) {
+        report.part_answers.emplace_back(it.part.high, it.part.low, age_to_wire(now - it.at));
+    }
+}
+
+std::vector<part_answer> part_answers_of(const wire::HarmReportT& report, time_point now) {
+    std::vector<part_answer> out;
+    for (const wire::PartAnswer& it : report.part_answers) {
+        out.push_back({{it.high(), it.low()}, now - milliseconds(it.age_ms())});
+    }
     return out;
 }
 
--- a/bamboostream/src/Control/frames.h
+++ b/bamboostream/src/Control/frames.h
@@ -41,4 +41,9 @@
 wire::HarmReportT to_wire(std::span<const crash_evidence> evidence, time_point now);
 std::vector<crash_evidence> from_wire(const wire::HarmReportT& report, time_point now);
 
+/// Adds to a report what is known of answers to requests with parts of prompts, and reads it.
+void add_part_answers(wire::HarmReportT& report, std::span<const part_answer> answers,
+                      time_point now);
+std::vector<part_answer> part_answers_of(const wire::HarmReportT& report, time_point now);
+
 } // namespace bamboostream
--- a/bamboostream/src/Control/quarantine_exchange.cpp
+++ b/bamboostream/src/Control/quarantine_exchange.cpp
@@ -42,16 +42,24 @@
     evidence_added_.cancel();
 }
 
+void quarantine_exchange::note(const part_answer& answer) {
+    unannounced_answers_.push_back(answer);
+    evidence_added_.cancel();
+}
+
 asio::awaitable<void> quarantine_exchange::announce_loop() {
     while (true) {
-        if (unannounced_.empty()) {
+        if (unannounced_.empty() && unannounced_answers_.empty()) {
             co_await wait_on(evidence_added_, monotonic_now() + idle_wait);
         }
         co_await pause_for(batching_delay);
         const std::vector<crash_evidence> evidence = std::exchange(unannounced_, {});
-        if (!evidence.empty()) {
-            links_.send_to_each(membership_.usable_peers(),
-                                make_frame(to_wire(evidence, monotonic_now())));
+        const std::vector<part_answer> answers = std::exchange(unannounced_answers_, {});
+        if (!evidence.empty() || !answers.empty()) {
+            const time_point now = monotonic_now();
+            wire::HarmReportT report = to_wire(evidence, now);
+            add_part_answers(report, answers, now);
+            links_.send_to_each(membership_.usable_peers(), make_frame(std::move(report)));
         }
     }
 }
@@ -83,15 +91,20 @@
 void quarantine_exchange::hear(const wire::HarmReportT& report) {
     const time_point now = monotonic_now();
     quarantine_.take(from_wire(report, now), "peer", now);
+    if (!report.part_answers.empty()) {
+        quarantine_.take_answers(part_answers_of(report, now), "peer", now);
+    }
 }
 
 std::unique_ptr<wire::FrameT> quarantine_exchange::answer(const wire::HarmRequestT& request) const {
     const request_quarantine& own = quarantine_.decisions();
-    std::vector<crash_evidence> evidence;
+    wire::HarmReportT report;
     if (request.fingerprint != own.fingerprint()) {
-        evidence = own.suspicious_evidence();
+        const time_point now = monotonic_now();
+        report = to_wire(own.suspicious_evidence(), now);
+        add_part_answers(report, own.part_answers(), now);
     }
-    return make_reply(to_wire(evidence, monotonic_now()));
+    return make_reply(std::move(report));
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Control/quarantine_exchange.h
+++ b/bamboostream/src/Control/quarantine_exchange.h
@@ -35,6 +35,8 @@
     void start();
     /// Queues evidence that this instance has found or cleared for announcement.
     void note(const crash_evidence& evidence);
+    /// Queues what this instance knows of an answer to a request with a part of a prompt.
+    void note(const part_answer& answer);
     /// Merges evidence announced or returned by a peer.
     void hear(const wire::HarmReportT& report);
     /// Grants trials of held requests.
@@ -53,6 +55,7 @@
     quarantine_registry& quarantine_;
     trial_service trials_;
     std::vector<crash_evidence> unannounced_;
+    std::vector<part_answer> unannounced_answers_;
     boost::asio::steady_timer evidence_added_;
     std::mt19937_64 random_;
 };
--- a/bamboostream/src/Control/quarantine_service.cpp
+++ b/bamboostream/src/Control/quarantine_service.cpp
@@ -85,8 +85,9 @@
 asio::awaitable<trial_result> quarantine_service::await_trial(request_digest request,
                                                               time_point deadline) {
     trial_arbiter* const arbiter = &exchange_.trials();
-    co_return co_await bamboostream::await_trial(registry_, arbiter, request, deadline,
-                                                 [] { return false; });
+    request_digest trial_of;
+    co_return co_await bamboostream::await_trial(
+        registry_, arbiter, request, deadline, [] { return false; }, trial_of);
 }
 
 wall_time quarantine_service::start_stamp_of(const backend_id& server) const {
--- a/bamboostream/src/Control/trial_arbiter.cpp
+++ b/bamboostream/src/Control/trial_arbiter.cpp
@@ -17,8 +17,9 @@
 } // namespace
 
 asio::awaitable<trial_result> await_trial(quarantine_registry& quarantine,
-                                          trial_arbiter* const& arbiter, request_digest request,
-                                          time_point deadline, std::function<bool()> abandoned) {
+                                          trial_arbiter* const& arbiter, quarantine_subject request,
+                                          time_point deadline, std::function<bool()> abandoned,
+                                          request_digest& trial_of) {
     const time_point began = monotonic_now();
     const time_point limit = began + (deadline - began) / 2;
     while (true) {
@@ -28,6 +29,7 @@
         if (state == nullptr) {
             co_return trial_result::released;
         }
+        trial_of = state->suspect;
         if (arbiter == nullptr && state->verdict <= quarantine_verdict::suspected) {
             co_return trial_result::released;
         }
@@ -45,17 +47,17 @@
         }
         const duration lease =
             state->popular ? std::min(deadline - now, max_popular_lease) : deadline - now;
-        if (!deferred && now >= state->trial_due && co_await arbiter->acquire(request, lease)) {
+        if (!deferred && now >= state->trial_due && co_await arbiter->acquire(trial_of, lease)) {
             // The verdict may have changed while the arbiter was asked.
-            const quarantine_verdict verdict = quarantine.verdict(request);
+            const quarantine_verdict verdict = quarantine.verdict(trial_of);
             const bool undecided = verdict == quarantine_verdict::suspected ||
                                    verdict == quarantine_verdict::contested;
             if (undecided && !abandoned()) {
-                log_event(events::quarantine_trial, "digest={} waited_ms={:.0f}", request.text(),
+                log_event(events::quarantine_trial, "digest={} waited_ms={:.0f}", trial_of.text(),
                           to_milliseconds(monotonic_now() - began));
                 co_return trial_result::on_trial;
             }
-            arbiter->release(request);
+            arbiter->release(trial_of);
             continue;
         }
         co_await pause_for(poll_interval);
--- a/bamboostream/src/Control/trial_arbiter.h
+++ b/bamboostream/src/Control/trial_arbiter.h
@@ -40,9 +40,13 @@
 /// returns true. After that time a deferred request is released, and one that many callers send is
 /// released or becomes another trial: without a decision, refusing it would concern all of its
 /// callers. `arbiter` is read again after each pause, since it may be gone by then.
+///
+/// The trial is one of the request, or of the part of its prompt that is held: `trial_of` is set to
+/// what it was acquired for.
 boost::asio::awaitable<trial_result> await_trial(quarantine_registry& quarantine,
                                                  trial_arbiter* const& arbiter,
-                                                 request_digest request, time_point deadline,
-                                                 std::function<bool()> abandoned);
+                                                 quarantine_subject request, time_point deadline,
+                                                 std::function<bool()> abandoned,
+                                                 request_digest& trial_of);
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -189,6 +189,7 @@
     sent_at_ = now;
     sent_to_ = to.backend;
     response_head_received_ = false;
+    attempt_first_event_.reset();
     work_before_send_ = to.work;
     connection_->expire_at(to.copy ? deadline_ : attempt_deadline());
     if (!co_await connection_->read_head(why)) {
@@ -284,11 +285,13 @@
     crash_evidence evidence;
     evidence.request = digest();
     evidence.server = incarnation_key(sent_to_.id.text(), sent_to_.started_ms);
-    evidence.caller = stable_hash(workspace_ ? workspace_->text() : "");
+    evidence.caller = caller_hash();
     evidence.at = lost_at;
     evidence.answering = response_head_received_;
     evidence.on_trial = on_trial_;
     evidence.attempts = attempt_bit(request_.id);
+    evidence.parts = shared_part_digests();
+    evidence.streamed_for = std::chrono::duration_cast<milliseconds>(streamed_for());
     if (process == process_state::ended) {
         state_.quarantine.add_local_evidence(evidence, monotonic_now());
         end_trial();
@@ -323,6 +326,7 @@
     const time_point now = monotonic_now();
     longest_pause_ = stream_started_ ? std::max(longest_pause_, now - latest_event_) : duration{};
     latest_event_ = now;
+    attempt_first_event_ = attempt_first_event_.value_or(now);
     if (!stream_started_) {
         stream_started_ = true;
         first_event_ = now;
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -1,6 +1,7 @@
 #include "bamboostream/src/Forwarding/forwarded_call.h"
 
 #include "bamboostream/src/Control/async_wait.h"
+#include "bamboostream/src/Core/digest.h"
 #include "bamboostream/src/Core/event_log.h"
 #include "bamboostream/src/Forwarding/request_identity.h"
 
@@ -140,30 +141,34 @@
     return std::nullopt;
 }
 
-duration forwarded_call::retry_after_delay(refusal_cause cause) const {
+duration forwarded_call::retry_after_delay(refusal_cause cause) {
     refused_request about{cause, route_ ? route_->objective : duration{}, request_.caller_timeout,
                           overload_duration_};
-    if (cause == refusal_cause::quarantined) {
-        about.quarantine = state_.quarantine.held_for(*digest_, monotonic_now());
-    }
-    if (cause == refusal_cause::awaiting_trial) {
-        const suspect_state* held = state_.quarantine.decisions().find_suspect(*digest_);
-        const duration left = held ? held->trial_due - monotonic_now() : duration{};
-        about.quarantine = std::max(left, duration{});
+    const bool is_held =
+        cause == refusal_cause::quarantined || cause == refusal_cause::awaiting_trial;
+    const suspect_state* held =
+        is_held ? state_.quarantine.decisions().find_suspect(subject()) : nullptr;
+    if (held != nullptr) {
+        const time_point now = monotonic_now();
+        const duration left = state_.quarantine.held_for(held->suspect, now);
+        about.quarantine = cause == refusal_cause::quarantined
+                               ? left
+                               : std::clamp(held->trial_due - now, duration{}, left);
     }
     return choose_retry_delay(about, state_.random);
 }
 
-refusal_cause forwarded_call::quarantine_cause() const {
-    return state_.quarantine.verdict(*digest_) == quarantine_verdict::confirmed
+refusal_cause forwarded_call::quarantine_cause() {
+    return state_.quarantine.verdict(subject()) == quarantine_verdict::confirmed
                ? refusal_cause::quarantined
                : refusal_cause::awaiting_trial;
 }
 
 /// While the store is unavailable, servers that can't be reached are those that have ended since,
 /// so the cause is missing information and not overload.
-refusal_cause forwarded_call::not_run_cause() const {
-    if (digest_ && state_.quarantine.verdict(*digest_) >= quarantine_verdict::suspected) {
+refusal_cause forwarded_call::not_run_cause() {
+    if (state_.quarantine.any() &&
+        state_.quarantine.verdict(subject()) >= quarantine_verdict::suspected) {
         return quarantine_cause();
     }
     const auto servers = state_.registry.usable(service_->id);
@@ -185,7 +190,7 @@
               request_.id, why.code, why.status, routes_ ? routes_->configuration().version : 0,
               why.not_run == refusal_cause::quarantined ||
                       why.not_run == refusal_cause::awaiting_trial
-                  ? " digest=" + digest().text()
+                  ? fmt::format(" digest={} parts={}", digest().text(), labels_of_held_parts())
                   : "");
     co_await exchange_.respond_json(why.status, error_body(why.code), fields);
 }
@@ -361,23 +366,65 @@
     return *digest_;
 }
 
+std::uint64_t forwarded_call::caller_hash() const {
+    return stable_hash(workspace_ ? workspace_->text() : "");
+}
+
+std::vector<request_digest> forwarded_call::shared_part_digests() const {
+    std::vector<request_digest> out;
+    for (const prompt_part& part : request_.shared_parts) {
+        out.push_back(part.digest);
+    }
+    return out;
+}
+
+const quarantine_subject& forwarded_call::subject() {
+    if (!subject_) {
+        subject_.emplace(digest(), caller_hash(), shared_part_digests());
+    }
+    return *subject_;
+}
+
+std::string forwarded_call::labels_of_held_parts() {
+    const suspect_state* state = state_.quarantine.decisions().find_suspect(subject());
+    const held_parts* held =
+        state ? state_.quarantine.decisions().find_held_parts(state->suspect) : nullptr;
+    std::vector<prompt_part> out;
+    for (const prompt_part& part : request_.shared_parts) {
+        if (held != nullptr &&
+            std::binary_search(held->parts.begin(), held->parts.end(), part.digest)) {
+            out.push_back(part);
+        }
+    }
+    return labels_of(out);
+}
+
+duration forwarded_call::streamed_for() const {
+    return attempt_first_event_ ? latest_event_ - *attempt_first_event_ : duration{};
+}
+
+bool forwarded_call::has_streamed(const held_parts& parts, duration limit) const {
+    return streamed_for() > limit && parts.applies_to(caller_hash(), shared_part_digests());
+}
+
 asio::awaitable<bool> forwarded_call::pass_quarantine() {
+    state_.quarantine.settle(monotonic_now());
     const quarantine_verdict verdict =
-        state_.quarantine.any() ? state_.quarantine.verdict(digest()) : quarantine_verdict::free;
+        state_.quarantine.any() ? state_.quarantine.verdict(subject()) : quarantine_verdict::free;
     const bool trial_continues = on_trial_ && verdict != quarantine_verdict::confirmed;
     if (verdict == quarantine_verdict::free || trial_continues) {
         co_return true;
     }
-    const trial_result result =
-        co_await await_trial(state_.quarantine, state_.trials, digest(), deadline_,
-                             [this] { return caller_left_ || withdrawn_; });
+    const trial_result result = co_await await_trial(
+        state_.quarantine, state_.trials, subject(), deadline_,
+        [this] { return caller_left_ || withdrawn_; }, trial_of_);
     on_trial_ = on_trial_ || result == trial_result::on_trial;
     co_return result != trial_result::refused;
 }
 
 void forwarded_call::end_trial() {
     if (on_trial_ && state_.trials != nullptr) {
-        state_.trials->release(*digest_);
+        state_.trials->release(trial_of_);
     }
     on_trial_ = false;
 }
@@ -389,7 +436,8 @@
 }
 
 void forwarded_call::withdraw(const request_digest& request) {
-    if (stream_started_ || caller_left_ || digest() != request) {
+    const suspect_state* held = state_.quarantine.decisions().find_suspect(subject());
+    if (stream_started_ || caller_left_ || held == nullptr || held->suspect != request) {
         return;
     }
     withdrawn_ = true;
@@ -403,12 +451,16 @@
     if (state_.quarantine.wants_answer(request.target.size() + request.body.size())) {
         state_.quarantine.note_answer(digest(), monotonic_now());
     }
+    if (!request_.shared_parts.empty()) {
+        state_.quarantine.note_part_answers(shared_part_digests(), monotonic_now());
+    }
 }
 
 bool forwarded_call::try_acquire_retry(attempt_end end) {
     const time_point now = monotonic_now();
-    const bool confirmed_harmful = state_.quarantine.any() && state_.quarantine.verdict(digest()) ==
-                                                                  quarantine_verdict::confirmed;
+    const bool confirmed_harmful =
+        state_.quarantine.any() &&
+        state_.quarantine.verdict(subject()) == quarantine_verdict::confirmed;
     if (withdrawn_ || confirmed_harmful) {
         return false;
     }
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -31,6 +31,7 @@
     /// Runs the request to its final response. Call once.
     boost::asio::awaitable<void> run();
     void withdraw(const request_digest& request) override;
+    bool has_streamed(const held_parts& parts, duration limit) const override;
 
 private:
     /// Why a request is rejected before any attempt.
@@ -72,10 +73,10 @@
     /// Makes the origin known to other instances if the caller may take the stream up.
     void share_origin();
     boost::asio::awaitable<void> reject(rejection why);
-    duration retry_after_delay(refusal_cause cause) const;
-    refusal_cause not_run_cause() const;
+    duration retry_after_delay(refusal_cause cause);
+    refusal_cause not_run_cause();
     /// The cause while the request is held.
-    refusal_cause quarantine_cause() const;
+    refusal_cause quarantine_cause();
     boost::asio::awaitable<std::optional<destination>> choose();
     boost::asio::awaitable<std::optional<destination>> choose_engine_for_generation();
     backend_work expected_work() const;
@@ -108,6 +109,14 @@
     /// against the request, unless the server was known to be shutting down.
     boost::asio::awaitable<void> examine_lost_connection();
     const request_digest& digest();
+    /// What the quarantine knows the request by.
+    const quarantine_subject& subject();
+    std::uint64_t caller_hash() const;
+    std::vector<request_digest> shared_part_digests() const;
+    /// Labels of those parts of the prompt because of which the request is held.
+    std::string labels_of_held_parts();
+    /// From the first event of the latest attempt to its latest event.
+    duration streamed_for() const;
     /// Whether the request may be sent as far as the quarantine is concerned. Waits for its release
     /// or its trial if that is possible.
     boost::asio::awaitable<bool> pass_quarantine();
@@ -153,6 +162,7 @@
     std::optional<saved_response> failure_;
     /// Computed on first use; not needed as long as no server has crashed.
     std::optional<request_digest> digest_;
+    std::optional<quarantine_subject> subject_;
     /// The work that this request has added to `loads`, and for which backend server.
     backend_id work_backend_;
     backend_work registered_work_;
@@ -164,6 +174,8 @@
     /// When the latest attempt was sent, and its engine's work when the engine was chosen.
     time_point sent_at_;
     std::optional<backend_work> work_before_send_;
+    /// When the latest attempt brought its first event; nothing before.
+    std::optional<time_point> attempt_first_event_;
     /// When the first and the latest event were sent to the caller, and the longest pause between
     /// two events.
     time_point first_event_;
@@ -173,8 +185,10 @@
     bool caller_left_ = false;
     /// The request was quarantined while in progress.
     bool withdrawn_ = false;
-    /// The request is held, and this is its trial.
+    /// The request is held, and this is the trial of `trial_of_`: of the request or a part of its
+    /// prompt.
     bool on_trial_ = false;
+    request_digest trial_of_;
     /// Admission control refused the request at the chosen engine.
     bool admission_refused_ = false;
     /// How long generations of the service had been refused by then.
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -215,6 +215,7 @@
 
 void gateway::parts::connect_quarantine() {
     forwarding.quarantine.on_evidence([this](const crash_evidence& it) { quarantine->note(it); });
+    forwarding.quarantine.on_part_answer([this](const part_answer& it) { quarantine->note(it); });
     forwarding.quarantine.on_change(
         [this](const request_digest& it) { persister->note_change(it); });
     forwarding.quarantine.set_server_name_lookup([this](std::uint64_t life) {
--- a/bamboostream/src/Gateway/quarantine_persister.cpp
+++ b/bamboostream/src/Gateway/quarantine_persister.cpp
@@ -26,6 +26,22 @@
 constexpr milliseconds failure_backoff{1'000};
 constexpr std::chrono::hours idle_wait{1};
 
+std::vector<request_digest> read_parts(const json::value& entry) {
+    const json::object* fields = entry.if_object();
+    const json::value* parts = fields ? fields->if_contains("parts") : nullptr;
+    std::vector<request_digest> out;
+    if (parts == nullptr || !parts->is_array()) {
+        return out;
+    }
+    for (const json::value& part : parts->get_array()) {
+        const json::string* text = part.if_string();
+        if (const auto digest = request_digest::parse(text ? std::string_view(*text) : "")) {
+            out.push_back(*digest);
+        }
+    }
+    return out;
+}
+
 bool contains_name(const std::vector<std::string>& names, const std::string& name) {
     return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -37,6 +53,10 @@
     json::array entries;
     for (const crash_evidence& it : evidence) {
         const auto age = std::chrono::duration_cast<milliseconds>(now - it.at);
+        json::array parts;
+        for (const request_digest& part : it.parts) {
+            parts.push_back(json::value(part.text()));
+        }
         entries.push_back(json::object{{"server", fmt::format("{:016x}", it.server)},
                                        {"caller", fmt::format("{:016x}", it.caller)},
                                        {"at_ms", wall_now_ms - age.count()},
@@ -45,19 +65,22 @@
                                        {"answered_before", it.answered_before},
                                        {"on_trial", it.on_trial},
                                        {"shared", it.shared},
-                                       {"attempts", it.attempts}});
+                                       {"attempts", it.attempts},
+                                       {"request", it.request.text()},
+                                       {"parts", std::move(parts)},
+                                       {"streamed_ms", it.streamed_for.count()}});
     }
     return json::serialize(json::object{{"evidence", std::move(entries)}});
 }
 
 std::optional<std::vector<crash_evidence>> read_evidence(const keyed_record& record, time_point now,
                                                          std::int64_t wall_now_ms) {
-    const auto request = request_digest::parse(record.key);
+    const auto key = request_digest::parse(record.key);
     std::string why;
     const auto document = parse_json(record.value, why);
     const json::object* object = document ? document->if_object() : nullptr;
     const json::value* entries = object ? object->if_contains("evidence") : nullptr;
-    if (!request || entries == nullptr || !entries->is_array()) {
+    if (!key || entries == nullptr || !entries->is_array()) {
         return std::nullopt;
     }
     const auto is_true = [](const json::value& entry, std::string_view key) {
@@ -68,12 +91,16 @@
     std::vector<crash_evidence> out;
     for (const json::value& entry : entries->get_array()) {
         const std::int64_t age = std::max<std::int64_t>(wall_now_ms - number_at(entry, "at_ms"), 0);
-        out.push_back({*request, parse_hexadecimal(text_at(entry, "server")).value_or(0),
-                       parse_hexadecimal(text_at(entry, "caller")).value_or(0),
-                       now - milliseconds(age), is_true(entry, "answering"),
-                       is_true(entry, "cleared"), is_true(entry, "answered_before"),
-                       is_true(entry, "on_trial"), is_true(entry, "shared"),
-                       static_cast<std::uint16_t>(number_at(entry, "attempts"))});
+        // The record of held parts has the evidence of several requests.
+        const auto request = request_digest::parse(text_at(entry, "request"));
+        out.push_back(
+            {request.value_or(*key), parse_hexadecimal(text_at(entry, "server")).value_or(0),
+             parse_hexadecimal(text_at(entry, "caller")).value_or(0), now - milliseconds(age),
+             is_true(entry, "answering"), is_true(entry, "cleared"),
+             is_true(entry, "answered_before"), is_true(entry, "on_trial"),
+             is_true(entry, "shared"), static_cast<std::uint16_t>(number_at(entry, "attempts"))});
+        out.back().parts = read_parts(entry);
+        out.back().streamed_for = milliseconds(number_at(entry, "streamed_ms"));
     }
     return out;
 }
--- a/bamboostream/src/Limits/crash_attribution.cpp
+++ b/bamboostream/src/Limits/crash_attribution.cpp
@@ -24,9 +24,13 @@
 }
 
 crash_attribution::crash_attribution(const crash_evidence_map& evidence,
-                                     const quarantine_rules& rules, time_point now)
+                                     const quarantine_rules& rules, time_point now,
+                                     const std::set<std::uint64_t>& explained)
     : rules_(rules), now_(now) {
     for (const auto& [key, crash] : evidence) {
+        if (explained.contains(crash.server)) {
+            continue;
+        }
         if (suspects_.empty() || suspects_.back().request != crash.request) {
             suspects_.emplace_back().request = crash.request;
         }
@@ -295,6 +299,7 @@
 
 suspect_state crash_attribution::state_of(const suspect& it) const {
     suspect_state out;
+    out.suspect = it.request;
     out.verdict = it.verdict;
     if (it.verdict == quarantine_verdict::confirmed && it.known == certainty::unsettled) {
         out.verdict = quarantine_verdict::contested;
--- a/bamboostream/src/Limits/crash_attribution.h
+++ b/bamboostream/src/Limits/crash_attribution.h
@@ -30,8 +30,10 @@
 /// The name of a verdict in log lines.
 std::string_view to_string(quarantine_verdict verdict);
 
-/// A request that is held or suspected.
+/// A request, or a part of prompts, that is held or suspected.
 struct suspect_state {
+    /// The digest of the request, or of the part by which requests are held.
+    request_digest suspect;
     quarantine_verdict verdict = quarantine_verdict::confirmed;
     /// When an attempt at a suspected or contested request may be sent as its trial.
     time_point trial_due = time_point::max();
@@ -76,9 +78,10 @@
 /// `quarantine_rules::trial_delay`, or for `deferral` if many callers send it.
 class crash_attribution {
 public:
-    /// `evidence` and `rules` must outlive the object.
+    /// Crashes of the servers in `explained` don't count. `evidence` and `rules` must outlive the
+    /// object.
     crash_attribution(const crash_evidence_map& evidence, const quarantine_rules& rules,
-                      time_point now);
+                      time_point now, const std::set<std::uint64_t>& explained = {});
 
     /// Returns the requests that are held or suspected. Once `quarantine_rules::settling_time` has
     /// passed since the last crash, the result depends only on the set of evidence.
--- a/bamboostream/src/Limits/crash_evidence.h
+++ b/bamboostream/src/Limits/crash_evidence.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace bamboostream {
 
@@ -45,8 +46,15 @@
     std::uint16_t attempts = 0;
     /// When this instance learned of it, if that was later. Not sent to other instances.
     time_point found_at{};
+    /// The digests of the parts of its prompt that other requests may have too.
+    std::vector<request_digest> parts{};
+    /// From the first event of the attempt's response to the latest one.
+    milliseconds streamed_for{0};
 };
 
+/// When requests with a part of a prompt were last answered, by part.
+using part_answer_map = std::map<request_digest, time_point>;
+
 /// Evidence by request and server.
 using crash_evidence_map = std::map<std::pair<request_digest, std::uint64_t>, crash_evidence>;
 
@@ -82,6 +90,22 @@
     /// Number of crashes from which on only requests under which several servers crashed are rivals
     /// of such a request.
     std::size_t max_disputed = 9;
+    /// Number of servers that must have crashed under a part that was answered before, since its
+    /// last answer. More than for a request: many requests have the part, and answers to them are
+    /// rarer while servers crash.
+    std::size_t servers_of_answered_part = 6;
+    /// A part must have been open on this fraction of the servers that crashed meanwhile, or on
+    /// `certain_part_factor` times as many servers as it takes to hold it.
+    double min_part_fraction = 0.25;
+    std::size_t certain_part_factor = 3;
+    /// How long the first trial of a held part waits if the part was answered before: until its
+    /// servers have been replaced.
+    milliseconds answered_part_trial_delay{2'000};
+    /// Number of trials that end with a crash after which a part is confirmed.
+    std::size_t max_part_trials = 2;
+    /// An attempt whose stream goes on for longer than those that crashed, by this margin, is
+    /// evidence that its parts don't crash servers.
+    milliseconds survival_margin{500};
     /// Limits on the pieces of evidence, for each caller and in total. A caller above its limit
     /// evicts only its own evidence.
     std::size_t max_evidence_per_caller = 256;
--- a/bamboostream/src/Limits/quarantine_registry.cpp
+++ b/bamboostream/src/Limits/quarantine_registry.cpp
@@ -25,12 +25,73 @@
     }
 }
 
+void quarantine_registry::take_answers(std::span<const part_answer> answers,
+                                       std::string_view origin, time_point now) {
+    if (quarantine_.add_part_answers(answers, now)) {
+        apply_changes(origin, now);
+    }
+}
+
+std::vector<part_answer>
+quarantine_registry::remembered_answers(std::span<const request_digest> parts,
+                                        time_point now) const {
+    std::vector<part_answer> out;
+    for (const request_digest& part : parts) {
+        if (const auto at = recent_part_answers_.latest(part, now)) {
+            out.push_back({part, *at});
+        }
+    }
+    return out;
+}
+
+void quarantine_registry::add_part_answers(std::span<const part_answer> answers, time_point now) {
+    if (!quarantine_.add_part_answers(answers, now) || !on_part_answer_) {
+        return;
+    }
+    for (const part_answer& it : answers) {
+        on_part_answer_(it);
+    }
+}
+
+void quarantine_registry::note_part_answers(std::span<const request_digest> parts, time_point now) {
+    for (const request_digest& part : parts) {
+        recent_part_answers_.record(part, now);
+    }
+    std::vector<part_answer> answers;
+    for (const request_digest& part : quarantine_.unanswered(parts)) {
+        answers.push_back({part, now});
+    }
+    if (!answers.empty()) {
+        add_part_answers(answers, now);
+        apply_changes("answered", now);
+    }
+}
+
+void quarantine_registry::check_held_parts(time_point now) {
+    std::vector<part_answer> answers;
+    for (const held_parts& held : quarantine_.all_held_parts()) {
+        const std::vector<part_answer> remembered = remembered_answers(held.parts, now);
+        answers.insert(answers.end(), remembered.begin(), remembered.end());
+        const duration limit = held.streamed_for + quarantine_.rules().survival_margin;
+        const bool refuted =
+            std::any_of(open_calls_.begin(), open_calls_.end(),
+                        [&](const open_call* call) { return call->has_streamed(held, limit); });
+        if (refuted) {
+            for (const request_digest& part : held.parts) {
+                answers.push_back({part, now});
+            }
+        }
+    }
+    add_part_answers(answers, now);
+}
+
 void quarantine_registry::add_local_evidence(crash_evidence evidence, time_point now) {
     evidence.cleared = evidence.cleared || recent_responses_.contains(evidence.request, now);
     evidence.answered_before =
         evidence.answered_before || recent_responses_.answered_before(evidence.request, now);
     take({&evidence, 1}, "own", now);
     announce(evidence);
+    add_part_answers(remembered_answers(evidence.parts, now), now);
 }
 
 bool quarantine_registry::wants_answer(std::size_t request_bytes) const {
@@ -50,6 +111,7 @@
 
 void quarantine_registry::expire(time_point now) {
     quarantine_.expire(now);
+    check_held_parts(now);
     apply_changes("expired", now);
     settle(now);
 }
@@ -61,6 +123,7 @@
 
 void quarantine_registry::clear_listeners() {
     on_evidence_ = nullptr;
+    on_part_answer_ = nullptr;
     on_change_ = nullptr;
     server_name_lookup_ = nullptr;
 }
@@ -100,6 +163,13 @@
     }
     std::string out = fmt::format("verdict={} servers={} rivals={}", to_string(held.verdict),
                                   servers_of(request), rivals.empty() ? "none" : rivals);
+    if (const held_parts* parts = quarantine_.find_held_parts(request)) {
+        std::string all;
+        for (const request_digest& it : parts->parts) {
+            all += (all.empty() ? "" : ",") + it.text();
+        }
+        out += fmt::format(" held_parts={} callers={}", all, parts->caller ? "one" : "all");
+    }
     if (held.verdict == quarantine_verdict::contested) {
         out += fmt::format(" trial_in_ms={:.0f}",
                            std::max(0.0, to_milliseconds(held.trial_due - now)));
@@ -108,6 +178,9 @@
 }
 
 void quarantine_registry::apply_changes(std::string_view origin, time_point now) {
+    if (quarantine_.has_changes()) {
+        check_held_parts(now);
+    }
     for (const auto& [request, before] : quarantine_.take_changes()) {
         if (holds(request)) {
             log_event(events::request_quarantined,
--- a/bamboostream/src/Limits/recent_responses.cpp
+++ b/bamboostream/src/Limits/recent_responses.cpp
@@ -39,6 +39,14 @@
     return known.responses > 0 && known.request == request && now - known.at <= time;
 }
 
+std::optional<time_point> recent_responses::latest(const request_digest& request,
+                                                   time_point now) const {
+    if (!answered_before(request, now)) {
+        return std::nullopt;
+    }
+    return entries_[request.low % entry_count].at;
+}
+
 bool recent_responses::contains(const request_digest& request, time_point now) const {
     return recorded_within(retention, request, now);
 }
--- a/bamboostream/src/Limits/recent_responses.h
+++ b/bamboostream/src/Limits/recent_responses.h
@@ -4,6 +4,7 @@
 #include "bamboostream/src/Core/request_digest.h"
 
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace bamboostream {
@@ -27,6 +28,9 @@
     bool contains(const request_digest& request, time_point now) const;
     /// Whether a response to the request was recorded within the time for which requests are held.
     bool answered_before(const request_digest& request, time_point now) const;
+    /// When the latest response that is known was recorded, within the time for which requests are
+    /// held; nothing if there is none.
+    std::optional<time_point> latest(const request_digest& request, time_point now) const;
 
 private:
     struct entry {
--- a/bamboostream/src/Limits/request_quarantine.cpp
+++ b/bamboostream/src/Limits/request_quarantine.cpp
@@ -54,6 +54,12 @@
     const auto attempts = static_cast<std::uint16_t>(from.attempts | to.attempts);
     changed = changed || attempts != to.attempts;
     to.attempts = attempts;
+    // An instance of an older version passes on evidence without the parts.
+    if (to.parts.empty() && !from.parts.empty()) {
+        to.parts = from.parts;
+        to.streamed_for = from.streamed_for;
+        changed = true;
+    }
     return changed;
 }
 
@@ -61,7 +67,12 @@
                                                       time_point now) {
     const evidence_map::key_type key{evidence.request, evidence.server};
     if (const auto known = evidence_.find(key); known != evidence_.end()) {
-        return merge_flags(evidence, known->second) ? effect::decides : effect::none;
+        const bool had_parts = !known->second.parts.empty();
+        const bool changed = merge_flags(evidence, known->second);
+        if (!had_parts) {
+            note_parts(known->second);
+        }
+        return changed ? effect::decides : effect::none;
     }
     if (now >= evidence.at + rules_.hold_time) {
         return effect::none;
@@ -69,6 +80,7 @@
     evict_if_full(evidence.caller);
     const auto added = evidence_.emplace(key, evidence).first;
     ++by_caller_[evidence.caller];
+    note_parts(added->second);
     const bool marked = mark_shared(added->second);
     const auto [begin, end] = range_of(evidence.request);
     const auto servers = static_cast<std::size_t>(std::distance(begin, end));
@@ -77,6 +89,19 @@
     return servers >= rules_.servers || may_release ? effect::decides : effect::recorded;
 }
 
+/// Crashes count against parts once they have settled.
+void request_quarantine::note_parts(const crash_evidence& evidence) {
+    for (const request_digest& part : evidence.parts) {
+        part_evidence& known = by_part_[part];
+        ++known.pieces;
+        known.latest = std::max(known.latest, evidence.at);
+    }
+    if (!evidence.parts.empty()) {
+        const time_point settled = std::max(evidence.at, evidence.found_at) + rules_.settling_time;
+        next_decision_ = std::min(next_decision_.value_or(settled), settled);
+    }
+}
+
 bool request_quarantine::mark_shared(crash_evidence& newest) {
     const std::size_t known = ++by_server_[newest.server];
     newest.shared = newest.shared || known > 1;
@@ -111,6 +136,44 @@
     return add_evidence(against, now);
 }
 
+bool request_quarantine::add_part_answers(std::span<const part_answer> answers, time_point now) {
+    bool any = false;
+    for (const part_answer& it : answers) {
+        if (!by_part_.contains(it.part)) {
+            continue;
+        }
+        const auto [known, added] = part_answers_.try_emplace(it.part, it.at);
+        any = any || added || known->second < it.at;
+        known->second = std::max(known->second, it.at);
+    }
+    if (any && !held_parts_.empty()) {
+        update_suspects(now);
+    }
+    return any;
+}
+
+std::vector<request_digest>
+request_quarantine::unanswered(std::span<const request_digest> parts) const {
+    std::vector<request_digest> out;
+    for (const request_digest& part : parts) {
+        const auto evidence = by_part_.find(part);
+        const auto answer = part_answers_.find(part);
+        if (evidence != by_part_.end() &&
+            (answer == part_answers_.end() || answer->second < evidence->second.latest)) {
+            out.push_back(part);
+        }
+    }
+    return out;
+}
+
+std::vector<part_answer> request_quarantine::part_answers() const {
+    std::vector<part_answer> out;
+    for (const auto& [part, at] : part_answers_) {
+        out.push_back({part, at});
+    }
+    return out;
+}
+
 void request_quarantine::expire(time_point now) {
     bool any = false;
     for (auto it = evidence_.cbegin(); it != evidence_.cend();) {
@@ -139,12 +202,18 @@
     if (--by_server_[which->second.server] == 0) {
         by_server_.erase(which->second.server);
     }
+    for (const request_digest& part : which->second.parts) {
+        if (--by_part_[part].pieces == 0) {
+            by_part_.erase(part);
+            part_answers_.erase(part);
+        }
+    }
     evidence_.erase(which);
 }
 
 bool request_quarantine::is_suspicious(evidence_map::const_iterator which) const {
     const request_digest& request = which->first.first;
-    if (disputed_servers_.contains(which->first.second)) {
+    if (disputed_servers_.contains(which->first.second) || is_of_held_part(which->second)) {
         return true;
     }
     const auto next = std::next(which);
@@ -152,8 +221,16 @@
            (which != evidence_.cbegin() && std::prev(which)->first.first == request);
 }
 
-/// Evicts the oldest evidence; evidence against held requests goes last, and before it the evidence
-/// against requests with several crashed servers.
+bool request_quarantine::is_of_held_part(const crash_evidence& evidence) const {
+    return !evidence.parts.empty() &&
+           std::any_of(held_parts_.begin(), held_parts_.end(), [&](const held_parts& held) {
+               return held.servers.contains(evidence.server) &&
+                      held.applies_to(evidence.caller, evidence.parts);
+           });
+}
+
+/// Evicts the oldest evidence; evidence against held requests and parts goes last, and before it
+/// the evidence against requests with several crashed servers.
 void request_quarantine::evict_if_full(std::uint64_t caller) {
     const auto found = by_caller_.find(caller);
     const bool caller_full =
@@ -165,7 +242,8 @@
     for (auto it = evidence_.cbegin(); it != evidence_.cend(); ++it) {
         const bool eligible = !caller_full || it->second.caller == caller;
         const auto order = [this](evidence_map::const_iterator e) {
-            return std::tuple(holds(e->second.request), is_suspicious(e), e->second.at);
+            return std::tuple(holds(e->second.request) || is_of_held_part(e->second),
+                              is_suspicious(e), e->second.at);
         };
         if (eligible && (oldest == evidence_.cend() || order(it) < order(oldest))) {
             oldest = it;
@@ -184,8 +262,23 @@
 }
 
 void request_quarantine::update_suspects(time_point now) {
+    next_decision_.reset();
+    std::set<std::uint64_t> explained;
+    if (!by_part_.empty()) {
+        part_attribution parts(evidence_, part_answers_, rules_, now);
+        held_parts_ = parts.decide();
+        next_decision_ = parts.next_decision();
+        for (const held_parts& held : held_parts_) {
+            explained.insert(held.servers.begin(), held.servers.end());
+        }
+    } else {
+        held_parts_.clear();
+    }
     std::map<request_digest, suspect_state> decided =
-        crash_attribution(evidence_, rules_, now).decide();
+        crash_attribution(evidence_, rules_, now, explained).decide();
+    for (const held_parts& held : held_parts_) {
+        decided.insert_or_assign(held.state.suspect, held.state);
+    }
     for (const auto& [request, state] : decided) {
         if (verdict(request) != state.verdict) {
             changed_.try_emplace(request, verdict(request));
@@ -197,7 +290,6 @@
         }
     }
     suspects_ = std::move(decided);
-    next_decision_.reset();
     disputed_servers_.clear();
     for (const auto& [request, state] : suspects_) {
         const auto [begin, end] = range_of(request);
@@ -216,6 +308,24 @@
     return found == suspects_.end() ? nullptr : &found->second;
 }
 
+const suspect_state* request_quarantine::find_suspect(const quarantine_subject& request) const {
+    const suspect_state* out = find_suspect(request.digest);
+    for (const held_parts& held : held_parts_) {
+        if (held.applies_to(request.caller, request.parts) &&
+            (out == nullptr || out->verdict < held.state.verdict)) {
+            out = &held.state_of(request.parts);
+        }
+    }
+    return out;
+}
+
+const held_parts* request_quarantine::find_held_parts(const request_digest& suspect) const {
+    const auto found =
+        std::find_if(held_parts_.begin(), held_parts_.end(),
+                     [&](const held_parts& held) { return held.state.suspect == suspect; });
+    return found == held_parts_.end() ? nullptr : &*found;
+}
+
 quarantine_verdict request_quarantine::verdict(const request_digest& request) const {
     const suspect_state* state = find_suspect(request);
     return state != nullptr ? state->verdict : quarantine_verdict::free;
@@ -223,9 +333,8 @@
 
 duration request_quarantine::held_for(const request_digest& request, time_point now) const {
     duration least = rules_.hold_time;
-    const auto [begin, end] = range_of(request);
-    for (auto it = begin; it != end; ++it) {
-        least = std::min(least, it->second.at + rules_.hold_time - now);
+    for (const crash_evidence& it : evidence_of(request)) {
+        least = std::min(least, it.at + rules_.hold_time - now);
     }
     return std::max(least, duration{});
 }
@@ -272,6 +381,14 @@
     for (auto it = begin; it != end; ++it) {
         out.push_back(it->second);
     }
+    if (const held_parts* held = find_held_parts(request)) {
+        for (const auto& [key, evidence] : evidence_) {
+            if (held->servers.contains(evidence.server) &&
+                held->applies_to(evidence.caller, evidence.parts)) {
+                out.push_back(evidence);
+            }
+        }
+    }
     return out;
 }
 
--- a/test/platform/system/harmful_part_test.cpp
+++ b/test/platform/system/harmful_part_test.cpp
@@ -280,6 +280,7 @@
     const auto refused = send(fmt::format("{}:60,a1:10", row().parts.front()));
     wait_until_done(refused);
     EXPECT_EQ(refused->status, 503);
+    RecordProperty("servers_crashed", static_cast<int>(crashes_.size()));
     EXPECT_EQ(std::count_if(harmful_.begin(), harmful_.end(),
                             [](const auto& it) { return it->status == 200; }) > 0,
               row().sound_for > milliseconds(0))
