Check that a server survived a response that ends with its connection

Cause: a connection that a crashed process closes looks like the end of a response that has neither a length nor chunks.

Change: after such a response the server is checked, as after a lost connection. If its process has ended and it wasn't leaving, the attempt is lost: a stream that may go on does so at another server, others are broken off, and the crash is evidence. Only a server that still runs has survived.

--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -245,6 +245,9 @@
         connection_->close();
         co_return fail(to, silent ? attempt_end::silent : attempt_end::lost, "response incomplete");
     }
+    if (co_await was_cut_off()) {
+        co_return fail(to, attempt_end::lost, "server crashed at the end of its response");
+    }
     give_back(to);
     if (facts.status >= 500) {
         failure_ = std::move(response);
@@ -263,16 +266,34 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<void> forwarded_call::examine_lost_connection() {
-    const time_point lost_at = monotonic_now();
-    const registered_backend* known = state_.registry.find(sent_to_.id);
-    const bool leaving = known == nullptr || known->leaving;
-    process_state process = process_state::unknown;
+asio::awaitable<process_state> forwarded_call::check_server() {
     if (state_.server_states != nullptr) {
-        process = co_await state_.server_states->verify(sent_to_.id, sent_to_.address);
-    } else {
-        process = co_await state_.server_checks.check(sent_to_.id, sent_to_.address);
+        co_return co_await state_.server_states->verify(sent_to_.id, sent_to_.address);
+    }
+    co_return co_await state_.server_checks.check(sent_to_.id, sent_to_.address);
+}
+
+bool forwarded_call::is_server_leaving() const {
+    const registered_backend* known = state_.registry.find(sent_to_.id);
+    return known == nullptr || known->leaving;
+}
+
+asio::awaitable<bool> forwarded_call::was_cut_off() {
+    survival_shown_ = !connection_->ended_by_close();
+    if (survival_shown_) {
+        co_return false;
     }
+    // A server that is shutting down may end right after its last response.
+    const bool leaving = is_server_leaving();
+    const process_state process = co_await check_server();
+    survival_shown_ = process == process_state::running;
+    co_return process == process_state::ended && !leaving;
+}
+
+asio::awaitable<void> forwarded_call::examine_lost_connection() {
+    const time_point lost_at = monotonic_now();
+    const bool leaving = is_server_leaving();
+    const process_state process = co_await check_server();
     log_event(events::backend_connection_lost,
               "request={} digest={} parts={} backend={} address={} process={} leaving={} "
               "answer_begun={} events={} after_send_ms={:.0f}",
@@ -395,6 +416,10 @@
         co_return fail(to, silent ? attempt_end::silent : attempt_end::lost,
                        order == event_order::broken ? "an event is missing" : "stream incomplete");
     }
+    if (co_await was_cut_off()) {
+        connection_->close();
+        co_return fail(to, attempt_end::lost, "server crashed at the end of its response");
+    }
     give_back(to);
     if (!stream_started_) {
         co_await exchange_.begin_stream(facts.status, {}, {});
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -447,6 +447,9 @@
 }
 
 void forwarded_call::record_server_survived() {
+    if (!survival_shown_) {
+        return;
+    }
     const http_request& request = exchange_.request();
     if (state_.quarantine.wants_answer(request.target.size() + request.body.size())) {
         state_.quarantine.note_answer(digest(), monotonic_now());
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -105,6 +105,14 @@
     /// Whether the target named by a move notice may still be sent the request.
     bool may_follow_move(const move_notice& notice, time_point now) const;
     boost::asio::awaitable<std::optional<attempt_end>> follow_moves(attempt_end end);
+    /// Whether the process of the server of the latest attempt has ended.
+    boost::asio::awaitable<process_state> check_server();
+    /// Whether that server is known to be shutting down.
+    bool is_server_leaving() const;
+    /// Whether a response that has arrived completely, as far as its framing tells, was cut off by
+    /// a crash. Only a response without a length, which ends with its connection, can be: then this
+    /// takes as long as `check_server`. Sets `survival_shown_`.
+    boost::asio::awaitable<bool> was_cut_off();
     /// Checks whether the server whose connection was lost has crashed. If so, that is evidence
     /// against the request, unless the server was known to be shutting down.
     boost::asio::awaitable<void> examine_lost_connection();
@@ -121,8 +129,8 @@
     /// or its trial if that is possible.
     boost::asio::awaitable<bool> pass_quarantine();
     void end_trial();
-    /// Records that a server executed the request and survived. Not called for failure responses,
-    /// because a faulty server may fail a request before executing it.
+    /// Records that a server executed the request, if it is known to have survived. Not called for
+    /// failure responses, because a faulty server may fail a request before executing it.
     void record_server_survived();
     attempt_end fail(const destination& to, attempt_end end, std::string_view reason);
     /// Ends an attempt because the server accepts no more work; not counted as its failure.
@@ -169,6 +177,8 @@
     /// The server of the latest attempt, and whether it has sent a response head.
     registered_backend sent_to_;
     bool response_head_received_ = false;
+    /// The server has survived its response: the response was framed, or the server still runs.
+    bool survival_shown_ = false;
     /// The connection of the latest attempt had carried another request before.
     bool connection_reused_ = false;
     /// When the latest attempt was sent, and its engine's work when the engine was chosen.
