Ask for more certainty before a part of prompts is held for long

Change: a part whose attempts had streamed for different times when their servers crashed needs twice as many; it must have been open on half of the servers that crashed meanwhile, or on twice as many as it takes to hold it; and it is confirmed after five servers or two trials only, so that an answer to a trial releases one that was held by mistake.

--- a/bamboostream/src/Limits/crash_evidence.h
+++ b/bamboostream/src/Limits/crash_evidence.h
@@ -94,18 +94,25 @@
     /// last answer. More than for a request: many requests have the part, and answers to them are
     /// rarer while servers crash.
     std::size_t servers_of_answered_part = 6;
+    /// A part is held after this many times as many servers if its attempts had streamed for
+    /// different times when the servers crashed: a part that crashes servers does so when they have
+    /// got to the same point.
+    std::size_t irregular_factor = 2;
     /// A part must have been open on this fraction of the servers that crashed meanwhile, or on
     /// `certain_part_factor` times as many servers as it takes to hold it.
-    double min_part_fraction = 0.25;
-    std::size_t certain_part_factor = 3;
+    double min_part_fraction = 0.5;
+    std::size_t certain_part_factor = 2;
+    /// Number of servers after which a part without an alternative is confirmed without a trial.
+    std::size_t servers_of_certain_part = 5;
     /// How long the first trial of a held part waits if the part was answered before: until its
     /// servers have been replaced.
     milliseconds answered_part_trial_delay{2'000};
     /// Number of trials that end with a crash after which a part is confirmed.
     std::size_t max_part_trials = 2;
-    /// An attempt whose stream goes on for longer than those that crashed, by this margin, is
+    /// Attempts that had streamed for times that differ by no more than this had got to the same
+    /// point, and one that streams for longer than those that crashed, by more than this, is
     /// evidence that its parts don't crash servers.
-    milliseconds survival_margin{500};
+    milliseconds streaming_tolerance{500};
     /// Limits on the pieces of evidence, for each caller and in total. A caller above its limit
     /// evicts only its own evidence.
     std::size_t max_evidence_per_caller = 256;
--- a/bamboostream/src/Limits/part_attribution.cpp
+++ b/bamboostream/src/Limits/part_attribution.cpp
@@ -60,8 +60,31 @@
     return answered != answers_.end() && answered->second >= of.at;
 }
 
+milliseconds part_attribution::streamed_for(const request_digest& part, const crash& of) {
+    milliseconds least = milliseconds::max();
+    for (const crash_evidence* attempt : of.attempts) {
+        if (has_part(*attempt, part)) {
+            least = std::min(least, attempt->streamed_for);
+        }
+    }
+    return least;
+}
+
+bool part_attribution::is_regular(const request_digest& part) const {
+    milliseconds shortest = milliseconds::max();
+    milliseconds longest{0};
+    for (const crash* of : by_part_.at(part)) {
+        const milliseconds streamed = streamed_for(part, *of);
+        shortest = std::min(shortest, streamed);
+        longest = std::max(longest, streamed);
+    }
+    return longest - shortest <= rules_.streaming_tolerance;
+}
+
 std::size_t part_attribution::required_servers(const request_digest& part) const {
-    return was_answered(part) ? rules_.servers_of_answered_part : rules_.servers;
+    const std::size_t required =
+        was_answered(part) ? rules_.servers_of_answered_part : rules_.servers;
+    return is_regular(part) ? required : required * rules_.irregular_factor;
 }
 
 void part_attribution::find_crashes_of_suspects() {
@@ -141,14 +164,12 @@
     std::set<std::uint64_t> callers;
     for (const crash* of : by_part_.at(part)) {
         out.servers.insert(of->server);
-        milliseconds least = milliseconds::max();
+        out.streamed_for = std::max(out.streamed_for, streamed_for(part, *of));
         for (const crash_evidence* attempt : of->attempts) {
             if (has_part(*attempt, part)) {
                 callers.insert(attempt->caller);
-                least = std::min(least, attempt->streamed_for);
             }
         }
-        out.streamed_for = std::max(out.streamed_for, least);
     }
     if (callers.size() == 1) {
         out.caller = *callers.begin();
@@ -190,7 +211,8 @@
     const std::size_t trials = trials_of(out);
     const bool answered = was_answered(state.suspect);
     state.rivals = rivals_of(out);
-    const bool clear = !answered && state.rivals.empty() && out.parts.size() == 1;
+    const bool clear = !answered && state.rivals.empty() && out.parts.size() == 1 &&
+                       crashes.size() >= rules_.servers_of_certain_part;
     state.verdict = clear || trials >= rules_.max_part_trials ? quarantine_verdict::confirmed
                                                               : quarantine_verdict::contested;
     if (state.verdict == quarantine_verdict::contested) {
--- a/bamboostream/src/Limits/part_attribution.h
+++ b/bamboostream/src/Limits/part_attribution.h
@@ -40,8 +40,10 @@
 /// Requests that have a harmful part in common need not be alike, so each of them may be open on
 /// one crashed server only. A part is held when enough servers have crashed under requests with it
 /// since a request with it was last answered, at different times, and no request alone explains as
-/// many of these crashes. Answers clear the parts that requests beside a harmful one share with it,
-/// and a part that crashes servers is never answered.
+/// many of these crashes. More servers must have crashed if their attempts had streamed for
+/// different times, as those of a request do that was only there when a server crashed. Answers
+/// clear the parts that requests beside a harmful one share with it, and a part that crashes
+/// servers is never answered.
 ///
 /// Parts and whole requests compete: the one that explains most crashes comes first, a request
 /// before a part that explains as many, and its crashes no longer count against any other. Crashes
@@ -73,6 +75,10 @@
     /// Whether a request with the part has been answered since the crash.
     bool is_cleared(const request_digest& part, const crash& of) const;
     bool was_answered(const request_digest& part) const { return answers_.contains(part); }
+    /// For how long the youngest attempt with the part had streamed when the server crashed.
+    static milliseconds streamed_for(const request_digest& part, const crash& of);
+    /// Whether the servers crashed when the attempts had got to the same point.
+    bool is_regular(const request_digest& part) const;
     std::size_t required_servers(const request_digest& part) const;
     void find_crashes_of_suspects();
     /// Whether the crashes, in order of time, are enough to hold a part or a request.
--- a/bamboostream/src/Limits/quarantine_registry.cpp
+++ b/bamboostream/src/Limits/quarantine_registry.cpp
@@ -72,7 +72,7 @@
     for (const held_parts& held : quarantine_.all_held_parts()) {
         const std::vector<part_answer> remembered = remembered_answers(held.parts, now);
         answers.insert(answers.end(), remembered.begin(), remembered.end());
-        const duration limit = held.streamed_for + quarantine_.rules().survival_margin;
+        const duration limit = held.streamed_for + quarantine_.rules().streaming_tolerance;
         const bool refuted =
             std::any_of(open_calls_.begin(), open_calls_.end(),
                         [&](const open_call* call) { return call->has_streamed(held, limit); });
