Explain a refusal by a part of the prompt; tests of the exchange of parts

request_refused names the part because of which a request was refused, and bamboostreamctl explain shows each crash of a server on which that part was open. Tests: evidence and answers about parts reach all instances, one that missed them asks, a start of all reads held parts from the store, reports whose lists don't fit together.

--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -190,7 +190,8 @@
               request_.id, why.code, why.status, routes_ ? routes_->configuration().version : 0,
               why.not_run == refusal_cause::quarantined ||
                       why.not_run == refusal_cause::awaiting_trial
-                  ? fmt::format(" digest={} parts={}", digest().text(), labels_of_held_parts())
+                  ? fmt::format(" digest={} held_for_parts={}", suspect_digest().text(),
+                                labels_of_held_parts())
                   : "");
     co_await exchange_.respond_json(why.status, error_body(why.code), fields);
 }
@@ -385,6 +386,11 @@
     return *subject_;
 }
 
+const request_digest& forwarded_call::suspect_digest() {
+    const suspect_state* state = state_.quarantine.decisions().find_suspect(subject());
+    return state != nullptr ? state->suspect : digest();
+}
+
 std::string forwarded_call::labels_of_held_parts() {
     const suspect_state* state = state_.quarantine.decisions().find_suspect(subject());
     const held_parts* held =
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -121,6 +121,8 @@
     const quarantine_subject& subject();
     std::uint64_t caller_hash() const;
     std::vector<request_digest> shared_part_digests() const;
+    /// The digest under which the request is held: its own, or that of a part of its prompt.
+    const request_digest& suspect_digest();
     /// Labels of those parts of the prompt because of which the request is held.
     std::string labels_of_held_parts();
     /// From the first event of the latest attempt to its latest event.
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -96,6 +96,7 @@
     append(out, "counter", "owners_silent_total", c.owner_timeouts);
     append(out, "counter", "dropped_log_lines_total", dropped_log_lines());
     append(out, "gauge", "quarantined_requests", state.quarantine.decisions().held());
+    append(out, "gauge", "quarantined_parts", state.quarantine.decisions().all_held_parts().size());
     append(out, "gauge", "quarantine_evidence", state.quarantine.decisions().size());
     append(out, "gauge", "open_requests", c.open);
     append(out, "gauge", "open_streams", state.streams.size());
--- a/bamboostream/src/Report/explanation.cpp
+++ b/bamboostream/src/Report/explanation.cpp
@@ -117,6 +117,29 @@
     return out;
 }
 
+/// Returns the part of a prompt because of which the request was refused; empty if there is none.
+std::string_view held_part_of(std::string_view request, std::span<const log_line> lines) {
+    for (const log_line& line : lines) {
+        const std::string_view parts = line.field("held_for_parts");
+        if (!parts.empty() && parts != "none" && line.field("request") == request) {
+            return parts.substr(0, parts.find(','));
+        }
+    }
+    return {};
+}
+
+/// Whether the comma-separated list contains the label.
+bool lists_label(std::string_view list, std::string_view label) {
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        if (list.substr(0, comma) == label) {
+            return true;
+        }
+        list.remove_prefix(std::min(comma + 1, list.size()));
+    }
+    return false;
+}
+
 /// Whether a line reports a server that crashed while running a request, or a change of quarantine.
 bool is_evidence(const log_line& line) {
     const bool ended =
@@ -153,6 +176,7 @@
 
 std::vector<log_line> explain_request(std::string_view request, std::span<const log_line> lines) {
     const std::string_view digest = digest_of(request, lines);
+    const std::string_view part = held_part_of(request, lines);
     const std::set<std::string_view> requests = requests_for_stream(request, lines);
     std::set<std::string_view> backends;
     std::set<std::string_view> sources;
@@ -181,7 +205,9 @@
         const bool of_instance = is_instance_event(line) && sources.contains(line.source);
         const bool of_content =
             !digest.empty() && line.field("digest") == digest && is_evidence(line);
-        if (own || of_content || (in_time && (of_backend || of_instance))) {
+        const bool of_part =
+            !part.empty() && is_evidence(line) && lists_label(line.field("parts"), part);
+        if (own || of_content || of_part || (in_time && (of_backend || of_instance))) {
             out.push_back(line);
         }
     }
--- a/test/platform/peer_group.cpp
+++ b/test/platform/peer_group.cpp
@@ -101,6 +101,7 @@
     quarantine =
         std::make_unique<quarantine_exchange>(context, links, *membership, forwarding.quarantine);
     forwarding.quarantine.on_evidence([this](const crash_evidence& it) { quarantine->note(it); });
+    forwarding.quarantine.on_part_answer([this](const part_answer& it) { quarantine->note(it); });
     server_states = std::make_unique<server_state_exchange>(
         context, links, *membership, forwarding.server_checks, view_of_servers(forwarding), 7);
     forwarding.server_states = server_states.get();
--- a/test/platform/quarantine_exchange_test.cpp
+++ b/test/platform/quarantine_exchange_test.cpp
@@ -3,6 +3,7 @@
 #include "test/platform/peer_group.h"
 
 #include <algorithm>
+#include <array>
 #include <gtest/gtest.h>
 #include <utility>
 
@@ -129,5 +130,100 @@
     EXPECT_GE(requests, 2 * 6);
 }
 
+constexpr request_digest harmful_part{3, 4};
+
+/// Evidence that a new request with the part crashed a server.
+void add_part_evidence(peer_instance& by, std::uint64_t server, milliseconds ago) {
+    const time_point now = monotonic_now();
+    crash_evidence evidence{{8, server}, server, 7, now - ago, true, false};
+    evidence.parts = {{3, 1}, harmful_part};
+    evidence.streamed_for = milliseconds(40);
+    by.forwarding.quarantine.add_local_evidence(evidence, now);
+}
+
+std::size_t holding_part(const peer_group& group) {
+    const quarantine_subject next({9, 9}, 7, {{3, 1}, harmful_part});
+    return static_cast<std::size_t>(
+        std::count_if(group.all.begin(), group.all.end(), [&](const auto& it) {
+            it->forwarding.quarantine.settle(monotonic_now());
+            return it->forwarding.quarantine.verdict(next) >= quarantine_verdict::contested;
+        }));
+}
+
+// Guards against instances that count only the crashes under a part which they have seen
+// themselves.
+TEST(part_exchange_test, crashes_seen_by_three_instances_hold_the_part_at_all) {
+    peer_group group(3, 3);
+    start_all(group);
+    group.run_for(milliseconds(20));
+    add_part_evidence(*group.all[0], 1, milliseconds(1'500));
+    add_part_evidence(*group.all[4], 2, milliseconds(800));
+    add_part_evidence(*group.all[8], 3, milliseconds(0));
+    group.run_for(milliseconds(200));
+    EXPECT_EQ(holding_part(group), group.all.size());
+}
+
+// Guards against an instance that was cut off, or has just started, and sends requests with a part
+// that all others hold.
+TEST(part_exchange_test, an_instance_that_missed_the_evidence_asks_for_it) {
+    peer_group group(2, 2);
+    for (std::uint64_t server = 1; server <= 3; ++server) {
+        add_part_evidence(*group.all[0], server, milliseconds(500 * server));
+    }
+    group.all.back()->drops_harm_reports = true;
+    start_all(group);
+    group.run_for(milliseconds(200));
+    EXPECT_EQ(holding_part(group), group.all.size() - 1);
+    group.all.back()->drops_harm_reports = false;
+    group.run_for(milliseconds(1'500));
+    EXPECT_EQ(holding_part(group), group.all.size());
+}
+
+// Guards against a part that stays held at some instances although one has seen it answered.
+TEST(part_exchange_test, an_answer_at_one_instance_releases_the_part_at_all) {
+    peer_group group(2, 2);
+    start_all(group);
+    for (std::uint64_t server = 1; server <= 3; ++server) {
+        add_part_evidence(*group.all[0], server, milliseconds(500 * server));
+    }
+    group.run_for(milliseconds(200));
+    ASSERT_EQ(holding_part(group), group.all.size());
+    const std::array answered = {request_digest{3, 1}, harmful_part};
+    group.all[3]->forwarding.quarantine.note_part_answers(answered, monotonic_now());
+    group.run_for(milliseconds(60));
+    EXPECT_EQ(holding_part(group), 0u);
+}
+
+// Guards against a report whose lists don't fit together.
+TEST(part_reports, with_foreign_indices_are_read_without_these) {
+    const time_point now = monotonic_now();
+    crash_evidence evidence{{8, 1}, 1, 7, now, true, false};
+    evidence.parts = {harmful_part};
+    wire::HarmReportT report = to_wire({&evidence, 1}, now);
+    report.parts.front()->entry = 7;
+    const auto read = from_wire(report, now);
+    ASSERT_EQ(read.size(), 1U);
+    EXPECT_TRUE(read.front().parts.empty());
+}
+
+// Guards against evidence that counts differently at other instances.
+TEST(part_reports, keep_parts_and_times) {
+    const time_point now = monotonic_now();
+    crash_evidence evidence{{8, 1}, 1, 7, now, true, false};
+    evidence.parts = {{3, 1}, harmful_part};
+    evidence.streamed_for = milliseconds(1'234);
+    wire::HarmReportT report = to_wire({&evidence, 1}, now);
+    const part_answer answer{harmful_part, now - seconds(3)};
+    add_part_answers(report, {&answer, 1}, now);
+    const auto read = from_wire(report, now);
+    ASSERT_EQ(read.size(), 1U);
+    EXPECT_EQ(read.front().parts, evidence.parts);
+    EXPECT_EQ(read.front().streamed_for, evidence.streamed_for);
+    const auto answers = part_answers_of(report, now);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().part, answer.part);
+    EXPECT_EQ(answers.front().at, answer.at);
+}
+
 } // namespace
 } // namespace bamboostream::test
--- a/test/platform/quarantine_persister_test.cpp
+++ b/test/platform/quarantine_persister_test.cpp
@@ -210,5 +210,33 @@
     EXPECT_EQ(store_.writes, 0) << "the store has it already";
 }
 
+// Guards against a part of prompts that crashes servers again after a start of all instances.
+TEST_F(quarantine_persister_test, a_held_part_is_known_after_a_start_of_all) {
+    constexpr request_digest part{3, 4};
+    std::vector<crash_evidence> evidence;
+    const time_point now = monotonic_now();
+    for (std::uint64_t server = 1; server <= 3; ++server) {
+        evidence.push_back({{8, server}, server, 7, now - milliseconds(400 * server), true, false});
+        evidence.back().parts = {part};
+    }
+    start_persisters();
+    for (const crash_evidence& it : evidence) {
+        group_.all.front()->forwarding.quarantine.add_local_evidence(it, now);
+    }
+    group_.run_for(milliseconds(200));
+    for (const auto& it : group_.all) {
+        it->forwarding.quarantine.settle(monotonic_now());
+    }
+    group_.run_for(milliseconds(200));
+    ASSERT_EQ(store_.records.count(part.text()), 1U);
+    const auto stored =
+        read_evidence({part.text(), store_.records.at(part.text())}, now, wall_now());
+    ASSERT_TRUE(stored && stored->size() == 3);
+    quarantine_registry restarted;
+    restarted.take(*stored, "store", now);
+    restarted.settle(now + seconds(1));
+    EXPECT_TRUE(restarted.holds(part));
+}
+
 } // namespace
 } // namespace bamboostream::test
