--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -237,6 +237,33 @@
     return out;
 }
 
+/// Evidence that 20 engines crashed one after another under requests that share one of 16 first
+/// parts, and a document of their own.
+slope part_report() {
+    constexpr int servers = 20;
+    slope out{"part_report", "us", "attempt open on engines that crashed", {}, {}};
+    for (const int attempts : {100, 400, 1'600}) {
+        std::vector<crash_evidence> report;
+        for (int i = 0; i < attempts; ++i) {
+            const auto number = static_cast<std::uint64_t>(i);
+            crash_evidence it;
+            it.request = {number, number};
+            it.server = number % servers;
+            it.caller = number % 64;
+            it.at = start + milliseconds(100 * it.server);
+            it.parts = {{1, number % 16}, {2, number}};
+            report.push_back(it);
+        }
+        out.sizes.push_back(attempts);
+        out.values.push_back(min_time_us(5, [&] {
+            request_quarantine quarantine;
+            quarantine.add_evidence(report, start + seconds(3));
+            quarantine.settle(start + seconds(4));
+        }));
+    }
+    return out;
+}
+
 slope digest_of_short_request() {
     slope out{"digest_of_request", "us", "byte", {}, {}};
     constexpr int batch = 100;
@@ -527,6 +554,7 @@
                               admission(),
                               forecast_refresh(),
                               quarantine_report(),
+                              part_report(),
                               digest_of_short_request(),
                               g.bytes,
                               g.messages,
--- a/test/platform/request_trial_test.cpp
+++ b/test/platform/request_trial_test.cpp
@@ -1,6 +1,7 @@
 // Trials of requests that are held although other requests may have crashed the servers.
 
 #include "bamboostream/Limits"
+#include "bamboostream/src/Core/digest.h"
 #include "test/platform/forwarding_fixture.h"
 
 #include <algorithm>
@@ -270,5 +271,58 @@
     EXPECT_GT(monotonic_now() - began, milliseconds(400)) << "half of the route's timeout";
 }
 
+/// Requests with a part of their prompts under which servers crashed.
+class part_trial_at_instance : public request_trial {
+protected:
+    static constexpr const char* fields = "Model: m\r\nPrompt-Prefix: 5c:80,e4:2\r\n";
+
+    /// Holds the part because of crashes the last of which was 11 s ago, and adds a server that
+    /// answers.
+    void hold_part(std::uint64_t servers) {
+        for (std::uint64_t server = 1; server <= servers; ++server) {
+            crash_evidence crash;
+            crash.request = {server, 9};
+            crash.server = server;
+            crash.caller = stable_hash("desk");
+            crash.at = monotonic_now() - seconds(11) - milliseconds(300 * server);
+            crash.parts = {part_};
+            report(crash);
+        }
+        f_.run_for(milliseconds(150));
+        f_.state().quarantine.settle(monotonic_now());
+        ASSERT_TRUE(f_.state().quarantine.holds(part_));
+        server_ = &f_.add("i-1", answering("sound"));
+    }
+
+    const request_digest part_ = prompt_part::of("m", "5c").digest;
+    scripted_backend* server_ = nullptr;
+};
+
+// Guards against a part that stays held because no request with it is ever sent.
+TEST_F(part_trial_at_instance, of_a_part_that_is_answered_releases_all_requests_with_it) {
+    hold_part(3);
+    for (int i = 0; i < 3; ++i) {
+        const auto view = f_.ask("once", fmt::format("attempt-{}", i), fields, std::to_string(i));
+        f_.finish(view);
+        EXPECT_EQ(view->status(), 200) << view->bytes;
+    }
+    EXPECT_EQ(arbiter_.granted(), 1);
+    EXPECT_FALSE(f_.state().quarantine.holds(part_));
+}
+
+// Guards against trials of a part that has crashed enough servers to be certain.
+TEST_F(part_trial_at_instance, of_a_part_that_is_certain_is_not_made) {
+    hold_part(5);
+    const auto view = f_.ask("once", "attempt-1", fields);
+    f_.finish(view);
+    EXPECT_EQ(view->status(), 503);
+    EXPECT_NE(view->body().find("ends_servers"), std::string::npos);
+    EXPECT_GT(std::stod(view->field("Retry-After")), 1'000.0);
+    EXPECT_TRUE(server_->requests().empty());
+    const auto other = f_.ask("once", "attempt-2", "Model: m\r\nPrompt-Prefix: 5d:80,e4:2\r\n");
+    f_.finish(other);
+    EXPECT_EQ(other->status(), 200);
+}
+
 } // namespace
 } // namespace bamboostream::test
--- a/test/platform/soak_audit.cpp
+++ b/test/platform/soak_audit.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds try_slice{250};
 constexpr std::size_t min_other_tries = 3;
 constexpr int crashes_until_quarantine = 3;
+constexpr int crashes_until_part_quarantine = 5;
 constexpr milliseconds quarantine_delay{3'000};
 /// How many servers a path may still crash after that delay, by requests that up-to-date instances
 /// sent.
@@ -130,23 +131,33 @@
 }
 
 void soak_audit::server_crashed(const std::string& path, time_point now, bool up_to_date) {
-    crash_record& crashes = crashes_by_path_[path];
-    if (++crashes.servers == crashes_until_quarantine) {
+    record_crash(path, crashes_until_quarantine, now, up_to_date);
+}
+
+void soak_audit::server_crashed_under_part(const std::string& part, time_point now,
+                                           bool up_to_date) {
+    record_crash(part, crashes_until_part_quarantine, now, up_to_date);
+}
+
+void soak_audit::record_crash(const std::string& cause, int crashes_until_due, time_point now,
+                              bool up_to_date) {
+    crash_record& crashes = crashes_by_cause_[cause];
+    if (++crashes.servers == crashes_until_due) {
         crashes.quarantine_due_since = now;
     }
-    const bool late = crashes.servers > crashes_until_quarantine &&
+    const bool late = crashes.servers > crashes_until_due &&
                       now - crashes.quarantine_due_since > quarantine_delay;
     if (late && up_to_date && ++crashes.late_crashes > max_late_crashes) {
         violations_.push_back(
-            fmt::format("{} crashed a server after its quarantine was due, {} servers in all", path,
-                        crashes.servers));
+            fmt::format("{} crashed a server after its quarantine was due, {} servers in all",
+                        cause, crashes.servers));
     }
 }
 
-void soak_audit::quarantined(const std::string& request, const std::string& path) {
-    if (!crashes_by_path_.contains(path)) {
-        violations_.push_back(
-            fmt::format("{} was refused as harmful, but {} has crashed no server", request, path));
+void soak_audit::quarantined(const std::string& request, const std::string& path_or_part) {
+    if (!crashes_by_cause_.contains(path_or_part)) {
+        violations_.push_back(fmt::format("{} was refused as harmful, but {} has crashed no server",
+                                          request, path_or_part));
     }
 }
 
--- a/test/platform/soak_audit.h
+++ b/test/platform/soak_audit.h
@@ -51,8 +51,12 @@
     /// A server crashed while running a request for `path`. `up_to_date`: the instance that sent it
     /// was undisturbed for long enough to know what the others know.
     void server_crashed(const std::string& path, time_point now, bool up_to_date);
-    /// A request was refused because requests like it had crashed servers.
-    void quarantined(const std::string& request, const std::string& path);
+    /// The same for a request with a harmful part of its prompt. More servers may crash before such
+    /// requests are due to be refused, since no two of them are alike.
+    void server_crashed_under_part(const std::string& part, time_point now, bool up_to_date);
+    /// A request was refused because requests for the same path, or with the same part, had crashed
+    /// servers.
+    void quarantined(const std::string& request, const std::string& path_or_part);
     /// A process exited although the test had not stopped it.
     void process_exited(const std::string& process, int exit_code);
     /// An instance did not recover in time after the last fault; `last` is its last status.
@@ -98,7 +102,11 @@
     std::map<std::int64_t, try_shares> tries_;
     std::size_t tried_cut_off_ = 0;
     std::size_t served_cut_off_ = 0;
-    std::map<std::string, crash_record> crashes_by_path_;
+    void record_crash(const std::string& cause, int crashes_until_due, time_point now,
+                      bool up_to_date);
+
+    /// By path, and by harmful part.
+    std::map<std::string, crash_record> crashes_by_cause_;
     std::vector<std::string> violations_;
     std::size_t answered_ = 0;
     std::size_t unknown_ = 0;
--- a/test/platform/system/soak_requests.cpp
+++ b/test/platform/system/soak_requests.cpp
@@ -1,6 +1,7 @@
 #include "test/platform/system/soak_requests.h"
 
 #include <fmt/format.h>
+#include <functional>
 
 namespace bamboostream::test {
 
@@ -38,6 +39,18 @@
                                                  request.resumes, request.events - 1);
 }
 
+/// The parts of the prompt: one of three that all requests share, one of several documents, and the
+/// harmful one or one of its own.
+std::string prompt_fields(const soak_request& request) {
+    constexpr std::size_t first_parts = 3;
+    constexpr std::size_t documents = 8;
+    const std::size_t draw = std::hash<std::string>()(request.id);
+    const std::string harmful =
+        request.harmful_part.empty() ? "" : fmt::format("{}:60,", request.harmful_part);
+    return fmt::format("Model: m\r\nPrompt-Prefix: f{}:79,d{}:30,{}{:x}:20\r\n", draw % first_parts,
+                       draw / first_parts % documents, harmful, draw);
+}
+
 } // namespace
 
 std::string request_target(const std::string& request) {
@@ -48,9 +61,9 @@
 asio::awaitable<received_stream> send_audited(http_connection& connection, soak_audit& audit,
                                               soak_request request) {
     connection.send(fmt::format("GET {} HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {}\r\n"
-                                "Authorization: Bearer k\r\nDeadline-Ms: {}\r\n{}\r\n",
+                                "Authorization: Bearer k\r\nDeadline-Ms: {}\r\n{}{}\r\n",
                                 request.path, request.id, caller_timeout.count(),
-                                resumption_fields(request)),
+                                resumption_fields(request), prompt_fields(request)),
                     false);
     connection.expire_at(monotonic_now() + answer_timeout);
     http_failure why;
@@ -75,7 +88,8 @@
         audit.ended(request.id, observed_outcome::unknown, body);
     }
     if (body.find("ends_servers") != std::string::npos) {
-        audit.quarantined(request.id, request.path);
+        audit.quarantined(request.id,
+                          request.harmful_part.empty() ? request.path : request.harmful_part);
     }
     if (!answer_complete) {
         connection.close();
--- a/test/platform/system/soak_requests.h
+++ b/test/platform/system/soak_requests.h
@@ -19,6 +19,8 @@
     /// of events that the caller has.
     std::string resumes{};
     int events = 0;
+    /// A part of its prompt that crashes servers, in hexadecimal; empty if it has none.
+    std::string harmful_part{};
 
     /// The request that brought the first event.
     const std::string& stream_id() const { return resumes.empty() ? id : resumes; }
--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -46,6 +46,7 @@
 constexpr milliseconds harmful_interval{150};
 constexpr int harmful_callers = 2;
 constexpr const char* harmful_prefix = "/a/harmful-";
+constexpr const char* harmful_part_prefix = "bad0bad";
 constexpr milliseconds entry_removal_delay{2'000};
 constexpr milliseconds replacement_delay{600};
 /// Time after the last fault within which every instance must serve again.
@@ -265,6 +266,12 @@
                                send_harmful(fmt::format("{}{}", harmful_prefix, step.at.count())),
                                asio::detached);
             }
+            if (step.at.count() % 2 == 0) {
+                asio::co_spawn(
+                    context_,
+                    send_harmful_part(fmt::format("{}{}", harmful_part_prefix, step.at.count())),
+                    asio::detached);
+            }
             break;
         case soak_fault::server_leaves:
             leave(server, "draining");
@@ -498,6 +505,12 @@
             crash_server(server);
             co_return;
         }
+        if (const std::string part = harmful_part_of(c); !part.empty()) {
+            audit_.server_crashed_under_part(part, monotonic_now(),
+                                             is_up_to_date(instance_of_request_[id]));
+            crash_server(server);
+            co_return;
+        }
         if (draw < 8) {
             c.reset();
             co_return;
@@ -647,6 +660,34 @@
         --harmful_senders_;
     }
 
+    /// Repeatedly sends requests that have nothing in common but a part of their prompts that
+    /// crashes the server that runs them, to random instances.
+    asio::awaitable<void> send_harmful_part(std::string part) {
+        ++harmful_senders_;
+        while (!stop_harmful_) {
+            const std::size_t at =
+                std::uniform_int_distribution<std::size_t>(0, instances_.size() - 1)(random_);
+            http_connection connection(context_.get_executor());
+            http_failure why;
+            if (co_await connection.connect(instances_[at]->ip + ":8740", milliseconds(500), why)) {
+                soak_request request{random_id(), "/a/" + random_id(), false};
+                request.harmful_part = part;
+                instance_of_request_[request.id] = at;
+                co_await send_audited(connection, audit_, std::move(request));
+                connection.close();
+            }
+            co_await pause_for(harmful_interval);
+        }
+        --harmful_senders_;
+    }
+
+    /// The harmful part of a request's prompt; empty if it has none.
+    static std::string harmful_part_of(const scripted_connection& c) {
+        const std::string parts = c.field("Prompt-Prefix");
+        const std::size_t from = parts.find(harmful_part_prefix);
+        return from == std::string::npos ? "" : parts.substr(from, parts.find(':', from) - from);
+    }
+
     /// Simulates the crash of a server: its connections break and new ones are refused. Its entry
     /// is removed later, and another server joins.
     void crash_server(soak_server& server) {
