Only a success clears a part, and only a running stream speaks for it

A server that rejects a request hasn't run its prompt, so a 4xx is no evidence that the parts are sound (test: fails without the check). A stream whose connection has been lost no longer counts as one that outlasts the crashed ones.

--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -254,7 +254,7 @@
         co_return fail(to, attempt_end::failed, "server reported a failure");
     }
     if (facts.names_request) {
-        record_server_survived();
+        record_server_survived(facts.status);
     }
     record_outcome(to.backend.id, true);
     unregister_work();
@@ -425,7 +425,7 @@
         co_await exchange_.begin_stream(facts.status, {}, {});
     }
     co_await exchange_.end_stream();
-    record_server_survived();
+    record_server_survived(facts.status);
     record_outcome(to.backend.id, true);
     state_.counters.count(forward_result::answered);
     log_event(
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -410,7 +410,9 @@
 }
 
 bool forwarded_call::has_streamed(const held_parts& parts, duration limit) const {
-    return streamed_for() > limit && parts.applies_to(caller_hash(), shared_part_digests());
+    const bool running = connection_ != nullptr && connection_->is_open();
+    return running && streamed_for() > limit &&
+           parts.applies_to(caller_hash(), shared_part_digests());
 }
 
 asio::awaitable<bool> forwarded_call::pass_quarantine() {
@@ -452,7 +454,7 @@
     }
 }
 
-void forwarded_call::record_server_survived() {
+void forwarded_call::record_server_survived(int status) {
     if (!survival_shown_) {
         return;
     }
@@ -460,7 +462,7 @@
     if (state_.quarantine.wants_answer(request.target.size() + request.body.size())) {
         state_.quarantine.note_answer(digest(), monotonic_now());
     }
-    if (!request_.shared_parts.empty()) {
+    if (status < 300 && !request_.shared_parts.empty()) {
         state_.quarantine.note_part_answers(shared_part_digests(), monotonic_now());
     }
 }
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -133,7 +133,8 @@
     void end_trial();
     /// Records that a server executed the request, if it is known to have survived. Not called for
     /// failure responses, because a faulty server may fail a request before executing it.
-    void record_server_survived();
+    /// Only a success shows that it has run the prompt.
+    void record_server_survived(int status);
     attempt_end fail(const destination& to, attempt_end end, std::string_view reason);
     /// Ends an attempt because the server accepts no more work; not counted as its failure.
     attempt_end skip_backend(const destination& to, std::string_view reason);
--- a/test/platform/request_trial_test.cpp
+++ b/test/platform/request_trial_test.cpp
@@ -278,7 +278,7 @@
 
     /// Holds the part because of crashes the last of which was 11 s ago, and adds a server that
     /// answers.
-    void hold_part(std::uint64_t servers) {
+    void hold_part(std::uint64_t servers, int status = 200) {
         for (std::uint64_t server = 1; server <= servers; ++server) {
             crash_evidence crash;
             crash.request = {server, 9};
@@ -291,7 +291,10 @@
         f_.run_for(milliseconds(150));
         f_.state().quarantine.settle(monotonic_now());
         ASSERT_TRUE(f_.state().quarantine.holds(part_));
-        server_ = &f_.add("i-1", answering("sound"));
+        server_ = &f_.add("i-1", [status](scripted_connection& c) -> asio::awaitable<void> {
+            const std::string answer = sealed_answer(c, "sound", status);
+            co_await c.send(answer);
+        });
     }
 
     const request_digest part_ = prompt_part::of("m", "5c").digest;
@@ -310,6 +313,15 @@
     EXPECT_FALSE(f_.state().quarantine.holds(part_));
 }
 
+// Guards against a part that is released although the server did not run its prompt.
+TEST_F(part_trial_at_instance, of_a_part_that_the_server_rejects_releases_nothing) {
+    hold_part(3, 404);
+    const auto view = f_.ask("once", "attempt-1", fields);
+    f_.finish(view);
+    EXPECT_EQ(view->status(), 404) << view->bytes;
+    EXPECT_TRUE(f_.state().quarantine.holds(part_));
+}
+
 // Guards against trials of a part that has crashed enough servers to be certain.
 TEST_F(part_trial_at_instance, of_a_part_that_is_certain_is_not_made) {
     hold_part(5);
