--- a/test/part_attribution_test.cpp
+++ b/test/part_attribution_test.cpp
@@ -3,6 +3,8 @@
 #include "bamboostream/Limits"
 
 #include <algorithm>
+#include <array>
+#include <cctype>
 #include <gtest/gtest.h>
 #include <string>
 #include <string_view>
--- a/test/part_load_test.cpp
+++ b/test/part_load_test.cpp
@@ -4,8 +4,10 @@
 #include "bamboostream/Limits"
 
 #include <algorithm>
+#include <cstdint>
 #include <gtest/gtest.h>
 #include <map>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -269,7 +269,7 @@
             if (step.at.count() % 2 == 0) {
                 asio::co_spawn(
                     context_,
-                    send_harmful_part(fmt::format("{}{}", harmful_part_prefix, step.at.count())),
+                    send_harmful("/a/", fmt::format("{}{}", harmful_part_prefix, step.at.count())),
                     asio::detached);
             }
             break;
@@ -641,8 +641,9 @@
         --callers_;
     }
 
-    /// Repeatedly sends a request that crashes the server that runs it, to random instances.
-    asio::awaitable<void> send_harmful(std::string path) {
+    /// Repeatedly sends a request for this path to random instances, or with a part requests that
+    /// have nothing else in common. Each crashes the server that runs it.
+    asio::awaitable<void> send_harmful(std::string path, std::string part = {}) {
         ++harmful_senders_;
         while (!stop_harmful_) {
             const std::size_t at =
@@ -651,26 +652,9 @@
             http_failure why;
             if (co_await connection.connect(instances_[at]->ip + ":8740", milliseconds(500), why)) {
                 soak_request request{random_id(), path, false};
-                instance_of_request_[request.id] = at;
-                co_await send_audited(connection, audit_, std::move(request));
-                connection.close();
-            }
-            co_await pause_for(harmful_interval);
-        }
-        --harmful_senders_;
-    }
-
-    /// Repeatedly sends requests that have nothing in common but a part of their prompts that
-    /// crashes the server that runs them, to random instances.
-    asio::awaitable<void> send_harmful_part(std::string part) {
-        ++harmful_senders_;
-        while (!stop_harmful_) {
-            const std::size_t at =
-                std::uniform_int_distribution<std::size_t>(0, instances_.size() - 1)(random_);
-            http_connection connection(context_.get_executor());
-            http_failure why;
-            if (co_await connection.connect(instances_[at]->ip + ":8740", milliseconds(500), why)) {
-                soak_request request{random_id(), "/a/" + random_id(), false};
+                if (!part.empty()) {
+                    request.path += request.id;
+                }
                 request.harmful_part = part;
                 instance_of_request_[request.id] = at;
                 co_await send_audited(connection, audit_, std::move(request));
