--- a/test/part_attribution_test.cpp
+++ b/test/part_attribution_test.cpp
@@ -207,6 +207,22 @@
     EXPECT_FALSE(decide(row, milliseconds(100)).empty());
 }
 
+// Guards against a part that is held because long streams with it were there when servers crashed.
+TEST(part_attribution, needs_more_servers_if_the_attempts_had_streamed_for_different_times) {
+    const quarantine_rules rules;
+    const part_answer_map answers;
+    for (const milliseconds longest : {rules.streaming_tolerance, 2 * rules.streaming_tolerance}) {
+        crash_evidence_map evidence = evidence_of(crashes_under({"aX", "bX", "cX"}));
+        evidence.begin()->second.streamed_for = longest;
+        part_attribution attribution(evidence, answers, rules, start + seconds(2));
+        EXPECT_EQ(attribution.decide().empty(), longest > rules.streaming_tolerance);
+    }
+    crash_evidence_map evidence = evidence_of(crashes_under({"aX", "bX", "cX", "dX", "eX", "fX"}));
+    evidence.begin()->second.streamed_for = 2 * rules.streaming_tolerance;
+    part_attribution attribution(evidence, answers, rules, start + seconds(3));
+    EXPECT_FALSE(attribution.decide().empty());
+}
+
 // Guards against a caller that has another caller's requests refused by naming one of their parts.
 TEST(part_attribution, concerns_only_the_callers_under_whose_requests_servers_crash) {
     const std::vector<part_answered> answers = {{'F', 300}};
