--- a/bamboostream/src/Limits/part_attribution.h
+++ b/bamboostream/src/Limits/part_attribution.h
@@ -46,8 +46,8 @@
 /// servers is never answered.
 ///
 /// Parts and whole requests compete: the one that explains most crashes comes first, a request
-/// before a part that explains as many, and its crashes no longer count against any other. Crashes
-/// that are explained by neither count against no part that was open at only a few of them.
+/// before a part that explains as many, and its crashes no longer count against any other. A part
+/// that was open at only a few of the crashes that nothing explains is not held.
 ///
 /// The result depends only on the set of evidence once `quarantine_rules::settling_time` has passed
 /// since the last crash was found; younger crashes don't count yet.
