Run the listed tests whatever grep does first

Change: the list is read first, then searched. The tests themselves and what may fail are as before.

--- a/tools/run_tests.sh
+++ b/tools/run_tests.sh
@@ -14,7 +14,9 @@
 suffix='( *#.*)?'
 if [ -n "$pattern" ]; then
   # Entries may also be soak test seeds, which are run by hand and are not ctest tests.
-  if ctest --test-dir "$build" -N -R "^($pattern)$suffix\$" | grep -q 'Test *#'; then
+  # Not a pipe: grep ends at the first match, and ctest would then fail under pipefail.
+  listed=$(ctest --test-dir "$build" -N -R "^($pattern)$suffix\$")
+  if grep -q 'Test *#' <<<"$listed"; then
     ctest --test-dir "$build" -j 4 --output-on-failure -R "^($pattern)$suffix\$" || true
   fi
   ctest --test-dir "$build" -j 4 --output-on-failure -E "^($pattern)$suffix\$"
