--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -53,7 +53,7 @@
 prove directory_lapse $s/Entry/instance.cpp 'co_await pause_for(directory_validity + directory_validity_margin);' 'for (const auto& context : traffic) { context->stop(); }' 'rolling_replacement|entry_drained'
 prove handle_signature $s/Streams/resume_handle.cpp 'if (!equal_in_constant_time(signature, hmac_sha256(key->secret, payload))) {' 'if (false) {' 'bad_handle|any_text'
 prove home_attach $s/Control/home_service.cpp 'if (held && !stale && !request.take_over) {' 'if (false) {' 'same_key_twice'
-prove hold_back $s/Limits/pool_scheduler.cpp 'return engine.peak_with(demand, margin_sigmas_) <= engine.capacity() * capacity_share_;' 'return true;' 'holds_back|taken_over'
+prove hold_back $s/Limits/pool_dispatch.cpp 'return engine.peak_with(demand, margin_sigmas_) <= engine.capacity() * capacity_share_;' 'return true;' 'holds_back|taken_over'
 prove fencing_by_log_time $s/Placement/lease_table.cpp 'const bool expired = record.time - existing.renewed >= duration_.count();' 'const bool expired = true;' 'lease_table'
 prove no_surplus_bytes $s/Http/http_connection.cpp 'complete() && unparsed_bytes_ == 0 && !writing_' 'complete() && !writing_' 'surplus_bytes'
 prove caller_watched $s/Http/http_server.cpp 'if (ec && ec != asio::error::operation_aborted && on_disconnect_) {' 'if (false) {' 'work_for_a_caller'
