Read the limit that a server names, log it and count sends to such servers

Change: the codec reads the field from every answer (repeated: the lowest; not a decimal number: one event, nothing changes). server_rate_limits keeps what is known for each process of a server. A limit ends with a success that doesn't name it and whose request was sent after it was last seen; a later failure without the field ends nothing. Events 233 and 234, rate_limit= in request_sent, two metrics. No decision depends on it yet.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -34,6 +34,8 @@
         service_cut_off,
         service_reachable,
         backend_end_found,
+        backend_rate_limit,
+        rate_limit_malformed,
         configuration_in_force,
         configuration_rejected,
         log_unavailable,
--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -45,6 +45,8 @@
 inline constexpr event_kind service_cut_off{230, event_level::warning, "service_cut_off", "Other instances connect to the backend servers of a service, and this one doesn't; its requests go through them."};
 inline constexpr event_kind service_reachable{231, event_level::info, "service_reachable", "This instance connects to backend servers of a service again that was cut off from it."};
 inline constexpr event_kind backend_end_found{232, event_level::info, "backend_end_found", "It is found later that a backend server's process has ended that refused connections while no server could be reached; the line gives the digest of a request that was open on it."};
+inline constexpr event_kind backend_rate_limit{233, event_level::info, "backend_rate_limit", "A backend server names a limit on the requests a second that it takes, names another one, or names none any more; the line says whether this instance saw it in a response or was told."};
+inline constexpr event_kind rate_limit_malformed{234, event_level::warning, "rate_limit_malformed", "A backend server names a limit on its requests a second that can't be read; the limit known before stays."};
 inline constexpr event_kind configuration_in_force{300, event_level::info, "configuration_in_force", "A newer configuration version is in force here."};
 inline constexpr event_kind configuration_rejected{301, event_level::warning, "configuration_rejected", "A configuration record on the log conflicts with an earlier one or failed validation."};
 inline constexpr event_kind log_unavailable{310, event_level::warning, "log_unavailable", "The platform's log can't be read; the configuration in force stays."};
--- a/bamboostream/src/Forwarding/forward_request.h
+++ b/bamboostream/src/Forwarding/forward_request.h
@@ -69,6 +69,11 @@
     /// The response names this request, as all responses of backend servers do. A process that has
     /// taken over the address of a crashed server doesn't know the request.
     bool names_request = false;
+    /// The requests a second that the server takes from all instances together; nothing if the
+    /// response names no limit.
+    std::optional<double> rate_limit;
+    /// The text of a limit that can't be read; empty otherwise.
+    std::string malformed_rate_limit;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -132,6 +132,7 @@
               "request={} route={} service={} backend={} address={} software_version={} copy_of={} "
               "sends={} configuration_version={} usable={} view_age_ms={:.0f} requests={} "
               "memory_tokens={} of_memory={} unread_tokens={} prompt_tokens={} expected_tokens={} "
+              "rate_limit={} "
               "events={} time_left_ms={:.0f} after_ms={:.0f}",
               request_.id, route_->name, service_->id.text(), to.backend.id.text(),
               to.backend.address, printable(to.backend.version), to.copy ? to.copy->holder : "none",
@@ -139,8 +140,8 @@
               state_.registry.usable(service_->id).size(), to_milliseconds(view_age), work.requests,
               work.memory_tokens, service_->engine ? service_->engine->memory_tokens : 0,
               work.unread_tokens, request_.prompt_tokens, request_.expected_output_tokens,
-              splitter_.events(), to_milliseconds(deadline_ - now),
-              to_milliseconds(now - arrival_));
+              rate_text(state_.rate_limits.find(to.backend.id)), splitter_.events(),
+              to_milliseconds(deadline_ - now), to_milliseconds(now - arrival_));
 }
 
 asio::awaitable<std::optional<attempt_end>> forwarded_call::attempt(const destination& to) {
@@ -181,6 +182,7 @@
         co_return fail(to, attempt_end::not_sent, "connection closed before the request was sent");
     }
     ++state_.counters.sends;
+    state_.counters.sends_to_limited += state_.rate_limits.find(to.backend.id) ? 1 : 0;
     if (!connection_->carrier().empty()) {
         ++state_.counters.tunneled_sends;
         log_event(events::request_tunneled, "request={} backend={} carrier={}", request_.id,
@@ -205,6 +207,7 @@
 
 asio::awaitable<std::optional<attempt_end>> forwarded_call::handle_response(const destination& to) {
     const response_info facts = state_.codec.parse_response(*connection_, request_);
+    record_rate_limit(facts);
     if (facts.wrong_server) {
         state_.registry.mark_leaving(to.backend.id);
         if (state_.on_registry_change) {
@@ -229,6 +232,26 @@
     co_return co_await forward_body(to, facts);
 }
 
+/// A failure response without a limit says nothing about it: it may come from a part of the server
+/// that doesn't know the limit.
+void forwarded_call::record_rate_limit(const response_info& facts) {
+    const registered_backend* known = state_.registry.find(sent_to_.id);
+    if (!facts.names_request || facts.wrong_server || known == nullptr ||
+        known->started_ms != sent_to_.started_ms) {
+        return;
+    }
+    if (!facts.malformed_rate_limit.empty()) {
+        log_event(events::rate_limit_malformed, "backend={} request={} text={}", sent_to_.id.text(),
+                  request_.id, facts.malformed_rate_limit);
+    }
+    const bool says_none =
+        facts.malformed_rate_limit.empty() && facts.authentic && facts.status < 300;
+    if (facts.rate_limit || says_none) {
+        state_.rate_limits.observe(
+            {sent_to_.id, sent_to_.started_ms, facts.rate_limit, monotonic_now()}, sent_at_);
+    }
+}
+
 void forwarded_call::give_back(const destination& to) {
     state_.connections.give_back(to.backend.address, std::exchange(connection_, nullptr),
                                  monotonic_now());
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -96,6 +96,8 @@
                                                  http_failure& why);
     time_point attempt_deadline() const;
     boost::asio::awaitable<std::optional<attempt_end>> handle_response(const destination& to);
+    /// Records what the response says of the requests a second that its server takes.
+    void record_rate_limit(const response_info& facts);
     boost::asio::awaitable<std::optional<attempt_end>> forward_body(const destination& to,
                                                                     response_info facts);
     boost::asio::awaitable<std::optional<attempt_end>> relay(const destination& to,
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -16,6 +16,7 @@
 #include "bamboostream/src/Limits/overload_tracker.h"
 #include "bamboostream/src/Limits/quarantine_registry.h"
 #include "bamboostream/src/Limits/retry_delay.h"
+#include "bamboostream/src/Limits/server_rate_limits.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Membership/view_age.h"
 #include "bamboostream/src/Routing/backend_picker.h"
@@ -74,6 +75,8 @@
 struct forward_counters {
     std::array<std::uint64_t, static_cast<std::size_t>(forward_result::count_)> results{};
     std::uint64_t sends = 0;
+    /// Sends to servers that name a limit on their requests a second.
+    std::uint64_t sends_to_limited = 0;
     std::uint64_t new_connections = 0;
     /// Connection attempts to backend servers that got no answer, and that were refused.
     std::uint64_t connects_timed_out = 0;
@@ -131,6 +134,8 @@
     admission_rules admission;
     backend_picker picker;
     cold_start_limit cold_starts;
+    /// Limits that backend servers name on the requests a second that they take.
+    server_rate_limits rate_limits;
     /// Overload per service, from the generations that this instance refused while choosing
     /// engines.
     std::unordered_map<service_id, overload_tracker> overloads;
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -197,6 +197,7 @@
         if (change.event == registry_event::gone || change.event == registry_event::restarted) {
             forwarding.connections.drop(change.backend.address);
             forwarding.reachability.forget(change.backend.service, change.backend.id);
+            forwarding.rate_limits.forget(change.backend.id);
         }
         if (change.event == registry_event::restarted) {
             evacuation->on_restart(change.backend.id);
@@ -299,6 +300,7 @@
         forwarding.connections.expire(monotonic_now());
         forwarding.quarantine.expire(monotonic_now());
         forwarding.origins.expire(monotonic_now());
+        forwarding.rate_limits.expire(monotonic_now());
         flush_log();
         if (!was_ready && state.ready()) {
             was_ready = true;
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -82,6 +82,8 @@
     append(out, "counter", "streams_taken_up_total", c.streams_taken_up);
     append(out, "gauge", "stream_origins", state.origins.size());
     append(out, "counter", "sends_total", c.sends);
+    append(out, "counter", "sends_to_rate_limited_servers_total", c.sends_to_limited);
+    append(out, "gauge", "rate_limited_servers", state.rate_limits.size());
     append(out, "counter", "new_connections_total", c.new_connections);
     append(out, "counter", "connects_timed_out_total", c.connects_timed_out);
     append(out, "counter", "connects_refused_total", c.connects_refused);
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -215,6 +215,15 @@
                : std::string_view(found->value().data(), found->value().size());
 }
 
+std::vector<std::string_view> http_connection::field_values(std::string_view name) const {
+    std::vector<std::string_view> out;
+    const auto range = parser_->get().equal_range(beast::string_view(name.data(), name.size()));
+    for (auto it = range.first; it != range.second; ++it) {
+        out.emplace_back(it->value().data(), it->value().size());
+    }
+    return out;
+}
+
 std::vector<http_field> http_connection::fields() const {
     std::vector<http_field> out;
     for (const auto& field : parser_->get()) {
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -60,6 +60,8 @@
     int status() const override;
     std::string_view field(std::string_view name) const override;
     std::vector<http_field> fields() const;
+    /// The values of a field that may be repeated, in order.
+    std::vector<std::string_view> field_values(std::string_view name) const;
     boost::asio::awaitable<bool> read(std::string& into) override;
     bool complete() const override;
     /// Closes the connection; with a reset if its response is incomplete.
