Divide the limit that a server names among the instances by permits

What callers saw: servers that had named a limit on the requests a second got two to fourteen times as many; those that reject the surplus refused 241 of 368 requests after an attempt.

Cause: a bound on the sum over all instances that no instance kept, and that none could keep by itself.

Change: the owner of a server, by rendezvous, issues permits for single requests from a token bucket; for engines it is the owner of the service, which chooses them for all. Whoever first sees a limit, or its end, tells all. An instance without a permit takes another server, and refuses at once when none is left; a denied instance doesn't ask before the next permit is expected. A standby answers for a silent owner at three tenths of the limit, an owner in its first second and one that sees fewer instances issue less, a new issuer starts empty. Less urgent requests leave half a permit. A limit below one request in three seconds counts as that, so that its end is seen.

Evidence: rate_limit_system was red in ten rows of ten and is green in ten of ten (five at a time). All 991 unit tests but malformed_rate_limit passed; that test assumed that a limited server is sent the next request within 50 ms, which is now refused until a permit has accrued.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -134,7 +134,8 @@
     const time_point now = monotonic_now();
     for (const registered_backend* backend :
          servers_with_capacity(state_, origin.service, own_role(state_, origin.service), now)) {
-        if (!busy_targets_.contains(backend->id)) {
+        const bool has_permit = expected_permit_wait(state_, *backend, 0, now) == duration{};
+        if (has_permit && !busy_targets_.contains(backend->id)) {
             out.push_back({*backend, state_.loads.total(backend->id, now),
                            rule->engine->memory_tokens, rule->engine->slots,
                            origin.allows(*backend)});
@@ -234,6 +235,9 @@
               candidate.generation.memory_tokens);
     if (const registered_backend* target = state_.registry.find(notice.target)) {
         record_send(state_, *target, monotonic_now());
+        if (state_.permits != nullptr) {
+            state_.permits->record_unpermitted_send(*target, monotonic_now());
+        }
     }
     if (candidate.instance.empty()) {
         state_.streams.notify(candidate.generation.id, notice, monotonic_now());
--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -28,6 +28,40 @@
     }
 }
 
+bool is_rate_limited(const forwarding_state& state, const backend_id& server) {
+    return state.rate_limits.find(server).has_value();
+}
+
+duration expected_permit_wait(forwarding_state& state, const registered_backend& server,
+                              int priority, time_point now) {
+    const auto limit = state.rate_limits.find(server.id);
+    if (!limit) {
+        return {};
+    }
+    return state.permits != nullptr
+               ? state.permits->expected_wait(server, priority, now)
+               : state.issuer.check({server.id, *limit, issuer_role::owner, priority}, now).wait;
+}
+
+bool take_own_permit(forwarding_state& state, const registered_backend& server, int priority,
+                     time_point now) {
+    const auto limit = state.rate_limits.find(server.id);
+    if (!limit) {
+        return true;
+    }
+    return state.permits != nullptr
+               ? state.permits->take_own(server, priority, now)
+               : state.issuer.issue({server.id, *limit, issuer_role::owner, priority}, now).granted;
+}
+
+boost::asio::awaitable<bool> acquire_permit(forwarding_state& state, registered_backend server,
+                                            int priority) {
+    if (state.permits == nullptr || !is_rate_limited(state, server.id)) {
+        co_return take_own_permit(state, server, priority, monotonic_now());
+    }
+    co_return co_await state.permits->acquire(std::move(server), priority);
+}
+
 engine_choice choose_engine(forwarding_state& state, const engine_request& request,
                             sender_role role, time_point now) {
     placement_request wanted;
@@ -49,16 +83,24 @@
     std::erase_if(admitting, [&](const registered_backend* engine) {
         return check_engine(*engine) != admission_result::admit;
     });
-    if (const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now)) {
-        record_send(state, *chosen, now);
-        return {*chosen, admission_result::admit, state.loads.total(chosen->id, now), {}};
+    const bool any_admits = !admitting.empty();
+    while (const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now)) {
+        const bool limited = is_rate_limited(state, chosen->id);
+        if (!limited || take_own_permit(state, *chosen, request.priority, now)) {
+            record_send(state, *chosen, now);
+            return {
+                *chosen, admission_result::admit, state.loads.total(chosen->id, now), {}, limited};
+        }
+        std::erase(admitting, chosen);
     }
-    // No engine admits the request: the least loaded one gives the reason and the load to report.
+    // No engine takes the request: the least loaded one gives the reason and the load to report.
     const registered_backend* least_loaded = state.picker.pick(engines, state.loads, wanted, now);
     if (least_loaded == nullptr) {
         return {};
     }
-    return {*least_loaded, check_engine(*least_loaded), state.loads.total(least_loaded->id, now),
+    const admission_result result =
+        any_admits ? admission_result::rate_limited : check_engine(*least_loaded);
+    return {*least_loaded, result, state.loads.total(least_loaded->id, now),
             state.overloads[request.service].record_refusal(now)};
 }
 
--- a/bamboostream/src/Forwarding/engine_choice.h
+++ b/bamboostream/src/Forwarding/engine_choice.h
@@ -42,6 +42,8 @@
     backend_work work;
     /// If not admitted: how long generations of the service have been refused.
     duration overload{};
+    /// The engine names a limit on its requests a second, and a permit was taken for this one.
+    bool has_permit = false;
 };
 
 /// The role in which this instance acts when it chooses engines of a service itself; `owner` if it
@@ -56,6 +58,19 @@
 /// Counts a request against the server's cold-start rate, if the server is still cold.
 void record_send(forwarding_state& state, const registered_backend& server, time_point now);
 
+/// Whether the server names a limit on the requests a second that it takes.
+bool is_rate_limited(const forwarding_state& state, const backend_id& server);
+/// The time until a request of this rank may be sent to the server as far as its limit is
+/// concerned; zero if it names none.
+duration expected_permit_wait(forwarding_state& state, const registered_backend& server,
+                              int priority, time_point now);
+/// Takes a permit without asking another instance; true if the server names no limit.
+bool take_own_permit(forwarding_state& state, const registered_backend& server, int priority,
+                     time_point now);
+/// Takes a permit from the instance that issues those of the server; true if it names no limit.
+boost::asio::awaitable<bool> acquire_permit(forwarding_state& state, registered_backend server,
+                                            int priority);
+
 /// Chooses an engine by this instance's own view of the load.
 engine_choice choose_engine(forwarding_state& state, const engine_request& request,
                             sender_role role, time_point now);
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -161,6 +161,11 @@
         give_back(to);
         co_return skip_backend(to, "accepts no work");
     }
+    // The server may have named a limit since it was chosen.
+    if (!to.copy && !to.has_permit && is_rate_limited(state_, to.backend.id)) {
+        give_back(to);
+        co_return skip_backend(to, "names a limit");
+    }
     const registered_backend* known = state_.registry.find(to.backend.id);
     const registered_backend& server = known != nullptr ? *known : to.backend;
     if (!fits_origin(server)) {
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -21,6 +21,8 @@
 /// is large or a network link is down. Callers of short calls wait a few times as long in total.
 constexpr milliseconds max_configuration_wait{200};
 constexpr milliseconds configuration_poll_interval{10};
+/// Servers that are asked for a permit before the request is refused. Each takes some 2 ms.
+constexpr int max_permits_asked = 4;
 
 std::string error_body(std::string_view code) {
     return boost::json::serialize(boost::json::object{{"error", {{"code", code}}}});
@@ -144,6 +146,9 @@
 duration forwarded_call::retry_after_delay(refusal_cause cause) {
     refused_request about{cause, route_ ? route_->objective : duration{}, request_.caller_timeout,
                           overload_duration_};
+    if (cause == refusal_cause::rate_limited) {
+        about.permit_wait = min_permit_wait();
+    }
     const bool is_held =
         cause == refusal_cause::quarantined || cause == refusal_cause::awaiting_trial;
     const suspect_state* held =
@@ -158,6 +163,16 @@
     return choose_retry_delay(about, state_.random);
 }
 
+duration forwarded_call::min_permit_wait() const {
+    const time_point now = monotonic_now();
+    std::optional<duration> out;
+    for (const registered_backend* server : state_.registry.usable(service_->id)) {
+        const duration wait = expected_permit_wait(state_, *server, priority_, now);
+        out = std::min(out.value_or(wait), wait);
+    }
+    return out.value_or(duration{});
+}
+
 refusal_cause forwarded_call::quarantine_cause() {
     return state_.quarantine.verdict(subject()) == quarantine_verdict::confirmed
                ? refusal_cause::quarantined
@@ -167,6 +182,9 @@
 /// While the store is unavailable, servers that can't be reached are those that have ended since,
 /// so the cause is missing information and not overload.
 refusal_cause forwarded_call::not_run_cause() {
+    if (rate_limited_) {
+        return refusal_cause::rate_limited;
+    }
     if (state_.quarantine.any() &&
         state_.quarantine.verdict(subject()) >= quarantine_verdict::suspected) {
         return quarantine_cause();
@@ -241,18 +259,55 @@
     wanted.avoid = avoid_;
     wanted.preferred_domain = state_.local_failure_domain;
     wanted.server_memory_tokens = service_->engine ? service_->engine->memory_tokens : 0;
-    const time_point now = monotonic_now();
+    for (int asked = 0; asked < max_permits_asked && !caller_left_; ++asked) {
+        const time_point now = monotonic_now();
+        const registered_backend* found =
+            state_.picker.pick(candidates(now), state_.loads, wanted, now);
+        if (found == nullptr) {
+            break;
+        }
+        const registered_backend chosen = *found;
+        const bool limited = is_rate_limited(state_, chosen.id);
+        if (!limited || co_await acquire_permit(state_, chosen, priority_)) {
+            rate_limited_ = false;
+            record_send(state_, chosen, monotonic_now());
+            co_return destination{chosen, {}, {}, limited};
+        }
+        rate_limited_ = true;
+    }
+    if (rate_limited_) {
+        const auto servers = state_.registry.usable(service_->id);
+        const auto limited = std::find_if(servers.begin(), servers.end(), [this](const auto* it) {
+            return is_rate_limited(state_, it->id);
+        });
+        record_rate_limited(limited != servers.end() ? *limited : nullptr);
+    } else {
+        record_no_server();
+    }
+    co_return std::nullopt;
+}
+
+std::vector<const registered_backend*> forwarded_call::candidates(time_point now) {
     const sender_role role = service_->engine ? own_role(state_, service_->id) : sender_role::peer;
     auto servers = servers_with_capacity(state_, service_->id, role, now);
     std::erase_if(servers,
                   [this](const registered_backend* server) { return !fits_origin(*server); });
-    const registered_backend* chosen = state_.picker.pick(servers, state_.loads, wanted, now);
-    if (chosen != nullptr) {
-        record_send(state_, *chosen, now);
-    } else {
-        record_no_server();
+    const std::size_t with_capacity = servers.size();
+    if (state_.rate_limits.any()) {
+        std::erase_if(servers, [&](const registered_backend* server) {
+            return expected_permit_wait(state_, *server, priority_, now) > duration{};
+        });
     }
-    co_return chosen ? std::optional(destination{*chosen, {}, {}}) : std::nullopt;
+    rate_limited_ = servers.size() < with_capacity;
+    return servers;
+}
+
+void forwarded_call::record_rate_limited(const registered_backend* server) {
+    overload_duration_ = state_.overloads[service_->id].record_refusal(monotonic_now());
+    log_event(events::request_refused, "request={} reason={} route={} backend={} per_second={}",
+              request_.id, to_string(admission_result::rate_limited), route_->name,
+              server ? server->id.text() : "none",
+              rate_text(server ? state_.rate_limits.find(server->id) : std::nullopt));
 }
 
 asio::awaitable<std::optional<forwarded_call::destination>>
@@ -266,33 +321,49 @@
     wanted.objective = route_->objective;
     wanted.avoid = avoid_;
     wanted.preferred_domain = state_.local_failure_domain;
-    std::optional<engine_choice> choice;
-    if (state_.scheduler != nullptr) {
-        choice = co_await state_.scheduler->choose(wanted);
-    }
-    if (!choice) {
-        choice = choose_engine(state_, wanted, own_role(state_, service_->id), monotonic_now());
+    rate_limited_ = false;
+    for (int asked = 0; asked < max_permits_asked && !caller_left_; ++asked) {
+        std::optional<engine_choice> choice;
+        if (state_.scheduler != nullptr) {
+            choice = co_await state_.scheduler->choose(wanted);
+        }
+        if (!choice) {
+            choice = choose_engine(state_, wanted, own_role(state_, service_->id), monotonic_now());
+        }
+        if (!choice->engine) {
+            break;
+        }
+        if (choice->result != admission_result::admit) {
+            admission_refused_ = true;
+            rate_limited_ = choice->result == admission_result::rate_limited;
+            overload_duration_ = choice->overload;
+            log_admission_refusal(*choice);
+            co_return std::nullopt;
+        }
+        // The instance that chose may not know yet that the engine names a limit.
+        const bool limited = is_rate_limited(state_, choice->engine->id);
+        if (choice->has_permit || !limited ||
+            co_await acquire_permit(state_, *choice->engine, priority_)) {
+            rate_limited_ = false;
+            co_return destination{*choice->engine, std::nullopt, choice->work, limited};
+        }
+        rate_limited_ = true;
+        wanted.avoid.push_back(choice->engine->id);
     }
-    if (!choice->engine) {
+    if (rate_limited_) {
+        record_rate_limited(nullptr);
+    } else {
         record_no_server();
-        co_return std::nullopt;
-    }
-    if (choice->result != admission_result::admit) {
-        admission_refused_ = true;
-        overload_duration_ = choice->overload;
-        log_admission_refusal(*choice);
-        co_return std::nullopt;
     }
-    co_return destination{*choice->engine, std::nullopt, choice->work};
+    co_return std::nullopt;
 }
 
 void forwarded_call::log_admission_refusal(const engine_choice& choice) const {
     log_event(events::request_refused,
               "request={} reason={} route={} backend={} memory_tokens={} unread_tokens={} of={}",
-              request_.id,
-              choice.result == admission_result::memory_full ? "memory_full" : "prompts_queued",
-              route_->name, choice.engine->id.text(), choice.work.memory_tokens,
-              choice.work.unread_tokens, service_->engine->memory_tokens);
+              request_.id, to_string(choice.result), route_->name, choice.engine->id.text(),
+              choice.work.memory_tokens, choice.work.unread_tokens,
+              service_->engine->memory_tokens);
 }
 
 asio::awaitable<void> forwarded_call::run() {
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -56,6 +56,8 @@
         std::optional<generation_copy> copy;
         /// The server's work on which the choice was based; nothing if that is in `loads`.
         std::optional<backend_work> work;
+        /// The server names a limit on its requests a second, and a permit was taken.
+        bool has_permit = false;
     };
 
     /// Parses the request and finds its route, workspace, service and deadline.
@@ -74,11 +76,18 @@
     void share_origin();
     boost::asio::awaitable<void> reject(rejection why);
     duration retry_after_delay(refusal_cause cause);
+    /// The shortest time until a server of the service may take another request.
+    duration min_permit_wait() const;
     refusal_cause not_run_cause();
     /// The cause while the request is held.
     refusal_cause quarantine_cause();
     boost::asio::awaitable<std::optional<destination>> choose();
     boost::asio::awaitable<std::optional<destination>> choose_engine_for_generation();
+    /// Servers of the service that the request may be sent to, and whether others are left out
+    /// because they have got the requests a second that they take.
+    std::vector<const registered_backend*> candidates(time_point now);
+    /// Logs that all servers that could take the request have got what they take.
+    void record_rate_limited(const registered_backend* server);
     backend_work expected_work() const;
     /// The origin of a stream whose first event has just arrived from the server of this attempt.
     stream_origin observe_origin() const;
@@ -206,7 +215,9 @@
     request_digest trial_of_;
     /// Admission control refused the request at the chosen engine.
     bool admission_refused_ = false;
-    /// How long generations of the service had been refused by then.
+    /// The latest choice found only servers that have got the requests a second that they take.
+    bool rate_limited_ = false;
+    /// How long requests of the service had been refused by then.
     duration overload_duration_{};
 
     void record_latency() const;
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostream/src/Contracts/server_check.h"
+#include "bamboostream/src/Control/rate_permit_source.h"
 #include "bamboostream/src/Control/server_verifier.h"
 #include "bamboostream/src/Control/trial_arbiter.h"
 #include "bamboostream/src/Forwarding/active_streams.h"
@@ -14,6 +15,7 @@
 #include "bamboostream/src/Limits/cold_start_limit.h"
 #include "bamboostream/src/Limits/engine_admission.h"
 #include "bamboostream/src/Limits/overload_tracker.h"
+#include "bamboostream/src/Limits/permit_issuer.h"
 #include "bamboostream/src/Limits/quarantine_registry.h"
 #include "bamboostream/src/Limits/retry_delay.h"
 #include "bamboostream/src/Limits/server_rate_limits.h"
@@ -136,6 +138,10 @@
     cold_start_limit cold_starts;
     /// Limits that backend servers name on the requests a second that they take.
     server_rate_limits rate_limits;
+    /// Issues permits for such servers as far as this instance does so for all.
+    permit_issuer issuer;
+    /// Permits from all issuers; null if there are no other instances.
+    rate_permit_source* permits = nullptr;
     /// Overload per service, from the generations that this instance refused while choosing
     /// engines.
     std::unordered_map<service_id, overload_tracker> overloads;
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -87,6 +87,7 @@
     std::unique_ptr<owner_scheduler> owner_engine_scheduler;
     std::unique_ptr<quarantine_exchange> quarantine;
     std::unique_ptr<quarantine_persister> persister;
+    std::unique_ptr<rate_limit_exchange> rate_limits;
     std::unique_ptr<server_state_exchange> server_states;
     std::unique_ptr<stream_origin_exchange> origins;
     std::unique_ptr<peer_exchange> peers;
@@ -128,6 +129,8 @@
 gateway::parts::~parts() {
     forwarding.scheduler = nullptr;
     forwarding.trials = nullptr;
+    forwarding.permits = nullptr;
+    forwarding.rate_limits.on_change({});
     forwarding.tunnels = nullptr;
     forwarding.server_states = nullptr;
     forwarding.origin_registry = nullptr;
@@ -169,6 +172,10 @@
     forwarding.trials = &quarantine->trials();
     persister = std::make_unique<quarantine_persister>(context, contracts.persistent, *membership,
                                                        forwarding.quarantine);
+    rate_limits = std::make_unique<rate_limit_exchange>(context, links, *membership,
+                                                        forwarding.registry, forwarding.rate_limits,
+                                                        forwarding.issuer, issuer_key(forwarding));
+    forwarding.permits = rate_limits.get();
     server_states = std::make_unique<server_state_exchange>(
         context, links, *membership, forwarding.server_checks, view_of_servers(forwarding), seed);
     forwarding.server_states = server_states.get();
@@ -177,7 +184,7 @@
     forwarding.origin_registry = origins.get();
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *store_updates,
                                             *distributor, *owner_engine_scheduler, *quarantine,
-                                            *server_states, *origins);
+                                            *server_states, *origins, *rate_limits);
     tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding, seed);
     forwarding.tunnels = tunnels.get();
     carried_tunnels = std::make_unique<tunnel_server>(context, forwarding);
@@ -197,7 +204,7 @@
         if (change.event == registry_event::gone || change.event == registry_event::restarted) {
             forwarding.connections.drop(change.backend.address);
             forwarding.reachability.forget(change.backend.service, change.backend.id);
-            forwarding.rate_limits.forget(change.backend.id);
+            rate_limits->forget(change.backend.id);
         }
         if (change.event == registry_event::restarted) {
             evacuation->on_restart(change.backend.id);
@@ -286,6 +293,7 @@
     carried_tunnels->start();
     quarantine->start();
     persister->start();
+    rate_limits->start();
     evacuation->start();
     asio::co_spawn(context, housekeeping(), asio::detached);
     log_event(events::started, "callers={} peers={} failure_domain={} seeds={}",
@@ -359,7 +367,8 @@
                               distributor->provider().encoded(),
                               distributor->fetcher().pieces(),
                               store.calls(),
-                              links.traffic()};
+                              links.traffic(),
+                              rate_limits->counts()};
     co_await exchange.respond(200, "text/plain; version=0.0.4",
                               exposition(forwarding, stats, monotonic_now()), {});
 }
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -3,8 +3,10 @@
 #include "bamboostream/src/Core/event_log.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <iterator>
+#include <utility>
 
 namespace bamboostream {
 
@@ -58,6 +60,19 @@
     append(out, "gauge", "peer_bytes_queued", links.queued_bytes);
 }
 
+void append_permits(std::string& out, const permit_counts& permits) {
+    const std::array<std::pair<std::string_view, std::uint64_t>, 4> rows = {
+        {{"granted", permits.granted},
+         {"denied", permits.denied},
+         {"unanswered", permits.unanswered},
+         {"sent_without", permits.unpermitted}}};
+    out += "# TYPE bamboostream_rate_permits_total counter\n";
+    for (const auto& [result, count] : rows) {
+        fmt::format_to(std::back_inserter(out),
+                       "bamboostream_rate_permits_total{{result=\"{}\"}} {}\n", result, count);
+    }
+}
+
 } // namespace
 
 std::string exposition(const forwarding_state& state, const gateway_stats& stats, time_point now) {
@@ -84,6 +99,8 @@
     append(out, "counter", "sends_total", c.sends);
     append(out, "counter", "sends_to_rate_limited_servers_total", c.sends_to_limited);
     append(out, "gauge", "rate_limited_servers", state.rate_limits.size());
+    append(out, "counter", "rate_permits_issued_total", state.issuer.issued());
+    append_permits(out, stats.permits);
     append(out, "counter", "new_connections_total", c.new_connections);
     append(out, "counter", "connects_timed_out_total", c.connects_timed_out);
     append(out, "counter", "connects_refused_total", c.connects_refused);
--- a/bamboostream/src/Gateway/gateway_metrics.h
+++ b/bamboostream/src/Gateway/gateway_metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bamboostream/src/Control/rate_limit_exchange.h"
 #include "bamboostream/src/Forwarding/forwarding_state.h"
 #include "bamboostream/src/Gateway/document_fetcher.h"
 #include "bamboostream/src/Gateway/store_follower.h"
@@ -21,6 +22,7 @@
     document_fetcher::piece_counts configuration_pieces{};
     store_call_counts store_calls{};
     link_traffic links;
+    permit_counts permits;
 };
 
 /// Writes the metrics of a gateway in the Prometheus text format. Ages are relative to `now`.
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -61,16 +61,24 @@
     return out;
 }
 
+rate_limit_exchange::key_function issuer_key(const forwarding_state& forwarding) {
+    return [&forwarding](const registered_backend& server) {
+        const service_rule* service =
+            forwarding.routes ? forwarding.routes->find_service(server.service) : nullptr;
+        return service != nullptr && service->engine ? server.service.text() : server.id.text();
+    };
+}
+
 peer_exchange::peer_exchange(asio::io_context& context, peer_links& links,
                              membership_service& membership, forwarding_state& forwarding,
                              store_update_exchange& store_updates,
                              configuration_distributor& distributor, owner_scheduler& scheduler,
                              quarantine_exchange& quarantine, server_state_exchange& server_states,
-                             stream_origin_exchange& origins)
+                             stream_origin_exchange& origins, rate_limit_exchange& rate_limits)
     : context_(context), links_(links), membership_(membership), forwarding_(forwarding),
       store_updates_(store_updates), distributor_(distributor), owner_scheduler_(scheduler),
       quarantine_(quarantine), server_states_(server_states), origins_(origins),
-      load_due_(context) {}
+      rate_limits_(rate_limits), load_due_(context) {}
 
 void peer_exchange::start() {
     asio::co_spawn(context_, load_loop(), asio::detached);
@@ -82,6 +90,7 @@
         const std::vector<backend_work_entry> own = forwarding_.loads.own();
         forwarding_.live_instances = membership_.usable_peers().size() + 1;
         forwarding_.cold_starts.update_instance_count(forwarding_.live_instances, monotonic_now());
+        forwarding_.issuer.update_instance_count(forwarding_.live_instances, monotonic_now());
         owner_scheduler_.update_roles(monotonic_now());
         if (!own.empty() || !reported_none) {
             links_.send_to_each(owner_scheduler_.load_report_recipients(),
@@ -140,6 +149,11 @@
         co_return nullptr;
     case wire::Message::OriginRequest:
         co_return origins_.answer(*frame->message.AsOriginRequest());
+    case wire::Message::RateLimitReport:
+        rate_limits_.hear(*frame->message.AsRateLimitReport());
+        co_return nullptr;
+    case wire::Message::RatePermitRequest:
+        co_return rate_limits_.answer(*frame->message.AsRatePermitRequest());
     default:
         co_return nullptr;
     }
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Control/membership_service.h"
 #include "bamboostream/src/Control/quarantine_exchange.h"
+#include "bamboostream/src/Control/rate_limit_exchange.h"
 #include "bamboostream/src/Control/server_state_exchange.h"
 #include "bamboostream/src/Evacuation/evacuation_service.h"
 #include "bamboostream/src/Gateway/owner_scheduler.h"
@@ -21,6 +22,10 @@
 /// What this instance knows of the backend servers, without those that are cut off from it.
 server_state_exchange::server_view view_of_servers(const forwarding_state& forwarding);
 
+/// The key whose owner issues the permits of a server that names a limit: the service for engines,
+/// since its owner chooses engines for all instances, and otherwise the server.
+rate_limit_exchange::key_function issuer_key(const forwarding_state& forwarding);
+
 /// Handles the messages between instances of the gateway: reports of work, generations that move,
 /// configurations, quarantine evidence and, through `store_update_exchange`, what the store
 /// contains. Lives on one thread.
@@ -30,7 +35,8 @@
                   membership_service& membership, forwarding_state& forwarding,
                   store_update_exchange& store_updates, configuration_distributor& distributor,
                   owner_scheduler& scheduler, quarantine_exchange& quarantine,
-                  server_state_exchange& server_states, stream_origin_exchange& origins);
+                  server_state_exchange& server_states, stream_origin_exchange& origins,
+                  rate_limit_exchange& rate_limits);
 
     void start();
     /// Handles a frame from another instance. Returns the reply, or null when there is none.
@@ -60,6 +66,7 @@
     quarantine_exchange& quarantine_;
     server_state_exchange& server_states_;
     stream_origin_exchange& origins_;
+    rate_limit_exchange& rate_limits_;
     boost::asio::steady_timer load_due_;
 };
 
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -146,15 +146,17 @@
     out.memory_tokens = tokens_on_wire(choice.work.memory_tokens);
     out.unread_tokens = tokens_on_wire(choice.work.unread_tokens);
     out.overload_ms = age_to_wire(choice.overload);
+    out.permit = choice.has_permit;
     return out;
 }
 
 engine_choice from_wire(const wire::AdmitReplyT& reply, const registered_backend& engine) {
-    constexpr auto last = static_cast<std::uint8_t>(admission_result::prompts_queued);
+    constexpr auto last = static_cast<std::uint8_t>(admission_result::rate_limited);
     return {engine,
             static_cast<admission_result>(std::min(reply.reason, last)),
             {static_cast<int>(reply.requests), reply.memory_tokens, reply.unread_tokens},
-            milliseconds(reply.overload_ms)};
+            milliseconds(reply.overload_ms),
+            reply.permit};
 }
 
 wire::MovableReplyT to_wire(std::span<const movable_generation> generations) {
--- a/bamboostream/src/Limits/cold_start_limit.cpp
+++ b/bamboostream/src/Limits/cold_start_limit.cpp
@@ -17,7 +17,6 @@
 /// An instance that has just started knows few others, and few others may know yet of the new owner
 /// of a service. Membership changes reach all instances within a second.
 constexpr milliseconds settling_time{2'000};
-constexpr seconds count_retention{60};
 /// Share of the limit that each role gets.
 constexpr double owner_share = 0.5;
 constexpr double standby_share = 0.2;
@@ -52,19 +51,7 @@
     if (!first_update_) {
         first_update_ = now;
     }
-    live_count_ = live;
-    while (!recent_counts_.empty() && now - recent_counts_.front().at > count_retention) {
-        recent_counts_.pop_front();
-    }
-    while (!recent_counts_.empty() && recent_counts_.back().live <= live) {
-        recent_counts_.pop_back();
-    }
-    recent_counts_.push_back({now, live});
-}
-
-std::size_t cold_start_limit::max_recent_instances() const {
-    return recent_counts_.empty() ? live_count_
-                                  : std::max(live_count_, recent_counts_.front().live);
+    instances_.update(live, now);
 }
 
 void cold_start_limit::update_role(const service_id& service, sender_role role, time_point now) {
@@ -77,8 +64,8 @@
 sender_role cold_start_limit::role(const service_id& service, time_point now) const {
     const auto held = roles_.find(service);
     const bool settled = held != roles_.end() && now - held->second.since >= settling_time;
-    return settled && 2 * live_count_ > max_recent_instances() ? held->second.role
-                                                               : sender_role::fallback;
+    return settled && 2 * instances_.live() > instances_.max_recent() ? held->second.role
+                                                                      : sender_role::fallback;
 }
 
 std::size_t cold_start_limit::sent_in_window(const backend_id& server, time_point now) {
@@ -117,7 +104,7 @@
     const double bound = std::floor(per_second * rules_->factor + rules_->slack);
     const double part = bound * share_of(role);
     const double own =
-        is_exclusive(role) ? part : part / static_cast<double>(max_recent_instances());
+        is_exclusive(role) ? part : part / static_cast<double>(instances_.max_recent());
     const auto sent = static_cast<double>(sent_in_window(server, now));
     if (own >= 1.0) {
         return sent + 1.0 <= own;
--- a/bamboostream/src/Limits/cold_start_limit.h
+++ b/bamboostream/src/Limits/cold_start_limit.h
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Core/identities.h"
+#include "bamboostream/src/Limits/instance_count.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -70,15 +71,10 @@
 
 private:
     std::size_t sent_in_window(const backend_id& server, time_point now);
-    std::size_t max_recent_instances() const;
     /// Whether this instance may send its one request in the current second, which it may with the
     /// given probability.
     bool has_turn(const backend_id& server, double probability, time_point now) const;
 
-    struct count_sample {
-        time_point at;
-        std::size_t live;
-    };
     struct role_entry {
         sender_role role = sender_role::fallback;
         time_point since;
@@ -86,9 +82,7 @@
     std::uint64_t self_;
     std::optional<cold_start_rules> rules_;
     std::optional<time_point> first_update_;
-    std::size_t live_count_ = 1;
-    /// Recent instance counts, oldest first and strictly decreasing: the front is the maximum.
-    std::deque<count_sample> recent_counts_;
+    instance_count instances_;
     std::unordered_map<service_id, role_entry> roles_;
     std::unordered_map<backend_id, std::deque<time_point>> sent_;
 };
--- a/bamboostream/src/Limits/engine_admission.cpp
+++ b/bamboostream/src/Limits/engine_admission.cpp
@@ -1,9 +1,16 @@
 #include "bamboostream/src/Limits/engine_admission.h"
 
 #include <algorithm>
+#include <array>
 
 namespace bamboostream {
 
+std::string_view to_string(admission_result result) {
+    static constexpr std::array<std::string_view, 4> names = {"admitted", "memory_full",
+                                                              "prompts_queued", "rate_limited"};
+    return names[static_cast<std::size_t>(result)];
+}
+
 duration expected_prefill_time(std::int64_t queued, std::int64_t prompt, double tokens_per_ms) {
     return from_milliseconds(static_cast<double>(queued + prompt) / tokens_per_ms);
 }
--- a/bamboostream/src/Limits/engine_admission.h
+++ b/bamboostream/src/Limits/engine_admission.h
@@ -4,6 +4,7 @@
 #include "bamboostream/src/Routing/load_table.h"
 
 #include <cstdint>
+#include <string_view>
 
 namespace bamboostream {
 
@@ -36,7 +37,10 @@
 };
 
 /// Whether a generation is admitted to an engine, or which limit it exceeds.
-enum class admission_result : std::uint8_t { admit, memory_full, prompts_queued };
+/// `rate_limited`: all engines that could take it have got the requests a second that they take.
+enum class admission_result : std::uint8_t { admit, memory_full, prompts_queued, rate_limited };
+/// Name of a result in log lines.
+std::string_view to_string(admission_result result);
 
 /// The time that an engine takes to prefill `queued` prompt tokens and then `prompt` more, at
 /// `tokens_per_ms` tokens a millisecond.
--- a/bamboostream/src/Limits/retry_delay.cpp
+++ b/bamboostream/src/Limits/retry_delay.cpp
@@ -59,7 +59,7 @@
         return request.quarantine + randomize(transient_delay, transient_spread, random);
     }
     if (request.overload <= transient_delay || !request.caller_timeout) {
-        return randomize(transient_delay, transient_spread, random);
+        return randomize(std::max(transient_delay, request.permit_wait), transient_spread, random);
     }
     const auto max_accepted =
         std::chrono::duration_cast<duration>(*request.caller_timeout * max_wait_fraction);
--- a/bamboostream/src/Limits/retry_delay.h
+++ b/bamboostream/src/Limits/retry_delay.h
@@ -27,6 +27,8 @@
     /// The request resumes a stream, and no server of the software version that began it takes
     /// work; one may start again.
     version_unavailable,
+    /// All servers that could take the request have got the requests a second that they take.
+    rate_limited,
 };
 
 /// The properties of a refused request that determine its retry delay.
@@ -40,6 +42,8 @@
     duration overload{};
     /// Remaining quarantine of the request, or time until its trial is due, if that is the cause.
     duration quarantine{};
+    /// Time until a server may take another request, if its rate is the cause.
+    duration permit_wait{};
 };
 
 /// Returns the time after which a refused caller should retry, randomized so that callers refused
--- a/test/platform/peer_group.cpp
+++ b/test/platform/peer_group.cpp
@@ -108,9 +108,13 @@
     origins =
         std::make_unique<stream_origin_exchange>(context, links, *membership, forwarding.origins);
     forwarding.origin_registry = origins.get();
+    rate_limits = std::make_unique<rate_limit_exchange>(context, links, *membership,
+                                                        forwarding.registry, forwarding.rate_limits,
+                                                        forwarding.issuer, issuer_key(forwarding));
+    forwarding.permits = rate_limits.get();
     peers = std::make_unique<peer_exchange>(context, links, *membership, forwarding, *news,
                                             *distributor, *owner, *quarantine, *server_states,
-                                            *origins);
+                                            *origins, *rate_limits);
     tunnels = std::make_unique<tunnel_client>(context, *membership, forwarding,
                                               stable_hash(self.id.address));
     forwarding.tunnels = tunnels.get();
--- a/test/platform/peer_group.h
+++ b/test/platform/peer_group.h
@@ -79,6 +79,7 @@
     std::unique_ptr<quarantine_exchange> quarantine;
     std::unique_ptr<server_state_exchange> server_states;
     std::unique_ptr<stream_origin_exchange> origins;
+    std::unique_ptr<rate_limit_exchange> rate_limits;
     std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<tunnel_client> tunnels;
     std::unique_ptr<tunnel_server> carried_tunnels;
