Soak: servers that name limits, and an audit of what they get

A step lets a server name 0.5 to 20 requests a second for four to six seconds, beside all other faults. The audit counts, as the platform does, what it gets in 4 s from instances that have passed on such an answer half a second before; instances that were killed, stopped or paused within the last second are excused, those that are cut off from servers are not.

--- a/test/platform/soak_audit.cpp
+++ b/test/platform/soak_audit.cpp
@@ -1,5 +1,6 @@
 #include "test/platform/soak_audit.h"
 
+#include <cmath>
 #include <fmt/format.h>
 
 namespace bamboostream::test {
@@ -22,6 +23,14 @@
 /// sent.
 constexpr int max_late_crashes = 3;
 
+/// In any window that ends this long after a limit was named, instances that had been told of it
+/// for `limit_told_delay` may send the limit times the factor, and the slack.
+constexpr milliseconds limit_contact_time{3'000};
+constexpr milliseconds limit_window{4'000};
+constexpr milliseconds limit_told_delay{500};
+constexpr double allowed_limit_factor = 1.5;
+constexpr double allowed_limit_slack = 5.0;
+
 } // namespace
 
 void soak_audit::ran(const std::string& request, const std::string& server, bool repeatable) {
@@ -130,6 +139,57 @@
         fmt::format("{} was sent to {} after that server had left", request, server));
 }
 
+void soak_audit::limit_named(const std::string& server, std::optional<double> per_second,
+                             time_point now) {
+    limits_.erase(server);
+    if (per_second) {
+        limit_record& limit = limits_[server];
+        limit.per_second = *per_second;
+        limit.named_at = now;
+    }
+}
+
+void soak_audit::limit_told(const std::string& server, std::size_t instance, time_point now) {
+    if (const auto found = limits_.find(server); found != limits_.end()) {
+        found->second.told_at.try_emplace(instance, now);
+    }
+}
+
+void soak_audit::limits_forgotten(std::size_t instance) {
+    for (auto& [server, limit] : limits_) {
+        limit.told_at.erase(instance);
+    }
+}
+
+void soak_audit::limited_server_asked(const std::string& server, std::size_t instance, bool excused,
+                                      time_point now) {
+    const auto found = limits_.find(server);
+    if (found == limits_.end() || excused) {
+        return;
+    }
+    limit_record& limit = found->second;
+    const auto told = limit.told_at.find(instance);
+    if (told == limit.told_at.end() || now < told->second + limit_told_delay) {
+        return;
+    }
+    ++counted_at_limits_;
+    limit.counted.push_back(now);
+    while (now - limit.counted.front() >= limit_window) {
+        limit.counted.pop_front();
+    }
+    const double allowed =
+        limit.per_second * to_milliseconds(limit_window) / 1'000.0 * allowed_limit_factor +
+        allowed_limit_slack;
+    const bool exceeded = static_cast<double>(limit.counted.size()) > allowed;
+    if (now >= limit.named_at + limit_contact_time && exceeded && !limit.reported) {
+        limit.reported = true;
+        violations_.push_back(fmt::format(
+            "{} names a limit of {} a second and got {} requests in 4 s from instances that it had "
+            "told, allowed {:.0f}",
+            server, limit.per_second, limit.counted.size(), std::floor(allowed)));
+    }
+}
+
 void soak_audit::server_crashed(const std::string& path, time_point now, bool up_to_date) {
     record_crash(path, crashes_until_quarantine, now, up_to_date);
 }
--- a/test/platform/soak_audit.h
+++ b/test/platform/soak_audit.h
@@ -3,7 +3,9 @@
 #include "bamboostream/Core"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -48,6 +50,15 @@
     void completed(const std::string& request, int events);
     /// A request was sent to a server that had left longer ago than the bound allows.
     void request_reached_left_server(const std::string& request, const std::string& server);
+    /// From now on, the server names this limit on the requests a second that it takes, or none.
+    void limit_named(const std::string& server, std::optional<double> per_second, time_point now);
+    /// The server has sent an answer that names its limit to an instance.
+    void limit_told(const std::string& server, std::size_t instance, time_point now);
+    /// The instance has started again and knows of no limit.
+    void limits_forgotten(std::size_t instance);
+    /// The server got a request from an instance. `excused`: the instance was disturbed.
+    void limited_server_asked(const std::string& server, std::size_t instance, bool excused,
+                              time_point now);
     /// A server crashed while running a request for `path`. `up_to_date`: the instance that sent it
     /// was undisturbed for long enough to know what the others know.
     void server_crashed(const std::string& path, time_point now, bool up_to_date);
@@ -72,6 +83,8 @@
     /// First tries at partitioned instances.
     std::size_t tried_cut_off() const { return tried_cut_off_; }
     std::size_t served_cut_off() const { return served_cut_off_; }
+    /// Requests at servers that name a limit, from instances that had been told.
+    std::size_t counted_at_limits() const { return counted_at_limits_; }
 
 private:
     struct share {
@@ -105,6 +118,17 @@
     void record_crash(const std::string& cause, int crashes_until_due, time_point now,
                       bool up_to_date);
 
+    struct limit_record {
+        double per_second = 0.0;
+        time_point named_at{};
+        std::map<std::size_t, time_point> told_at;
+        /// Requests from instances that had been told, in the latest window.
+        std::deque<time_point> counted;
+        bool reported = false;
+    };
+    /// Servers that name a limit.
+    std::map<std::string, limit_record> limits_;
+    std::size_t counted_at_limits_ = 0;
     /// By path, and by harmful part.
     std::map<std::string, crash_record> crashes_by_cause_;
     std::vector<std::string> violations_;
--- a/test/platform/soak_audit_test.cpp
+++ b/test/platform/soak_audit_test.cpp
@@ -44,6 +44,16 @@
     audit.check_first_tries();
 }
 
+/// Requests from an instance that had been told of a limit of 2.4 a second, in 4 s.
+void ask_limited(soak_audit& audit, int requests, bool excused) {
+    audit.limit_named("s", 2.4, begin);
+    audit.limit_told("s", 1, begin);
+    for (int i = 0; i < requests; ++i) {
+        audit.limited_server_asked("s", 1, excused, begin + milliseconds(600 + 170 * i));
+        audit.limited_server_asked("s", 2, false, begin + milliseconds(600 + 170 * i));
+    }
+}
+
 class soak_audit_test : public testing::TestWithParam<audit_row> {};
 
 INSTANTIATE_TEST_SUITE_P(
@@ -148,6 +158,10 @@
                       }
                   },
                   0},
+        audit_row{"limit_kept", [](soak_audit& a) { ask_limited(a, 19, false); }, 0},
+        audit_row{"limit_exceeded", [](soak_audit& a) { ask_limited(a, 20, false); }, 1},
+        audit_row{"limit_exceeded_by_disturbed_instances",
+                  [](soak_audit& a) { ask_limited(a, 20, true); }, 0},
         audit_row{"innocent_request_held", [](soak_audit& a) { a.quarantined("r", "/a/x"); }, 1},
         audit_row{"process_ended", [](soak_audit& a) { a.process_exited("p", 139); }, 1},
         audit_row{"not_recovered", [](soak_audit& a) { a.not_recovered("i", "503"); }, 1}),
--- a/test/platform/soak_plan.cpp
+++ b/test/platform/soak_plan.cpp
@@ -27,7 +27,8 @@
     "store_is_silent_to_half",
     "harmful_request",
     "instances_cut_off",
-    "domain_cut_off"};
+    "domain_cut_off",
+    "server_names_limit"};
 /// Mean time between steps. Short compared to most durations, so that several faults are active at
 /// any time.
 constexpr double mean_gap_ms = 350.0;
@@ -43,6 +44,11 @@
 constexpr double mean_domain_cut_gap_ms = 2'000.0;
 /// Long enough that callers' first tries are counted during the partition.
 constexpr milliseconds min_domain_cut{4'000};
+constexpr std::uint64_t limit_seed_offset = 3'000'003;
+constexpr double mean_limit_gap_ms = 2'500.0;
+/// Longer than the time after which the limit must be kept.
+constexpr milliseconds min_limit_time{4'000};
+constexpr std::array<double, 4> limits = {0.5, 2.0, 5.0, 20.0};
 
 /// Appends steps with exponential gaps; `draw_fault` draws the kind of each.
 template <typename draw>
@@ -82,6 +88,14 @@
         step.duration = std::min(min_domain_cut + step.duration, length - step.at);
     }
     out.insert(out.end(), domain_cuts.begin(), domain_cuts.end());
+    std::vector<soak_step> named_limits;
+    std::mt19937_64 limit_random(seed + limit_seed_offset);
+    append_steps(named_limits, limit_random, mean_limit_gap_ms, length,
+                 [] { return soak_fault::server_names_limit; });
+    for (soak_step& step : named_limits) {
+        step.duration = std::min(min_limit_time + step.duration, length - step.at);
+    }
+    out.insert(out.end(), named_limits.begin(), named_limits.end());
     std::stable_sort(out.begin(), out.end(),
                      [](const soak_step& a, const soak_step& b) { return a.at < b.at; });
     return out;
@@ -98,6 +112,10 @@
     return out;
 }
 
+double limit_of(const soak_step& step) {
+    return limits.at(step.target % limits.size());
+}
+
 std::string print(const std::vector<soak_step>& plan) {
     std::string out;
     for (const soak_step& step : plan) {
--- a/test/platform/soak_plan.h
+++ b/test/platform/soak_plan.h
@@ -34,6 +34,8 @@
     instances_cut_off,
     /// A whole failure domain is partitioned from all servers, for longer than other faults last.
     domain_cut_off,
+    /// A server names a limit on the requests a second that it takes.
+    server_names_limit,
     count_,
 };
 
@@ -56,6 +58,9 @@
 };
 soak_cut cut_of(const soak_step& step, std::size_t instances);
 
+/// The requests a second that a server names in a step with `server_names_limit`.
+double limit_of(const soak_step& step);
+
 /// Generates the steps for a seed, sorted by time. The same seed and length always give the same
 /// plan, and all faults of the plan end within `length`.
 std::vector<soak_step> make_soak_plan(std::uint64_t seed, milliseconds length);
--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -41,6 +41,9 @@
 constexpr milliseconds restart_after_term{5'000};
 /// An instance that was undisturbed for this long knows what the others know.
 constexpr milliseconds catch_up_time{3'000};
+/// An instance that was killed or paused keeps the limits of servers from this time after its
+/// return on.
+constexpr milliseconds return_time{1'000};
 /// From this time after the beginning of a partition, first tries at the instance count.
 constexpr milliseconds contact_time{1'000};
 constexpr milliseconds harmful_interval{150};
@@ -64,6 +67,10 @@
     std::optional<time_point> left;
     /// Its link stalls, breaks, loses answers or refuses connections until then.
     time_point link_disturbed_until{};
+    /// The requests a second that it names in its answers; nothing if it names no limit.
+    std::optional<double> limit;
+    /// It named a limit until then.
+    time_point limited_until{};
 };
 
 std::vector<std::uint64_t> seeds() {
@@ -169,6 +176,8 @@
         audit_.check_first_tries();
         fmt::print("first tries at partitioned instances: {}, served {}\n", audit_.tried_cut_off(),
                    audit_.served_cut_off());
+        fmt::print("limits named {}, requests counted there {}\n", limits_named_,
+                   audit_.counted_at_limits());
         fmt::print("taken up {} of which went on {}\n", audit_.taken_up(), audit_.continued());
         fmt::print("answered {} refused {} unknown {}\n", audit_.answered(), audit_.refused(),
                    audit_.unknown());
@@ -222,6 +231,7 @@
         start(*instances_[i]);
         stopping_[i] = false;
         disturbed_until_[i] = monotonic_now();
+        audit_.limits_forgotten(i);
     }
 
     void inject(const soak_step& step) {
@@ -301,6 +311,9 @@
         case soak_fault::domain_cut_off:
             cut_off_domain(step);
             break;
+        case soak_fault::server_names_limit:
+            name_limit(step);
+            break;
         case soak_fault::count_:
             break;
         }
@@ -379,6 +392,46 @@
         }
     }
 
+    /// Has no effect while another server names a limit, or if fewer than three serve: the audits
+    /// of what callers get assume that there is a server with room.
+    void name_limit(const soak_step& step) {
+        std::vector<soak_server*> serving;
+        bool any_named = false;
+        for (const auto& it : servers_) {
+            if (it->listed && !it->left) {
+                serving.push_back(it.get());
+                any_named = any_named || it->limit;
+            }
+        }
+        if (any_named || serving.size() < 3) {
+            return;
+        }
+        soak_server& server = *serving[step.target / 4 % serving.size()];
+        server.limit = limit_of(step);
+        server.limited_until = monotonic_now() + step.duration;
+        audit_.limit_named(server.id, server.limit, monotonic_now());
+        ++limits_named_;
+        schedule(step.duration, [this, &server] {
+            server.limit.reset();
+            audit_.limit_named(server.id, std::nullopt, monotonic_now());
+        });
+    }
+
+    /// Reports a request to the audit if the server names a limit, and returns the field that names
+    /// it.
+    std::string limit_field(const std::string& id, const soak_server& server) {
+        const auto from = instance_of_request_.find(id);
+        if (!server.limit || from == instance_of_request_.end()) {
+            return "";
+        }
+        const time_point now = monotonic_now();
+        const std::size_t at = from->second;
+        const bool excused = stopping_[at] || now < disturbed_until_[at] + return_time;
+        audit_.limited_server_asked(server.id, at, excused, now);
+        audit_.limit_told(server.id, at, now);
+        return fmt::format("Server-Limit: {}\r\n", *server.limit);
+    }
+
     /// Sends nothing to the proxy of a crashed server: another process may use its port by now.
     void send_command(const soak_server& server, const std::string& command) {
         if (server.listed) {
@@ -489,11 +542,12 @@
         if (must_be_known_as_leaving(server)) {
             audit_.request_reached_left_server(id, server.id);
         }
+        const std::string limit = limit_field(id, server);
         const unsigned draw = std::uniform_int_distribution<unsigned>(0, 99)(random_);
         if (draw < 4) {
             co_await c.send(fmt::format("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {}\r\n"
-                                        "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-                                        id));
+                                        "Not-Executed: 1\r\n{}Content-Length: 0\r\n\r\n",
+                                        id, limit));
             co_return;
         }
         const bool resumable = c.request().starts_with("GET /r/");
@@ -515,8 +569,9 @@
             c.reset();
             co_return;
         }
-        const std::string head = fmt::format(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n", draw < 12 ? "other" : id);
+        const std::string head =
+            fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n{}",
+                        draw < 12 ? "other" : id, limit);
         if (resumable || c.request().starts_with("GET /s/")) {
             co_await c.send(head + "Content-Type: text/event-stream\r\n"
                                    "Transfer-Encoding: chunked\r\n\r\n");
@@ -547,7 +602,8 @@
         const time_point now = monotonic_now();
         return std::count_if(servers_.begin(), servers_.end(), [&](const auto& it) {
                    return it->version == version && it->listed && !it->left &&
-                          now >= it->link_disturbed_until + catch_up_time;
+                          now >= it->link_disturbed_until + catch_up_time &&
+                          now >= it->limited_until + catch_up_time;
                }) >= 2;
     }
 
@@ -592,6 +648,7 @@
             }
             const bool counts = is_in_touch(at) && version_serves(version);
             soak_request request{random_id(), "/r/x", true, stream, events};
+            instance_of_request_[request.id] = at;
             received = co_await send_audited(*connection, audit_, std::move(request));
             events += received.events;
             if (counts && is_in_touch(at) && version_serves(version)) {
@@ -621,6 +678,7 @@
             const bool stream = resumable || caller % 3 == 0;
             const std::string path = resumable ? "/r/x" : stream ? "/s/x" : "/a/x";
             const std::string id = random_id();
+            instance_of_request_[id] = at;
             const bool counts = resumable && is_in_touch(at);
             const try_kind kind = first_try_kind(at);
             soak_request request{id, path, stream};
@@ -741,7 +799,7 @@
     std::vector<time_point> disturbed_until_ = per_instance<time_point>();
     std::vector<domain_cut> domain_cut_ = per_instance<domain_cut>();
     std::vector<std::unique_ptr<soak_server>> servers_;
-    /// The instance that received a harmful request, by the request's id.
+    /// The instance that received a request, by the request's id.
     std::map<std::string, std::size_t> instance_of_request_;
     /// Instances that this test has stopped and not yet restarted.
     std::vector<bool> stopping_;
@@ -751,6 +809,7 @@
     partition cut_senders_;
     partition domain_cut_senders_;
     int cut_number_ = 0;
+    int limits_named_ = 0;
     int version_ = 1;
     int callers_ = 0;
     int harmful_senders_ = 0;
