--- a/test/platform/owner_scheduler_test.cpp
+++ b/test/platform/owner_scheduler_test.cpp
@@ -4,8 +4,6 @@
 #include "test/platform/decision_helpers.h"
 #include "test/platform/peer_group.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <set>
@@ -13,8 +11,6 @@
 namespace bamboostream::test {
 namespace {
 
-namespace asio = boost::asio;
-
 constexpr std::int64_t engine_memory = 30'000;
 constexpr int engine_count = 40;
 
@@ -47,20 +43,7 @@
         return out;
     }
     std::optional<engine_choice> ask(peer_instance& from, const engine_request& wanted) {
-        std::optional<engine_choice> out;
-        bool done = false;
-        asio::co_spawn(
-            group_.context,
-            [&]() -> asio::awaitable<void> {
-                out = co_await from.owner->choose(wanted);
-                done = true;
-            },
-            asio::detached);
-        group_.context.restart();
-        while (!done) {
-            group_.context.run_one();
-        }
-        return out;
+        return group_.complete(from.owner->choose(wanted));
     }
     peer_instance& owner() { return *order_[0]; }
     peer_instance& deputy() { return *order_[1]; }
--- a/test/platform/peer_group.h
+++ b/test/platform/peer_group.h
@@ -6,9 +6,12 @@
 #include "platform/platform_request_codec.h"
 #include "test/platform/narrow_link.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -101,6 +104,18 @@
     /// `link_mbps` Mbit/s (zero for no limit), and runs until all know each other, at most 10 s.
     peer_group(int domains, int count, double link_mbps = 0.0);
     void run_for(milliseconds time);
+    /// Runs until the coroutine has returned, and returns its result.
+    template <class Result> Result complete(boost::asio::awaitable<Result> work) {
+        std::optional<Result> out;
+        boost::asio::co_spawn(
+            context, [&]() -> boost::asio::awaitable<void> { out = co_await std::move(work); },
+            boost::asio::detached);
+        context.restart();
+        while (!out) {
+            context.run_one();
+        }
+        return std::move(*out);
+    }
     /// Returns all instances, in the order in which they own `key`.
     std::vector<peer_instance*> owners(std::string_view key) const;
     peer_instance& at(const std::string& address) const;
--- a/test/platform/rate_limit_exchange_test.cpp
+++ b/test/platform/rate_limit_exchange_test.cpp
@@ -6,15 +6,11 @@
 #include "test/platform/peer_group.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <gtest/gtest.h>
 
 namespace bamboostream::test {
 namespace {
 
-namespace asio = boost::asio;
-
 constexpr milliseconds told_bound{200};
 constexpr milliseconds max_refusal_time{50};
 
@@ -41,20 +37,7 @@
     }
 
     bool acquire(peer_instance& from, int priority = 0) {
-        bool out = false;
-        bool done = false;
-        asio::co_spawn(
-            group_.context,
-            [&]() -> asio::awaitable<void> {
-                out = co_await from.rate_limits->acquire(server_, priority);
-                done = true;
-            },
-            asio::detached);
-        group_.context.restart();
-        while (!done) {
-            group_.context.run_one();
-        }
-        return out;
+        return group_.complete(from.rate_limits->acquire(server_, priority));
     }
 
     /// Asks at all instances but those left out until `time` has passed; returns the permits.
@@ -75,7 +58,9 @@
         return granted;
     }
 
-    std::vector<peer_instance*> order() const { return group_.owners(issuer_key(group_.all.front()->forwarding)(server_)); }
+    std::vector<peer_instance*> order() const {
+        return group_.owners(issuer_key(group_.all.front()->forwarding)(server_));
+    }
 
     registered_backend server_ = backend("i-1");
     peer_group group_{4, 2};
--- a/test/platform/system/rate_limit_test.cpp
+++ b/test/platform/system/rate_limit_test.cpp
@@ -62,7 +62,12 @@
 };
 
 class rate_limit_system : public gateway_test, public testing::WithParamInterface<rate_limit_row> {
+public:
+    rate_limit_system(const rate_limit_system&) = delete;
+    rate_limit_system& operator=(const rate_limit_system&) = delete;
+
 protected:
+    rate_limit_system() = default;
     ~rate_limit_system() override {
         stop_ = true;
         wait_until([this] { return open_ == 0; });
@@ -220,7 +225,7 @@
         const fault_kind fault = GetParam().fault;
         for (int n = 0; fault != fault_kind::none && n < GetParam().instances / 2; ++n) {
             const milliseconds from(2'000 + 1'200 * n);
-            const auto i = static_cast<std::size_t>(2 * n);
+            const auto i = static_cast<std::size_t>(n) * 2;
             actions_.emplace_back(named_ + from, [this, i, fault] {
                 disturbed_.insert(static_cast<int>(i));
                 instances_[i]->running->signal(fault == fault_kind::stops ? SIGSTOP : SIGKILL);
