Test that each permit keeps the bound of a limit that has come down

The test of a lowered limit passed without the bound on the permits of four seconds (prove.sh permit_window): it left out the windows that reach back to the higher limit. The two rows that replace it check every permit against all of the four seconds before it, and that the low limit is used afterwards. Without the bound both are red.

--- a/test/rate_permit_load_test.cpp
+++ b/test/rate_permit_load_test.cpp
@@ -277,20 +277,50 @@
     EXPECT_GE(static_cast<double>(by_permits), min_used * whole);
 }
 
-// Guards against a server that keeps getting its old rate after it has lowered its limit.
-TEST(permit_issuer_test, a_lowered_limit_holds_for_the_requests_before_as_well) {
+struct lowered_limit_row {
+    std::string name;
+    /// How long it takes until the limit has come down from 8 to 1.5 a second.
+    seconds takes;
+    friend void PrintTo(const lowered_limit_row& row, std::ostream* out) { *out << row.name; }
+};
+
+class lowered_limit : public testing::TestWithParam<lowered_limit_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, lowered_limit,
+                         testing::Values(lowered_limit_row{"at_once", seconds(0)},
+                                         lowered_limit_row{"slowly", seconds(6)}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against a server that keeps getting its old rate after it has lowered its limit: each
+// permit keeps the bound of the limit at that moment, with all permits of the window before it.
+TEST_P(lowered_limit, holds_for_the_requests_before_as_well) {
+    constexpr double high = 8.0;
+    constexpr double low = 1.5;
+    const auto limit_at = [&](duration at) {
+        if (at < seconds(10)) {
+            return high;
+        }
+        const double part = GetParam().takes > seconds(0) ? to_milliseconds(at - seconds(10)) /
+                                                                to_milliseconds(GetParam().takes)
+                                                          : 1.0;
+        return std::max(low, high - part * (high - low));
+    };
     permit_issuer issuer;
     issuer.update_instance_count(8, start - seconds(10));
-    std::vector<time_point> arrivals;
-    const auto limit_at = [](duration at) { return at < seconds(10) ? 8.0 : 1.5; };
-    for (duration at{}; at < seconds(20); at += milliseconds(20)) {
-        if (issuer.issue({backend_id("i-1"), limit_at(at), issuer_role::owner, 0}, start + at)
-                .granted) {
-            arrivals.push_back(start + at);
+    std::vector<time_point> granted;
+    for (duration at{}; at < seconds(25); at += milliseconds(20)) {
+        const permit_terms terms{backend_id("i-1"), limit_at(at), issuer_role::owner, 0};
+        if (!issuer.issue(terms, start + at).granted) {
+            continue;
         }
+        granted.push_back(start + at);
+        const auto recent = std::count_if(granted.begin(), granted.end(),
+                                          [&](time_point it) { return it > start + at - window; });
+        EXPECT_LE(static_cast<double>(recent), allowed(limit_at(at))) << to_milliseconds(at);
     }
-    std::erase_if(arrivals, [](time_point it) { return it < start + seconds(9); });
-    EXPECT_LE(static_cast<double>(max_in_window(arrivals)), allowed(1.5));
+    const auto at_low_limit = std::count_if(
+        granted.begin(), granted.end(), [&](time_point it) { return it >= start + seconds(19); });
+    EXPECT_GE(static_cast<double>(at_low_limit), min_used * low * 6.0);
 }
 
 // Guards against less urgent requests that take the permits of urgent ones.
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -259,7 +259,7 @@
 prove permit_of_engines $s/Forwarding/engine_choice.cpp 'if (!limited || take_own_permit(state, *chosen, request.priority, now)) {' 'if (true) {' 'rate_limited_engines'
 prove permit_standby_share $s/Limits/permit_issuer.cpp 'return standby_share * limit;' 'return limit;' 'permit_load'
 prove permit_partition_share $s/Limits/permit_issuer.cpp 'std::min(1.0, max_partitioned_share * seen) * limit' 'limit' 'permit_load'
-prove permit_window $s/Limits/permit_issuer.cpp 'static_cast<double>(recent) + 1.0 > max_window_seconds * limit + max_window_slack' 'recent > 1000' 'lowered_limit'
+prove permit_window $s/Limits/permit_issuer.cpp 'max_window_seconds * limit + max_window_slack' 'max_window_seconds * limit + max_window_slack + 1000.0' 'lowered_limit'
 prove permit_rank $s/Limits/permit_issuer.cpp 'return priority > 0 ? low_rank_threshold : 1.0;' 'return priority > 0 ? 1.0 : 1.0;' 'urgent_requests'
 prove permit_debt $s/Limits/permit_issuer.cpp 'spend(update(terms, now));' 'update(terms, now);' 'without_a_permit_delay|told_to_the_issuer'
 exit $bad
