Consider servers without a limit after four denials, and ask each server once

What callers would have seen: 503 although a server had room. Cause: idle servers that name a limit are chosen first; an instance that knows nothing of their permits asked four of them, or one four times if its issuer was the instance itself in place of a silent owner, and then refused.

Change: a denied server is not asked again for the same request; after four denials only servers without a limit are considered.

Evidence: rate_limited_choice, twelve limited servers and a sound one, was 0 of 5 served before, 5 of 5 now. Found by reading.

--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -21,7 +21,8 @@
 /// is large or a network link is down. Callers of short calls wait a few times as long in total.
 constexpr milliseconds max_configuration_wait{200};
 constexpr milliseconds configuration_poll_interval{10};
-/// Servers that are asked for a permit before the request is refused. Each takes some 2 ms.
+/// Servers that are asked for a permit before only those without a limit are considered. Each takes
+/// some 2 ms.
 constexpr int max_permits_asked = 4;
 
 std::string error_body(std::string_view code) {
@@ -256,13 +257,15 @@
         co_return co_await choose_engine_for_generation();
     }
     placement_request wanted;
-    wanted.avoid = avoid_;
     wanted.preferred_domain = state_.local_failure_domain;
     wanted.server_memory_tokens = service_->engine ? service_->engine->memory_tokens : 0;
-    for (int asked = 0; asked < max_permits_asked && !caller_left_; ++asked) {
+    std::vector<backend_id> avoid = avoid_;
+    rate_limited_ = false;
+    for (int asked = 0; asked <= max_permits_asked && !caller_left_; ++asked) {
         const time_point now = monotonic_now();
-        const registered_backend* found =
-            state_.picker.pick(candidates(now), state_.loads, wanted, now);
+        wanted.avoid = avoid;
+        const registered_backend* found = state_.picker.pick(
+            candidates(asked < max_permits_asked, now), state_.loads, wanted, now);
         if (found == nullptr) {
             break;
         }
@@ -273,6 +276,7 @@
             record_send(state_, chosen, monotonic_now());
             co_return destination{chosen, {}, {}, limited};
         }
+        avoid.push_back(chosen.id);
         rate_limited_ = true;
     }
     if (rate_limited_) {
@@ -287,7 +291,8 @@
     co_return std::nullopt;
 }
 
-std::vector<const registered_backend*> forwarded_call::candidates(time_point now) {
+std::vector<const registered_backend*> forwarded_call::candidates(bool with_limited,
+                                                                  time_point now) {
     const sender_role role = service_->engine ? own_role(state_, service_->id) : sender_role::peer;
     auto servers = servers_with_capacity(state_, service_->id, role, now);
     std::erase_if(servers,
@@ -295,10 +300,11 @@
     const std::size_t with_capacity = servers.size();
     if (state_.rate_limits.any()) {
         std::erase_if(servers, [&](const registered_backend* server) {
-            return expected_permit_wait(state_, *server, priority_, now) > duration{};
+            return with_limited ? expected_permit_wait(state_, *server, priority_, now) > duration{}
+                                : is_rate_limited(state_, server->id);
         });
     }
-    rate_limited_ = servers.size() < with_capacity;
+    rate_limited_ = rate_limited_ || servers.size() < with_capacity;
     return servers;
 }
 
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -83,9 +83,10 @@
     refusal_cause quarantine_cause();
     boost::asio::awaitable<std::optional<destination>> choose();
     boost::asio::awaitable<std::optional<destination>> choose_engine_for_generation();
-    /// Servers of the service that the request may be sent to, and whether others are left out
-    /// because they have got the requests a second that they take.
-    std::vector<const registered_backend*> candidates(time_point now);
+    /// Servers of the service that the request may be sent to. Sets `rate_limited_` if others are
+    /// left out because they have got the requests a second that they take, or, unless
+    /// `with_limited`, because they name a limit.
+    std::vector<const registered_backend*> candidates(bool with_limited, time_point now);
     /// Logs that all servers that could take the request have got what they take.
     void record_rate_limited(const registered_backend* server);
     backend_work expected_work() const;
