Read the load that servers report, and the interfaces of the parts that use it

Servers of some services report their load with each response, and on shared machines how long work takes there at present. Nothing read it. server_load_table keeps the latest report of each server and whether a service's servers report the load of their host; a field that can't be read gives one warning a server and minute.

Compiled; not tested yet.

--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -47,6 +47,10 @@
 inline constexpr event_kind backend_end_found{232, event_level::info, "backend_end_found", "It is found later that a backend server's process has ended that refused connections while no server could be reached; the line gives the digest of a request that was open on it."};
 inline constexpr event_kind backend_rate_limit{233, event_level::info, "backend_rate_limit", "A backend server names a limit on the requests a second that it takes, names another one, or names none any more; the line says whether this instance saw it in a response or was told."};
 inline constexpr event_kind rate_limit_malformed{234, event_level::warning, "rate_limit_malformed", "A backend server names a limit on its requests a second that can't be read; the limit known before stays."};
+inline constexpr event_kind server_load_malformed{235, event_level::warning, "server_load_malformed", "A backend server reports a load that can't be read; it is ignored."};
+inline constexpr event_kind server_slow{236, event_level::info, "server_slow", "A backend server has become much slower than the others of its service; it still gets work that it does in time."};
+inline constexpr event_kind server_recovered{237, event_level::info, "server_recovered", "A backend server is no longer much slower than the others of its service."};
+inline constexpr event_kind response_without_end{238, event_level::warning, "response_without_end", "A backend server exceeded a limit on the bytes or the time of a response; the connection was closed."};
 inline constexpr event_kind configuration_in_force{300, event_level::info, "configuration_in_force", "A newer configuration version is in force here."};
 inline constexpr event_kind configuration_rejected{301, event_level::warning, "configuration_rejected", "A configuration record on the log conflicts with an earlier one or failed validation."};
 inline constexpr event_kind log_unavailable{310, event_level::warning, "log_unavailable", "The platform's log can't be read; the configuration in force stays."};
@@ -76,6 +80,7 @@
 inline constexpr event_kind stream_not_continued{443, event_level::info, "stream_not_continued", "A stream that has begun can't go on: the server runs another software version than the one that began it, no server of that version takes work, or the version is not known."};
 inline constexpr event_kind stream_taken_up{444, event_level::info, "stream_taken_up", "A caller takes a stream up again; the line names the attempt that brought its first event and the software version that began it."};
 inline constexpr event_kind carriers_asked{445, event_level::info, "carriers_asked", "Other instances were asked for a tunnel to a backend server; the line names each of them and its answer. Not logged if the first one opened it."};
+inline constexpr event_kind move_not_possible{446, event_level::info, "move_not_possible", "No engine can receive a generation whose engine is leaving; it is tried again while its engine lives."};
 inline constexpr event_kind record_rejected{330, event_level::warning, "record_rejected", "A record of the platform's store could not be read; the previous state stays in use."};
 inline constexpr event_kind store_unavailable{331, event_level::warning, "store_unavailable", "A topic of the platform's store can't be read; peers are asked instead."};
 inline constexpr event_kind store_available{332, event_level::info, "store_available", "A topic of the platform's store can be read again."};
--- a/bamboostream/src/Forwarding/engine_choice.h
+++ b/bamboostream/src/Forwarding/engine_choice.h
@@ -25,6 +25,12 @@
     int priority = 0;
     /// Target time until the first event.
     duration objective{};
+    /// Objective for the longest pause between two events; zero if there is none, or if the
+    /// servers of the service don't report the load of their host.
+    duration pause_objective{};
+    /// Nothing if requests carry no keys, or if the servers of the service don't report the load of
+    /// their host.
+    std::optional<workspace_id> workspace;
     /// Only engines that run this software version may be chosen; any if it is empty.
     software_version version;
     /// Excluded engines, for instance those at which the request has failed.
--- a/bamboostream/src/Forwarding/forward_request.h
+++ b/bamboostream/src/Forwarding/forward_request.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Core/identities.h"
 #include "bamboostream/src/Core/prompt_part.h"
+#include "bamboostream/src/Routing/server_load_table.h"
 
 #include <cstdint>
 #include <optional>
@@ -74,6 +75,10 @@
     std::optional<double> rate_limit;
     /// The text of a limit that can't be read; empty otherwise.
     std::string malformed_rate_limit;
+    /// The load that the server reports; nothing if the response doesn't say.
+    std::optional<server_load> load;
+    /// The text of a load that can't be read; empty otherwise.
+    std::string malformed_load;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -213,6 +213,7 @@
 asio::awaitable<std::optional<attempt_end>> forwarded_call::handle_response(const destination& to) {
     const response_info facts = state_.codec.parse_response(*connection_, request_);
     record_rate_limit(facts);
+    record_server_load(facts);
     if (facts.wrong_server) {
         state_.registry.mark_leaving(to.backend.id);
         if (state_.on_registry_change) {
@@ -257,6 +258,19 @@
     }
 }
 
+void forwarded_call::record_server_load(const response_info& facts) {
+    if (!facts.names_request || facts.wrong_server) {
+        return;
+    }
+    const time_point now = monotonic_now();
+    if (facts.load) {
+        state_.server_loads.observe(service_->id, sent_to_.id, *facts.load, now);
+    } else if (!facts.malformed_load.empty() && state_.server_loads.should_warn(sent_to_.id, now)) {
+        log_event(events::server_load_malformed, "backend={} request={} text={}",
+                  sent_to_.id.text(), request_.id, facts.malformed_load);
+    }
+}
+
 void forwarded_call::give_back(const destination& to) {
     state_.connections.give_back(to.backend.address, std::exchange(connection_, nullptr),
                                  monotonic_now());
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -325,6 +325,10 @@
     wanted.version = origin_ ? origin_->version : software_version();
     wanted.priority = priority_;
     wanted.objective = route_->objective;
+    if (state_.server_loads.reports_host_load(service_->id)) {
+        wanted.pause_objective = route_->pause_objective;
+        wanted.workspace = workspace_;
+    }
     wanted.avoid = avoid_;
     wanted.preferred_domain = state_.local_failure_domain;
     rate_limited_ = false;
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -108,6 +108,8 @@
     boost::asio::awaitable<std::optional<attempt_end>> handle_response(const destination& to);
     /// Records what the response says of the requests a second that its server takes.
     void record_rate_limit(const response_info& facts);
+    /// Records what the response says of its server's load.
+    void record_server_load(const response_info& facts);
     boost::asio::awaitable<std::optional<attempt_end>> forward_body(const destination& to,
                                                                     response_info facts);
     boost::asio::awaitable<std::optional<attempt_end>> relay(const destination& to,
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -28,6 +28,7 @@
 #include "bamboostream/src/Routing/prefill_rates.h"
 #include "bamboostream/src/Routing/reachability_tracker.h"
 #include "bamboostream/src/Routing/route_table.h"
+#include "bamboostream/src/Routing/server_load_table.h"
 #include "bamboostream/src/Routing/window_budget.h"
 
 #include <array>
@@ -130,6 +131,8 @@
     view_age entries_view;
     view_age documents_view;
     load_table loads;
+    /// What backend servers report of their load in responses to this instance.
+    server_load_table server_loads;
     /// Prefill speed of the engines, as measured here and reported by other instances.
     prefill_rates prefill;
     window_budget budget;
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -115,6 +115,8 @@
     out.objective_ms = age_to_wire(request.objective);
     out.failure_domain = request.preferred_domain.text();
     out.software_version = request.version.text();
+    out.pause_objective_ms = age_to_wire(request.pause_objective);
+    out.workspace = request.workspace ? request.workspace->text() : std::string();
     for (const backend_id& id : request.avoid) {
         out.avoid.push_back(id.text());
     }
@@ -131,6 +133,10 @@
     out.objective = milliseconds(request.objective_ms);
     out.preferred_domain = failure_domain_id(request.failure_domain);
     out.version = software_version(request.software_version);
+    out.pause_objective = milliseconds(request.pause_objective_ms);
+    if (!request.workspace.empty()) {
+        out.workspace.emplace(request.workspace);
+    }
     for (const std::string& id : request.avoid) {
         out.avoid.emplace_back(id);
     }
@@ -151,9 +157,9 @@
 }
 
 engine_choice from_wire(const wire::AdmitReplyT& reply, const registered_backend& engine) {
-    constexpr auto last = static_cast<std::uint8_t>(admission_result::rate_limited);
+    constexpr auto last = static_cast<std::uint8_t>(admission_result::count_) - 1;
     return {engine,
-            static_cast<admission_result>(std::min(reply.reason, last)),
+            static_cast<admission_result>(std::min<int>(reply.reason, last)),
             {static_cast<int>(reply.requests), reply.memory_tokens, reply.unread_tokens},
             milliseconds(reply.overload_ms),
             reply.permit};
--- a/bamboostream/src/Limits/engine_admission.cpp
+++ b/bamboostream/src/Limits/engine_admission.cpp
@@ -6,8 +6,10 @@
 namespace bamboostream {
 
 std::string_view to_string(admission_result result) {
-    static constexpr std::array<std::string_view, 4> names = {"admitted", "memory_full",
-                                                              "prompts_queued", "rate_limited"};
+    static constexpr std::array<std::string_view,
+                                static_cast<std::size_t>(admission_result::count_)>
+        names = {"admitted",     "memory_full",     "prompts_queued",
+                 "rate_limited", "memory_reserved", "workspace_over_share"};
     return names[static_cast<std::size_t>(result)];
 }
 
--- a/bamboostream/src/Limits/engine_admission.h
+++ b/bamboostream/src/Limits/engine_admission.h
@@ -37,8 +37,18 @@
 };
 
 /// Whether a generation is admitted to an engine, or which limit it exceeds.
-/// `rate_limited`: all engines that could take it have got the requests a second that they take.
-enum class admission_result : std::uint8_t { admit, memory_full, prompts_queued, rate_limited };
+enum class admission_result : std::uint8_t {
+    admit,
+    memory_full,
+    prompts_queued,
+    /// All engines that could take it have got the requests a second that they take.
+    rate_limited,
+    /// The memory that is left is needed for generations that must leave their engines.
+    memory_reserved,
+    /// Memory is short, and the request's workspace holds its share of it.
+    workspace_over_share,
+    count_,
+};
 /// Name of a result in log lines.
 std::string_view to_string(admission_result result);
 
--- a/bamboostream/src/Routing/backend_picker.cpp
+++ b/bamboostream/src/Routing/backend_picker.cpp
@@ -40,6 +40,9 @@
     if (const auto found = failure_rates_.find(server.id); found != failure_rates_.end()) {
         out += failure_rate_cost * found->second;
     }
+    if (request.additional_cost != nullptr) {
+        out += request.additional_cost->cost(server);
+    }
     return out + (now < server.slow_until ? cold_cost : 0.0);
 }
 
--- a/bamboostream/src/Routing/backend_picker.h
+++ b/bamboostream/src/Routing/backend_picker.h
@@ -14,6 +14,15 @@
 
 namespace bamboostream {
 
+/// Adds to the cost of a server what depends on the kind of request, such as the risk of a late
+/// pause.
+class placement_cost {
+public:
+    virtual ~placement_cost() = default;
+    /// The additional cost, as a fraction of a full server.
+    virtual double cost(const registered_backend& server) const = 0;
+};
+
 /// Requirements and preferences of a request for the choice of its backend server.
 struct placement_request {
     /// Servers that must not be chosen, for instance because the request has failed there.
@@ -22,6 +31,8 @@
     std::int64_t server_memory_tokens = 0;
     /// Failure domain whose servers are preferred when costs are nearly equal.
     failure_domain_id preferred_domain;
+    /// Null if there is none.
+    const placement_cost* additional_cost = nullptr;
 };
 
 /// Chooses the backend server for a request by the work in progress at each server.
