Choose engines by their pace

Streams of many events have late pauses at engines whose lasting pace is near the objective for pauses. Instances record the intervals between events, report them to the owner of the service, and the choice adds the expected loss from late pauses to the cost of each engine. In force only for services whose servers report the load of their host.

--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -1,6 +1,9 @@
 #include "bamboostream/src/Forwarding/engine_choice.h"
 
 #include "bamboostream/src/Forwarding/forwarding_state.h"
+#include "bamboostream/src/Routing/pace_cost.h"
+
+#include <algorithm>
 
 namespace bamboostream {
 
@@ -62,6 +65,31 @@
     co_return co_await state.permits->acquire(std::move(server), priority);
 }
 
+namespace {
+
+/// The additional cost of engines by their pace; nothing for services whose servers don't report
+/// the load of their host.
+std::optional<pace_cost> make_pace_cost(forwarding_state& state, const engine_request& request) {
+    if (!state.server_loads.reports_host_load(request.service)) {
+        return std::nullopt;
+    }
+    const service_rule* rule = state.routes ? state.routes->find_service(request.service) : nullptr;
+    const int tokens_per_event =
+        rule != nullptr && rule->engine ? rule->engine->tokens_per_event : 1;
+    paced_request paced;
+    paced.events =
+        std::max(1.0, static_cast<double>(request.work.memory_tokens - request.work.unread_tokens) /
+                          std::max(1, tokens_per_event));
+    paced.pause_objective = request.pause_objective;
+    paced.first_event_objective = request.objective;
+    paced.prompt_tokens = request.work.unread_tokens;
+    state.stream_sizes.observe(request.service, paced.events, paced.pause_objective);
+    return std::optional<pace_cost>(std::in_place, state.pace, request.service, paced,
+                                    state.stream_sizes.typical(request.service));
+}
+
+} // namespace
+
 engine_choice choose_engine(forwarding_state& state, const engine_request& request,
                             sender_role role, time_point now) {
     placement_request wanted;
@@ -70,10 +98,17 @@
     wanted.server_memory_tokens = request.engine_memory_tokens;
     const admission_request admission_terms{request.work, request.engine_memory_tokens,
                                             request.priority, request.objective};
+    std::optional<pace_cost> by_pace = make_pace_cost(state, request);
     const auto check_engine = [&](const registered_backend& engine) {
-        return check_admission(
-            state.admission, admission_terms, state.loads.total(engine.id, now),
-            state.prefill.tokens_per_ms(request.service, backend_hash(engine.id)));
+        const std::uint64_t hash = backend_hash(engine.id);
+        const backend_work work = state.loads.total(hash, now);
+        const double tokens_per_ms = state.prefill.tokens_per_ms(request.service, hash);
+        const admission_result result =
+            check_admission(state.admission, admission_terms, work, tokens_per_ms);
+        if (by_pace && result == admission_result::admit) {
+            by_pace->add(engine, hash, work, tokens_per_ms);
+        }
+        return result;
     };
     auto engines = servers_with_capacity(state, request.service, role, now);
     std::erase_if(engines, [&request](const registered_backend* engine) {
@@ -84,6 +119,7 @@
         return check_engine(*engine) != admission_result::admit;
     });
     const bool any_admits = !admitting.empty();
+    wanted.additional_cost = by_pace ? &*by_pace : nullptr;
     while (const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now)) {
         const bool limited = is_rate_limited(state, chosen->id);
         if (!limited || take_own_permit(state, *chosen, request.priority, now)) {
@@ -93,6 +129,7 @@
         }
         std::erase(admitting, chosen);
     }
+    wanted.additional_cost = nullptr;
     // No engine takes the request: the least loaded one gives the reason and the load to report.
     const registered_backend* least_loaded = state.picker.pick(engines, state.loads, wanted, now);
     if (least_loaded == nullptr) {
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -128,11 +128,17 @@
     const backend_work work = to.work ? *to.work : state_.loads.total(to.backend.id, now);
     const duration view_age = state_.entries_view.age(now);
     state_.latency.record(latency_stage::view_age, route_->repeats, view_age);
+    const std::uint64_t server = backend_hash(to.backend.id);
+    const double pace_ms = state_.pace.ms_per_event(service_->id, server);
+    const double late_risk = state_.pace.late_risk(
+        service_->id, server, route_->pause_objective,
+        static_cast<double>(request_.expected_output_tokens) /
+            (service_->engine ? std::max(1, service_->engine->tokens_per_event) : 1));
     log_event(events::request_sent,
               "request={} route={} service={} backend={} address={} software_version={} copy_of={} "
               "sends={} configuration_version={} usable={} view_age_ms={:.0f} requests={} "
               "memory_tokens={} of_memory={} unread_tokens={} prompt_tokens={} expected_tokens={} "
-              "rate_limit={} "
+              "rate_limit={} pace_ms={:.1f} late_risk={:.4f} "
               "events={} time_left_ms={:.0f} after_ms={:.0f}",
               request_.id, route_->name, service_->id.text(), to.backend.id.text(),
               to.backend.address, printable(to.backend.version), to.copy ? to.copy->holder : "none",
@@ -140,8 +146,9 @@
               state_.registry.usable(service_->id).size(), to_milliseconds(view_age), work.requests,
               work.memory_tokens, service_->engine ? service_->engine->memory_tokens : 0,
               work.unread_tokens, request_.prompt_tokens, request_.expected_output_tokens,
-              rate_text(state_.rate_limits.find(to.backend.id)), splitter_.events(),
-              to_milliseconds(deadline_ - now), to_milliseconds(now - arrival_));
+              rate_text(state_.rate_limits.find(to.backend.id)), pace_ms, late_risk,
+              splitter_.events(), to_milliseconds(deadline_ - now),
+              to_milliseconds(now - arrival_));
 }
 
 asio::awaitable<std::optional<attempt_end>> forwarded_call::attempt(const destination& to) {
@@ -385,9 +392,24 @@
     return route_->repeats == repeat_policy::once && service_->engine && service_->engine->moves;
 }
 
+void forwarded_call::record_pace(std::uint64_t count, time_point now) {
+    if (!attempt_first_event_ || count == 0 || !service_->engine ||
+        !state_.server_loads.reports_host_load(service_->id)) {
+        return;
+    }
+    const duration pause = now - latest_event_;
+    const duration objective = route_->pause_objective;
+    const pace_sample sample{static_cast<double>(count), to_milliseconds(pause),
+                             objective > duration{} && pause > objective ? 1.0 : 0.0, objective};
+    state_.pace.observe(service_->id, backend_hash(sent_to_.id), sample, now);
+    state_.engine_outcomes.record_pace(sent_to_.id, sample);
+}
+
 asio::awaitable<bool> forwarded_call::forward_events(std::string_view events, int status) {
     const time_point now = monotonic_now();
     longest_pause_ = stream_started_ ? std::max(longest_pause_, now - latest_event_) : duration{};
+    record_pace(splitter_.events() - events_before_, now);
+    events_before_ = splitter_.events();
     latest_event_ = now;
     attempt_first_event_ = attempt_first_event_.value_or(now);
     if (!stream_started_) {
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -115,6 +115,9 @@
     boost::asio::awaitable<std::optional<attempt_end>> relay(const destination& to,
                                                              response_info facts);
     boost::asio::awaitable<bool> forward_events(std::string_view events, int status);
+    /// Records the time since the previous events of the same attempt, in which `count` events have
+    /// arrived. A pause between two attempts says nothing about the pace of either server.
+    void record_pace(std::uint64_t count, time_point now);
     boost::asio::awaitable<bool> await_move();
     /// Whether the target named by a move notice may still be sent the request.
     bool may_follow_move(const move_notice& notice, time_point now) const;
@@ -208,6 +211,8 @@
     time_point first_event_;
     time_point latest_event_;
     duration longest_pause_{};
+    /// Events that had arrived by `latest_event_`.
+    std::uint64_t events_before_ = 0;
     bool stream_started_ = false;
     bool caller_left_ = false;
     /// The request was quarantined while in progress.
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -29,6 +29,8 @@
 #include "bamboostream/src/Routing/reachability_tracker.h"
 #include "bamboostream/src/Routing/route_table.h"
 #include "bamboostream/src/Routing/server_load_table.h"
+#include "bamboostream/src/Routing/server_pace.h"
+#include "bamboostream/src/Routing/stream_demand.h"
 #include "bamboostream/src/Routing/window_budget.h"
 
 #include <array>
@@ -135,6 +137,11 @@
     server_load_table server_loads;
     /// Prefill speed of the engines, as measured here and reported by other instances.
     prefill_rates prefill;
+    /// Time between events of streams at each server, as measured here and reported by other
+    /// instances; only of services whose servers report the load of their host.
+    server_pace pace;
+    /// The streams of such services for which this instance has chosen engines.
+    stream_demand stream_sizes;
     window_budget budget;
     admission_rules admission;
     backend_picker picker;
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -212,6 +212,7 @@
         }
         if (change.event == registry_event::gone || change.event == registry_event::restarted) {
             forwarding.prefill.forget(backend_hash(change.backend.id));
+            forwarding.pace.forget(backend_hash(change.backend.id));
             forwarding.server_loads.forget(change.backend.id);
         }
     });
--- a/bamboostream/src/Gateway/owner_scheduler.cpp
+++ b/bamboostream/src/Gateway/owner_scheduler.cpp
@@ -62,6 +62,26 @@
                                       static_cast<double>(reported.prefill_ms)});
         }
     }
+    note_paces(report, now);
+}
+
+void owner_scheduler::note_paces(const wire::LoadReportT& report, time_point now) {
+    for (const backend_pace& reported : paces_from_wire(report)) {
+        // Looking a server up in the registry takes time in proportion to the number of servers.
+        const service_id* service = forwarding_.pace.service_of(reported.backend);
+        if (service == nullptr) {
+            const registered_backend* engine =
+                forwarding_.registry.find_if([&reported](const registered_backend& it) {
+                    return backend_hash(it.id) == reported.backend;
+                });
+            if (engine == nullptr) {
+                continue;
+            }
+            service = &engine->service;
+        }
+        forwarding_.server_loads.set_reports_host_load(*service);
+        forwarding_.pace.observe(*service, reported.backend, reported.sample, now);
+    }
 }
 
 asio::awaitable<std::optional<engine_choice>>
--- a/bamboostream/src/Gateway/owner_scheduler.h
+++ b/bamboostream/src/Gateway/owner_scheduler.h
@@ -46,6 +46,9 @@
     std::vector<std::string> load_report_recipients() const;
 
 private:
+    /// Records paces that another instance has reported. They show that the servers report the load
+    /// of their host.
+    void note_paces(const wire::LoadReportT& report, time_point now);
     /// The owner and the standby of a service.
     std::vector<std::string> owners(const service_id& service) const;
     bool is_unresponsive(const std::string& owner, time_point now) const;
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -103,7 +103,8 @@
         owner_scheduler_.update_roles(monotonic_now());
         if (!own.empty() || !reported_none) {
             links_.send_to_each(owner_scheduler_.load_report_recipients(),
-                                make_frame(to_wire(own, forwarding_.engine_outcomes.take())));
+                                make_frame(to_wire(own, forwarding_.engine_outcomes.take(),
+                                                   forwarding_.engine_outcomes.take_paces())));
         }
         reported_none = own.empty();
         co_await wait_on(load_due_, monotonic_now() + load_period);
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -1,6 +1,7 @@
 #include "bamboostream/src/Gateway/peer_frames.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace bamboostream {
@@ -12,6 +13,11 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(tokens, 0, most));
 }
 
+std::uint16_t short_on_wire(double value) {
+    constexpr double most = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::clamp(value, 0.0, most));
+}
+
 } // namespace
 
 std::unique_ptr<wire::BackendFactT> to_wire(const registered_backend& backend, time_point now) {
@@ -87,8 +93,20 @@
     return out;
 }
 
+std::vector<backend_pace> paces_from_wire(const wire::LoadReportT& report) {
+    std::vector<backend_pace> out;
+    for (const wire::PaceEntry& entry : report.paces) {
+        out.push_back(
+            {entry.backend(),
+             {static_cast<double>(entry.events()), static_cast<double>(entry.ms()),
+              static_cast<double>(entry.late()), milliseconds(entry.pause_objective_ms())}});
+    }
+    return out;
+}
+
 wire::LoadReportT to_wire(std::span<const backend_work_entry> own,
-                          std::span<const backend_outcomes> outcomes) {
+                          std::span<const backend_outcomes> outcomes,
+                          std::span<const backend_pace> paces) {
     wire::LoadReportT report;
     for (const backend_work_entry& entry : own) {
         report.entries.emplace_back(entry.backend, entry.work.requests,
@@ -103,6 +121,12 @@
             report.readings.emplace_back(entry.backend, entry.prefill_tokens, entry.prefill_ms);
         }
     }
+    for (const backend_pace& entry : paces) {
+        report.paces.emplace_back(entry.backend, static_cast<std::uint32_t>(entry.sample.intervals),
+                                  static_cast<std::uint32_t>(std::lround(entry.sample.total_ms)),
+                                  short_on_wire(entry.sample.late),
+                                  short_on_wire(to_milliseconds(entry.sample.pause_objective)));
+    }
     return report;
 }
 
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -36,9 +36,11 @@
 cordoned_domains cordons_from_wire(std::span<const std::string> domains, std::uint64_t position);
 
 wire::LoadReportT to_wire(std::span<const backend_work_entry> own,
-                          std::span<const backend_outcomes> outcomes);
+                          std::span<const backend_outcomes> outcomes,
+                          std::span<const backend_pace> paces = {});
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report);
 std::vector<backend_outcomes> outcomes_from_wire(const wire::LoadReportT& report);
+std::vector<backend_pace> paces_from_wire(const wire::LoadReportT& report);
 
 wire::AdmitRequestT to_wire(const engine_request& request);
 /// The engines' memory size isn't sent; the receiver takes it from its own configuration.
--- a/bamboostream/src/Routing/load_table.cpp
+++ b/bamboostream/src/Routing/load_table.cpp
@@ -88,11 +88,10 @@
     adjust(peer_totals_, entry.backend, entry.work);
 }
 
-backend_work load_table::total(const backend_id& id, time_point now) {
+backend_work load_table::total(std::uint64_t server_hash, time_point now) {
     expire(now);
-    const std::uint64_t key = backend_hash(id);
-    backend_work sum = find_work(local_work_, key);
-    sum += find_work(peer_totals_, key);
+    backend_work sum = find_work(local_work_, server_hash);
+    sum += find_work(peer_totals_, server_hash);
     return sum;
 }
 
--- a/bamboostream/src/Routing/load_table.h
+++ b/bamboostream/src/Routing/load_table.h
@@ -56,7 +56,11 @@
     /// Adds work that `peer` is about to start; its next report replaces it.
     void add_expected(const std::string& peer, const backend_work_entry& entry, time_point now);
     /// Total work of all instances at one server.
-    backend_work total(const backend_id& id, time_point now);
+    backend_work total(const backend_id& id, time_point now) {
+        return total(backend_hash(id), now);
+    }
+    /// The same, given the server's `backend_hash`.
+    backend_work total(std::uint64_t server_hash, time_point now);
     /// The instances that report work at one server.
     std::vector<std::string> peers_reporting(const backend_id& id, time_point now);
     /// The work of this instance, to be reported to others.
--- a/bamboostream/src/Routing/outcome_collector.cpp
+++ b/bamboostream/src/Routing/outcome_collector.cpp
@@ -19,6 +19,14 @@
     seen.prefill_ms += static_cast<std::uint32_t>(sample.ms);
 }
 
+void outcome_collector::record_pace(const backend_id& id, const pace_sample& sample) {
+    pace_sample& seen = paces_[{backend_hash(id), sample.pause_objective}];
+    seen.intervals += sample.intervals;
+    seen.total_ms += sample.total_ms;
+    seen.late += sample.late;
+    seen.pause_objective = sample.pause_objective;
+}
+
 void outcome_collector::note(const backend_id& id, bool succeeded) {
     backend_outcomes& seen = of(id);
     std::uint16_t& count = succeeded ? seen.succeeded : seen.failed;
@@ -27,6 +35,14 @@
     }
 }
 
+std::vector<backend_pace> outcome_collector::take_paces() {
+    std::vector<backend_pace> out;
+    for (const auto& [key, seen] : std::exchange(paces_, {})) {
+        out.push_back({key.first, seen});
+    }
+    return out;
+}
+
 std::vector<backend_outcomes> outcome_collector::take() {
     std::vector<backend_outcomes> out;
     for (const auto& [key, seen] : std::exchange(outcomes_, {})) {
