Report slow engines, and test the estimate of the pace

The owner logs server_slow and server_recovered with hysteresis; metrics show the pace of the slowest and fastest engines. One sample counts for at most 60 intervals and 3 late ones, so that a false report has a bounded effect.

--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <iterator>
 #include <utility>
+#include <vector>
 
 namespace bamboostream {
 
@@ -73,6 +74,37 @@
     }
 }
 
+/// The pace of the slowest and the fastest engines as far as this instance knows it, and the number
+/// of slow ones. The owner of a service knows it of all engines.
+void append_paces(std::string& out, const forwarding_state& state) {
+    constexpr std::size_t listed_at_each_end = 5;
+    struct row {
+        double ms;
+        backend_id id;
+    };
+    std::vector<row> rows;
+    std::uint64_t slow = 0;
+    if (!state.pace.empty()) {
+        for (const registered_backend& server : state.registry.all()) {
+            if (const auto known = state.pace.find(backend_hash(server.id))) {
+                rows.push_back({known->ms_per_event, server.id});
+                slow += known->slow ? 1 : 0;
+            }
+        }
+    }
+    append(out, "gauge", "slow_servers", slow);
+    std::sort(rows.begin(), rows.end(), [](const row& a, const row& b) { return a.ms > b.ms; });
+    if (rows.size() > 2 * listed_at_each_end) {
+        rows.erase(rows.begin() + listed_at_each_end, rows.end() - listed_at_each_end);
+    }
+    out += "# TYPE bamboostream_server_pace_ms gauge\n";
+    for (const row& it : rows) {
+        fmt::format_to(std::back_inserter(out),
+                       "bamboostream_server_pace_ms{{backend=\"{}\"}} {:.1f}\n", it.id.text(),
+                       it.ms);
+    }
+}
+
 } // namespace
 
 std::string exposition(const forwarding_state& state, const gateway_stats& stats, time_point now) {
@@ -125,6 +157,7 @@
     append(out, "gauge", "live_instances", state.live_instances);
     append(out, "gauge", "entries_view_age_ms", reported_age_ms(state.entries_view.age(now)));
     append(out, "gauge", "documents_view_age_ms", reported_age_ms(state.documents_view.age(now)));
+    append_paces(out, state);
     append_configuration(out, stats);
     append_store_calls(out, stats.store_calls);
     append_links(out, stats.links);
--- a/bamboostream/src/Gateway/owner_scheduler.cpp
+++ b/bamboostream/src/Gateway/owner_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "bamboostream/src/Gateway/owner_scheduler.h"
 
 #include "bamboostream/src/Control/frames.h"
+#include "bamboostream/src/Core/event_log.h"
 #include "bamboostream/src/Gateway/peer_frames.h"
 
 #include <algorithm>
@@ -20,6 +21,7 @@
 /// An owner that didn't answer is asked again after this time. If it is dead, that is known by
 /// then.
 constexpr milliseconds silent_owner_pause{1'000};
+constexpr milliseconds pace_update_period{1'000};
 
 } // namespace
 
@@ -147,6 +149,30 @@
     }
 }
 
+void owner_scheduler::update_slow_servers(time_point now) {
+    if (!forwarding_.routes || now < next_pace_update_) {
+        return;
+    }
+    next_pace_update_ = now + pace_update_period;
+    for (const service_rule& service : forwarding_.routes->configuration().services) {
+        if (!service.engine || !forwarding_.server_loads.reports_host_load(service.id)) {
+            continue;
+        }
+        const bool is_owner = forwarding_.cold_starts.role(service.id, now) == sender_role::owner;
+        for (const server_pace::change& it : forwarding_.pace.take_changes(service.id)) {
+            const registered_backend* engine =
+                forwarding_.registry.find_if([&it](const registered_backend& known) {
+                    return backend_hash(known.id) == it.server;
+                });
+            if (is_owner && engine != nullptr) {
+                log_event(it.slow ? events::server_slow : events::server_recovered,
+                          "service={} backend={} pace_ms={:.1f} median_ms={:.1f}",
+                          service.id.text(), engine->id.text(), it.ms_per_event, it.median_ms);
+            }
+        }
+    }
+}
+
 std::unique_ptr<wire::FrameT> owner_scheduler::answer(const wire::AdmitRequestT& request,
                                                       const std::string& sender) {
     const time_point now = monotonic_now();
--- a/bamboostream/src/Gateway/owner_scheduler.h
+++ b/bamboostream/src/Gateway/owner_scheduler.h
@@ -42,6 +42,9 @@
     void hear(const wire::LoadReportT& report, const std::string& sender);
     /// Determines for each service whether this instance is its owner or standby.
     void update_roles(time_point now);
+    /// Determines once a second which engines are slow. The owner of a service logs changes; the
+    /// others keep the same state, so that a new owner doesn't log them again.
+    void update_slow_servers(time_point now);
     /// The instances that must know of work at the engines, without this one.
     std::vector<std::string> load_report_recipients() const;
 
@@ -58,6 +61,7 @@
     forwarding_state& forwarding_;
     /// Owners that have not answered in time, and until when they are skipped.
     std::unordered_map<std::string, time_point> unresponsive_until_;
+    time_point next_pace_update_{};
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -101,6 +101,7 @@
         forwarding_.cold_starts.update_instance_count(forwarding_.live_instances, monotonic_now());
         forwarding_.issuer.update_instance_count(forwarding_.live_instances, monotonic_now());
         owner_scheduler_.update_roles(monotonic_now());
+        owner_scheduler_.update_slow_servers(monotonic_now());
         if (!own.empty() || !reported_none) {
             links_.send_to_each(owner_scheduler_.load_report_recipients(),
                                 make_frame(to_wire(own, forwarding_.engine_outcomes.take(),
--- a/bamboostream/src/Routing/server_pace.cpp
+++ b/bamboostream/src/Routing/server_pace.cpp
@@ -26,9 +26,12 @@
 /// late pause at a ratio of 0.39, and none of 593 at 0.16.
 constexpr double prior_slope = 2.3;
 constexpr double band_prior_intervals = 1'000.0;
-/// Upper limit of the weight of one sample, and of its mean relative to that of the service.
-constexpr double max_sample_intervals = 200.0;
-constexpr double max_mean_ratio = 8.0;
+/// Upper limits of the weight of one sample, of the late intervals that it counts for, and of its
+/// mean relative to that of the service. Most samples are the 10 to 30 intervals that an instance
+/// observes at a server between two reports, with at most one or two late ones.
+constexpr double max_sample_intervals = 60.0;
+constexpr double max_sample_late = 3.0;
+constexpr double max_mean_ratio = 4.0;
 constexpr double max_interval_ms = 10'000.0;
 /// A server counts as slow from this multiple of the median pace, and as recovered below the other.
 /// Differences below a third arise from load alone.
@@ -149,7 +152,7 @@
     band& of = common.bands[std::min(static_cast<std::size_t>(ratio / band_width), band_count - 1)];
     const double kept = 1.0 - weight / band_retention_intervals;
     of.intervals = of.intervals * kept + weight;
-    of.late = of.late * kept + weight * std::clamp(sample.late / sample.intervals, 0.0, 1.0);
+    of.late = of.late * kept + std::clamp(sample.late, 0.0, std::min(weight, max_sample_late));
     common.update_late_rates();
 }
 
--- a/bamboostream/src/Routing/server_pace.h
+++ b/bamboostream/src/Routing/server_pace.h
@@ -72,6 +72,7 @@
                      double events) const;
     /// The estimate of a server with samples; nothing if there are none.
     std::optional<estimate> find(std::uint64_t server_hash) const;
+    bool empty() const { return servers_.empty(); }
     /// The service of a server with samples; null if there are none.
     const service_id* service_of(std::uint64_t server_hash) const;
     /// Determines which servers of the service are slow, and returns those for which this has
--- a/test/platform/forwarding_test.cpp
+++ b/test/platform/forwarding_test.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <map>
 
 namespace bamboostream::test {
 
@@ -384,6 +385,56 @@
     scripted_backend* target = nullptr;
 };
 
+// Intervals between events of one attempt are recorded, those that arrive together as one pause.
+// The pause of a move is not: it would make its target, or the source, look slow.
+TEST(pace_of_streams, is_recorded_without_the_pause_of_a_move) {
+    forwarding_fixture fixture;
+    fixture.state().server_loads.set_reports_host_load(service_id("engines"));
+    fixture.route("long").pause_objective = milliseconds(60);
+    bool source_stops = false;
+    fixture.add(
+        "i-1",
+        [&](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(0, 0));
+            co_await c.pause(100);
+            co_await c.send(stream_events(1, 2));
+            co_await c.pause(20);
+            co_await c.send(stream_events(3, 3));
+            while (!source_stops) {
+                co_await c.pause(1);
+            }
+            c.close();
+        },
+        "engines");
+    const auto view = fixture.ask("long", "a1");
+    fixture.run_for(milliseconds(200));
+    scripted_backend& target = fixture.add(
+        "i-2",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.send(stream_head(c) + stream_events(4, 4));
+            co_await c.pause(20);
+            co_await c.send(stream_events(5, 6) + stream_end);
+        },
+        "engines");
+    fixture.state().streams.claim_movable(backend_id("i-1"));
+    fixture.state().streams.notify(
+        "a1", {backend_id("i-2"), target.address(), {"10.0.0.1:80", "handle-7"}}, monotonic_now());
+    source_stops = true;
+    fixture.finish(view);
+    ASSERT_EQ(view->body(), events_text(0, 6));
+    std::map<std::uint64_t, pace_sample> seen;
+    for (const backend_pace& it : fixture.state().engine_outcomes.take_paces()) {
+        seen[it.backend] = it.sample;
+    }
+    const pace_sample& source = seen[backend_hash(backend_id("i-1"))];
+    EXPECT_EQ(source.intervals, 3.0);
+    EXPECT_EQ(source.late, 1.0);
+    EXPECT_GE(source.total_ms, 115.0);
+    EXPECT_EQ(seen[backend_hash(backend_id("i-2"))].intervals, 2.0);
+    EXPECT_EQ(seen[backend_hash(backend_id("i-2"))].late, 0.0);
+    EXPECT_FALSE(fixture.state().pace.empty());
+}
+
 /// Whether the move notice arrives before or after the stream ends at its source.
 struct move_row {
     std::string name;
@@ -415,6 +466,9 @@
     EXPECT_EQ(moving.view->body(), events_text(0, 6));
     ASSERT_EQ(moving.target->requests().size(), 1u);
     const std::string& sent = moving.target->requests().front();
+    // Without the load of the host, no interval is recorded.
+    EXPECT_TRUE(moving.fixture.state().pace.empty());
+    EXPECT_TRUE(moving.fixture.state().engine_outcomes.take_paces().empty());
     EXPECT_NE(sent.find("\r\nKv-From: 10.0.0.1:80/handle-7\r\n"), std::string::npos) << sent;
     EXPECT_NE(sent.find("\r\nLast-Event-Id: 3\r\n"), std::string::npos) << sent;
 }
--- a/test/platform/owner_scheduler_test.cpp
+++ b/test/platform/owner_scheduler_test.cpp
@@ -336,6 +336,46 @@
     EXPECT_LT(rates.tokens_per_ms(service_id("s"), backend_hash(slow)), 2.0);
 }
 
+// The owner and its standby learn the pace of engines that only other instances have observed, and
+// choose by it at once: guards against a standby that takes over without it.
+TEST_F(owner_scheduler_test, pace_is_reported_to_the_owner_and_its_standby) {
+    const backend_id slow("i-3");
+    const service_id service("s");
+    outcome_collector& seen = asker().forwarding.engine_outcomes;
+    for (int i = 0; i < engine_count; ++i) {
+        const backend_id id(fmt::format("i-{}", i));
+        seen.record_pace(id, {60.0, id == slow ? 60 * 90.0 : 60 * 30.0, 0.0, milliseconds(180)});
+    }
+    const wire::LoadReportT report = to_wire({}, {}, seen.take_paces());
+    for (peer_instance* it : {&owner(), &deputy()}) {
+        forwarding_state& state = it->forwarding;
+        EXPECT_FALSE(state.server_loads.reports_host_load(service));
+        it->owner->hear(report, asker().address());
+        EXPECT_TRUE(state.server_loads.reports_host_load(service));
+        EXPECT_GT(state.pace.late_risk(service, backend_hash(slow), milliseconds(180), 190), 0.5);
+        EXPECT_LT(
+            state.pace.late_risk(service, backend_hash(backend_id("i-4")), milliseconds(180), 190),
+            0.01);
+    }
+    for (int i = 0; i < 3 * engine_count; ++i) {
+        engine_request wanted = request();
+        wanted.work = {1, 3'190, 3'000};
+        wanted.pause_objective = milliseconds(180);
+        const auto choice = ask(asker(), wanted);
+        ASSERT_TRUE(choice && choice->engine);
+        EXPECT_NE(choice->engine->id, slow);
+    }
+}
+
+// An instance that has recorded no intervals, as of a service whose servers don't report the load
+// of their host, sends the same bytes as one of the previous version.
+TEST(pace_on_the_wire, costs_nothing_without_samples) {
+    outcome_collector none;
+    const std::vector<backend_work_entry> own = {{7, {1, 3'000, 0}}};
+    EXPECT_EQ(encode_frame(make_frame(to_wire(own, {}, none.take_paces()))),
+              encode_frame(make_frame(to_wire(own, {}))));
+}
+
 // Work is reported only to the owner and its deputy, which report theirs to each other.
 TEST_F(owner_scheduler_test, only_the_owners_are_told_of_work) {
     const std::vector<std::string> reported = asker().owner->load_report_recipients();
