Hold room for streams of leaving engines, and move them by the time that is left

Moves fill targets to 0.65 to 0.95 of their memory while new requests are admitted up to 1.1, so in a surge no target has room, and running streams are lost in favour of new ones.

move_reserve knows which engines have announced that they leave. What their generations need follows from the load reports, so owner and standby know it without a message. choose_engine refuses a generation with memory_reserved if it would take room that is needed, the least urgent first; its caller returns when the notice is over. A leaving engine's streams are copied by what can be done in time, rank and output; targets are filled up to 1.1, near ones are preferred when time is short, and the next copy begins while the last part of the previous one is under way. Only for services whose servers report the load of their host.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Core/event_log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -27,6 +28,22 @@
 /// meanwhile, but it can't continue anywhere else, so a late end is better than none.
 constexpr milliseconds final_copy_timeout{1'500};
 
+/// Interval at which the generations of an engine that is evacuated before its end are listed. A
+/// new stream is known within less time than one copy takes.
+constexpr milliseconds list_period{150};
+/// Interval at which targets are looked for again for generations that have none. Within 20 ms a
+/// pool of 50 engines ends one or two generations.
+constexpr milliseconds target_retry_period{20};
+/// How long the last part of a copy is under way before the next copy begins on the same link: its
+/// stream is paused, and it must not queue behind the next one.
+constexpr milliseconds last_part_lead{5};
+/// An engine that has refused a copy for lack of memory is passed over for this time, in which it
+/// ends about one generation.
+constexpr milliseconds refusal_pause{300};
+/// A first copy that takes longer than twice the time expected of it and this is given up. Its
+/// target may have died, while the source still has time to use another one.
+constexpr milliseconds copy_overrun{300};
+
 /// Interval between two polls of an engine while the store is unreachable. Each costs as much as a
 /// status check. A notice of 1.5 s leaves time for most moves after this.
 constexpr milliseconds engine_poll_period{400};
@@ -79,6 +96,9 @@
     const service_rule* service =
         state_.routes ? state_.routes->find_service(backend.service) : nullptr;
     const bool moves = service != nullptr && service->engine && service->engine->moves;
+    if (moves) {
+        state_.reserve.start(backend.service, backend.id, monotonic_now());
+    }
     if (moves && !start_evacuation(backend)) {
         delegated_.push_back({backend, monotonic_now()});
     }
@@ -86,6 +106,7 @@
 
 void evacuation_service::on_restart(const backend_id& id) {
     evacuated_.erase(id);
+    state_.reserve.forget(id);
     std::erase_if(delegated_,
                   [&id](const delegated_engine& engine) { return engine.backend.id == id; });
 }
@@ -95,7 +116,9 @@
         return false;
     }
     if (evacuated_.insert(backend.id).second) {
-        asio::co_spawn(context_, evacuate(backend), asio::detached);
+        const bool before_end = state_.server_loads.reports_host_load(backend.service);
+        asio::co_spawn(context_, before_end ? evacuate_before_end(backend) : evacuate(backend),
+                       asio::detached);
     }
     return true;
 }
@@ -115,17 +138,188 @@
     const time_point until = monotonic_now() + max_evacuation_time;
     int empty_polls = 0;
     bool alive = true;
+    std::set<std::string> logged;
     while (alive && monotonic_now() < until && empty_polls < max_empty_polls) {
         const std::vector<move_candidate> found = co_await collect_movable(source.id);
         empty_polls = found.empty() ? empty_polls + 1 : 0;
         for (const move_candidate& candidate : found) {
-            alive = alive && co_await move_one(source, candidate);
+            alive = alive && co_await move_one(source, candidate, logged);
         }
         co_await pause_for(poll_period);
     }
 }
 
-std::vector<move_target> evacuation_service::targets(const stream_origin& origin) const {
+asio::awaitable<void> evacuation_service::evacuate_before_end(registered_backend source) {
+    log_event(events::evacuation_started, "backend={} address={}", source.id.text(),
+              source.address);
+    const time_point until = monotonic_now() + max_evacuation_time;
+    const auto work = std::make_shared<evacuation>(context_);
+    work->source = std::move(source);
+    asio::co_spawn(context_, list_generations(work, until), asio::detached);
+    while (work->alive && monotonic_now() < until && work->empty_polls < max_empty_polls) {
+        if (!co_await move_next(work)) {
+            co_await wait_on(work->changed, monotonic_now() + target_retry_period);
+        }
+    }
+    work->alive = false;
+    end_evacuation(*work);
+}
+
+asio::awaitable<void> evacuation_service::list_generations(shared_evacuation work,
+                                                           time_point until) {
+    while (work->alive && monotonic_now() < until) {
+        work->listed = co_await collect_movable(work->source.id);
+        work->empty_polls = work->listed.empty() ? work->empty_polls + 1 : 0;
+        work->changed.cancel();
+        co_await pause_for(list_period);
+    }
+}
+
+asio::awaitable<bool> evacuation_service::move_next(shared_evacuation work) {
+    const time_point now = monotonic_now();
+    const time_point announced = state_.reserve.announced_at(work->source.id).value_or(now);
+    const move_window window{std::max(duration{}, announced + move_reserve::min_notice - now),
+                             link_speed_of(work->source.service)};
+    std::vector<move_candidate> waiting = work->listed;
+    std::erase_if(waiting, [&](const move_candidate& c) {
+        const auto retry = work->retry_at.find(c.generation.id);
+        return work->taken.contains(c.generation.id) ||
+               (retry != work->retry_at.end() && now < retry->second);
+    });
+    const move_limits limits = limits_before_end(is_time_short(waiting, window));
+    for (const move_candidate& candidate : order_moves(std::move(waiting), window)) {
+        if (co_await try_targets(work, candidate, limits)) {
+            co_return true;
+        }
+    }
+    co_return false;
+}
+
+asio::awaitable<bool> evacuation_service::try_targets(shared_evacuation work,
+                                                      move_candidate candidate,
+                                                      move_limits limits) {
+    const movable_generation& generation = candidate.generation;
+    const registered_backend& source = work->source;
+    const link_speed speed = link_speed_of(source.service);
+    std::size_t busy = 0;
+    std::vector<move_target> open = targets(origin_of(source, candidate), busy);
+    while (const auto index =
+               choose_target(generation, source.failure_domain, speed, open, limits)) {
+        const registered_backend target = open[*index].backend;
+        open.erase(open.begin() + static_cast<std::ptrdiff_t>(*index));
+        if (busy_targets_.contains(target.id) || !may_receive(target)) {
+            continue;
+        }
+        busy_targets_.insert(target.id);
+        state_.reserve.start_copy(source.id, target.id,
+                                  {1, generation.memory_tokens + generation.tokens_left, 0});
+        work->taken.insert(generation.id);
+        const bool far = target.failure_domain != source.failure_domain;
+        const milliseconds timeout =
+            std::min(first_copy_timeout, std::chrono::duration_cast<milliseconds>(
+                                             2 * copy_time(generation.memory_tokens, speed, far)) +
+                                             copy_overrun);
+        const time_point begun = monotonic_now();
+        move_error error = move_error::none;
+        const auto handle = co_await copy_first(source, target, generation.id, timeout, error);
+        if (handle) {
+            forget_no_target(*work, generation.id);
+            asio::co_spawn(context_, finish_copy(work, candidate, target, *handle), asio::detached);
+            co_await pause_for(last_part_lead);
+            co_return true;
+        }
+        const time_point now = monotonic_now();
+        busy_targets_.erase(target.id);
+        state_.reserve.end_copy(target.id);
+        work->taken.erase(generation.id);
+        const bool overran = error == move_error::unreachable && now - begun >= timeout;
+        if (error == move_error::refused || overran) {
+            std::erase_if(refusing_until_, [now](const auto& item) { return now >= item.second; });
+            refusing_until_[target.id] = now + refusal_pause;
+            ++busy;
+            continue;
+        }
+        work->alive = work->alive && error != move_error::unreachable;
+        work->retry_at[generation.id] = now + poll_period;
+        co_return true;
+    }
+    record_no_target(*work, generation.id, explain_no_target(open, busy));
+    co_return false;
+}
+
+asio::awaitable<void> evacuation_service::finish_copy(shared_evacuation work,
+                                                      move_candidate candidate,
+                                                      registered_backend target,
+                                                      std::string first_handle) {
+    bool moved = false;
+    const move_error error =
+        co_await copy_rest(work->source, target, candidate, first_handle, moved);
+    busy_targets_.erase(target.id);
+    state_.reserve.end_copy(target.id);
+    if (moved && !candidate.instance.empty()) {
+        // Until the instance reports it. Without this the target would look emptier than it is.
+        const movable_generation& generation = candidate.generation;
+        state_.loads.add_expected(
+            candidate.instance,
+            {backend_hash(target.id), {1, generation.memory_tokens + generation.tokens_left, 0}},
+            monotonic_now());
+    }
+    if (!moved) {
+        work->taken.erase(candidate.generation.id);
+        work->retry_at[candidate.generation.id] = monotonic_now() + poll_period;
+    }
+    work->alive = work->alive && error != move_error::unreachable;
+    work->changed.cancel();
+}
+
+void evacuation_service::record_no_target(evacuation& work, const std::string& generation,
+                                          no_move_cause cause) {
+    const auto [entry, is_new] = work.without_target.try_emplace(generation);
+    ++entry->second.tries;
+    state_.counters.without_target += is_new ? 1 : 0;
+    if (is_new || entry->second.cause != cause) {
+        log_event(events::move_not_possible, "request={} source={} cause={} tries={} gone=false",
+                  generation, work.source.id.text(), to_string(cause), entry->second.tries);
+    }
+    entry->second.cause = cause;
+}
+
+void evacuation_service::forget_no_target(evacuation& work, const std::string& generation) {
+    state_.counters.without_target -= work.without_target.erase(generation);
+}
+
+void evacuation_service::end_evacuation(evacuation& work) {
+    state_.reserve.end(work.source.id);
+    for (const move_candidate& candidate : work.listed) {
+        const std::string& id = candidate.generation.id;
+        if (work.taken.contains(id)) {
+            continue;
+        }
+        const auto found = work.without_target.find(id);
+        const evacuation::no_target last =
+            found == work.without_target.end() ? evacuation::no_target{} : found->second;
+        ++state_.counters.not_moved[static_cast<std::size_t>(last.cause)];
+        log_event(events::move_not_possible, "request={} source={} cause={} tries={} gone=true", id,
+                  work.source.id.text(), to_string(last.cause), last.tries);
+    }
+    state_.counters.without_target -= work.without_target.size();
+    work.without_target.clear();
+}
+
+link_speed evacuation_service::link_speed_of(const service_id& service) const {
+    const service_rule* rule = state_.routes->find_service(service);
+    return rule && rule->engine ? link_speed{rule->engine->bytes_per_token, rule->engine->link_mbps}
+                                : link_speed{};
+}
+
+stream_origin evacuation_service::origin_of(const registered_backend& source,
+                                            const move_candidate& candidate) const {
+    const software_version& begun_by = candidate.generation.version;
+    return {source.service, begun_by.empty() ? source.version : begun_by};
+}
+
+std::vector<move_target> evacuation_service::targets(const stream_origin& origin,
+                                                     std::size_t& busy) const {
     std::vector<move_target> out;
     const service_rule* rule = state_.routes->find_service(origin.service);
     if (rule == nullptr || !rule->engine) {
@@ -135,24 +329,26 @@
     for (const registered_backend* backend :
          servers_with_capacity(state_, origin.service, own_role(state_, origin.service), now)) {
         const bool has_permit = expected_permit_wait(state_, *backend, 0, now) == duration{};
-        if (has_permit && !busy_targets_.contains(backend->id)) {
+        const auto refusing = refusing_until_.find(backend->id);
+        const bool is_busy = busy_targets_.contains(backend->id) ||
+                             (refusing != refusing_until_.end() && now < refusing->second);
+        if (has_permit && !is_busy) {
             out.push_back({*backend, state_.loads.total(backend->id, now),
                            rule->engine->memory_tokens, rule->engine->slots,
                            origin.allows(*backend)});
+        } else if (origin.allows(*backend)) {
+            ++busy;
         }
     }
     return out;
 }
 
 asio::awaitable<bool> evacuation_service::move_one(const registered_backend& source,
-                                                   const move_candidate& candidate) {
-    const software_version& begun_by = candidate.generation.version;
-    const stream_origin origin{source.service, begun_by.empty() ? source.version : begun_by};
-    std::vector<move_target> open = targets(origin);
-    const service_rule* rule = state_.routes->find_service(source.service);
-    const link_speed speed =
-        rule && rule->engine ? link_speed{rule->engine->bytes_per_token, rule->engine->link_mbps}
-                             : link_speed{};
+                                                   const move_candidate& candidate,
+                                                   std::set<std::string>& logged) {
+    std::size_t busy = 0;
+    std::vector<move_target> open = targets(origin_of(source, candidate), busy);
+    const link_speed speed = link_speed_of(source.service);
     while (const auto index =
                choose_target(candidate.generation, source.failure_domain, speed, open)) {
         const registered_backend target = open[*index].backend;
@@ -168,6 +364,11 @@
             co_return error != move_error::unreachable;
         }
     }
+    if (logged.insert(candidate.generation.id).second) {
+        log_event(events::move_not_possible, "request={} source={} cause={} tries=1 gone=false",
+                  candidate.generation.id, source.id.text(),
+                  to_string(explain_no_target(open, busy)));
+    }
     co_return true;
 }
 
@@ -182,14 +383,27 @@
 asio::awaitable<move_error> evacuation_service::move_to(const registered_backend& source,
                                                         const registered_backend& target,
                                                         const move_candidate& candidate) {
-    const std::string& id = candidate.generation.id;
+    move_error error = move_error::none;
+    const auto first =
+        co_await copy_first(source, target, candidate.generation.id, first_copy_timeout, error);
+    if (!first) {
+        co_return error;
+    }
+    bool moved = false;
+    co_return co_await copy_rest(source, target, candidate, *first, moved);
+}
+
+asio::awaitable<std::optional<std::string>>
+evacuation_service::copy_first(const registered_backend& source, const registered_backend& target,
+                               const std::string& id, milliseconds timeout, move_error& error) {
     move_failure why;
     const auto first =
-        co_await mover_.move(source.address, id, target.address, false, first_copy_timeout, why);
+        co_await mover_.move(source.address, id, target.address, false, timeout, why);
     if (!first) {
         log_event(events::move_failed, "request={} source={} target={} reason={}", id,
                   source.id.text(), target.id.text(), why.text);
-        co_return why.code;
+        error = why.code;
+        co_return std::nullopt;
     }
     // A first copy takes up to 1.5 s, in which the target may itself announce that it leaves. The
     // stream would go there up to 3 s after that announcement, when the target is gone. Until the
@@ -198,8 +412,19 @@
     if (!may_receive(target)) {
         log_event(events::move_failed, "request={} source={} target={} reason=target is leaving",
                   id, source.id.text(), target.id.text());
-        co_return move_error::refused;
+        error = move_error::refused;
+        co_return std::nullopt;
     }
+    co_return first->handle;
+}
+
+asio::awaitable<move_error> evacuation_service::copy_rest(const registered_backend& source,
+                                                          const registered_backend& target,
+                                                          const move_candidate& candidate,
+                                                          const std::string& first_handle,
+                                                          bool& moved) {
+    const std::string& id = candidate.generation.id;
+    move_failure why;
     const auto last =
         co_await mover_.move(source.address, id, target.address, true, final_copy_timeout, why);
     const bool source_gone = !last && why.code == move_error::unreachable;
@@ -208,15 +433,17 @@
                   source.id.text(), target.id.text(), why.text);
     }
     if (source_gone) {
+        moved = true;
         finish_move(source, candidate,
-                    {target.id, target.address, {source.address, first->handle}, target.version});
+                    {target.id, target.address, {source.address, first_handle}, target.version});
     } else if (last && last->stopped) {
         // Never continue at an engine of a cordoned failure domain: little is missing from the
         // first copy.
         const bool to_target =
             last->copied || state_.registry.cordoned().contains(source.failure_domain);
         const registered_backend& destination = to_target ? target : source;
-        const std::string& handle = to_target && !last->copied ? first->handle : last->handle;
+        const std::string& handle = to_target && !last->copied ? first_handle : last->handle;
+        moved = to_target;
         finish_move(
             source, candidate,
             {destination.id, destination.address, {source.address, handle}, destination.version});
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -5,7 +5,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -56,16 +59,74 @@
     boost::asio::awaitable<void> poll_engine(registered_backend backend);
     boost::asio::awaitable<void> evacuate(registered_backend source);
     boost::asio::awaitable<std::vector<move_candidate>> collect_movable(const backend_id& backend);
-    /// Returns false when the source is gone.
+    /// The generations of an engine that is evacuated within its notice. Shared by the coroutines
+    /// that list them, copy them and end their moves.
+    struct evacuation {
+        explicit evacuation(boost::asio::io_context& context) : changed(context) {}
+
+        registered_backend source;
+        std::vector<move_candidate> listed;
+        /// Generations that have moved or whose move isn't finished.
+        std::set<std::string> taken;
+        /// Generations that could not be moved, and when they are tried again.
+        std::map<std::string, time_point> retry_at;
+        /// The latest cause for which a generation had no target, and the number of tries.
+        struct no_target {
+            no_move_cause cause = no_move_cause::time;
+            int tries = 0;
+        };
+        std::map<std::string, no_target> without_target;
+        int empty_polls = 0;
+        bool alive = true;
+        /// Cancelled when the generations have been listed anew or a move has ended.
+        boost::asio::steady_timer changed;
+    };
+    using shared_evacuation = std::shared_ptr<evacuation>;
+
+    /// Evacuates an engine whose end is expected at the end of its notice.
+    boost::asio::awaitable<void> evacuate_before_end(registered_backend source);
+    /// Lists the generations at the engine while it is evacuated.
+    boost::asio::awaitable<void> list_generations(shared_evacuation work, time_point until);
+    /// Begins the most urgent move that has a target. Returns false if there is none.
+    boost::asio::awaitable<bool> move_next(shared_evacuation work);
+    /// Tries the targets of a generation, best first. Returns false if there is none.
+    boost::asio::awaitable<bool> try_targets(shared_evacuation work, move_candidate candidate,
+                                             move_limits limits);
+    /// Copies what was added since the first copy and tells where the generation goes on.
+    boost::asio::awaitable<void> finish_copy(shared_evacuation work, move_candidate candidate,
+                                             registered_backend target, std::string first_handle);
+    void record_no_target(evacuation& work, const std::string& generation, no_move_cause cause);
+    /// Logs what was not moved when the engine is gone.
+    void end_evacuation(evacuation& work);
+    /// Stops to count a generation as one without a target.
+    void forget_no_target(evacuation& work, const std::string& generation);
+    link_speed link_speed_of(const service_id& service) const;
+    stream_origin origin_of(const registered_backend& source,
+                            const move_candidate& candidate) const;
+    /// Returns false when the source is gone. A generation without a target is logged if it isn't
+    /// in `logged` yet.
     boost::asio::awaitable<bool> move_one(const registered_backend& source,
-                                          const move_candidate& candidate);
+                                          const move_candidate& candidate,
+                                          std::set<std::string>& logged);
     /// The engines of the service that aren't receiving a copy, and whether they fit the origin.
-    std::vector<move_target> targets(const stream_origin& origin) const;
+    /// Adds to `busy` the number of engines that would fit, but are receiving one or have just
+    /// refused one.
+    std::vector<move_target> targets(const stream_origin& origin, std::size_t& busy) const;
     /// Whether the target, as it was when it was chosen, may still receive a generation.
     bool may_receive(const registered_backend& target) const;
     boost::asio::awaitable<move_error> move_to(const registered_backend& source,
                                                const registered_backend& target,
                                                const move_candidate& candidate);
+    /// Copies a generation to the target while it runs on. Returns the handle of the copy.
+    boost::asio::awaitable<std::optional<std::string>>
+    copy_first(const registered_backend& source, const registered_backend& target,
+               const std::string& id, milliseconds timeout, move_error& error);
+    /// Stops the generation, copies the rest and tells where it goes on. Sets `moved` if that is
+    /// the target.
+    boost::asio::awaitable<move_error> copy_rest(const registered_backend& source,
+                                                 const registered_backend& target,
+                                                 const move_candidate& candidate,
+                                                 const std::string& first_handle, bool& moved);
     void finish_move(const registered_backend& source, const move_candidate& candidate,
                      const move_notice& notice);
 
@@ -87,6 +148,9 @@
     /// whatever else is sent to the same target while its stream is paused (250 to 950 ms instead
     /// of about 10), so a target receives one generation at a time.
     std::set<backend_id> busy_targets_;
+    /// Engines that have refused a copy, and until when they are passed over. Empty unless an
+    /// engine is evacuated before its end.
+    std::map<backend_id, time_point> refusing_until_;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/active_streams.cpp
+++ b/bamboostream/src/Forwarding/active_streams.cpp
@@ -37,7 +37,8 @@
         }
         stream->move_expected = true;
         out.push_back({id, stream->prompt_tokens + stream->output_tokens,
-                       estimate_remaining_tokens(*stream), stream->origin.version});
+                       estimate_remaining_tokens(*stream), stream->origin.version,
+                       stream->priority.value_or(0), stream->priority ? stream->output_tokens : 0});
     }
     return out;
 }
--- a/bamboostream/src/Forwarding/active_streams.h
+++ b/bamboostream/src/Forwarding/active_streams.h
@@ -37,6 +37,10 @@
     /// The software version of the server that began it; empty if it comes from an instance of the
     /// previous version.
     software_version version{};
+    /// Rank; 0 is the most urgent. Known only for services whose servers report the load of their
+    /// host, like the next field.
+    int priority = 0;
+    std::int64_t output_tokens = 0;
 
     bool operator==(const movable_generation&) const = default;
 };
@@ -53,6 +57,8 @@
     stream_origin origin;
     /// The generation must not run again, but its engine can move it to another one.
     bool movable = false;
+    /// Rank, if the servers of the service report the load of their host.
+    std::optional<int> priority;
     std::int64_t prompt_tokens = 0;
     /// The caller's estimate; zero if it gave none.
     std::int64_t expected_output_tokens = 0;
--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -2,6 +2,8 @@
 
 #include "bamboostream/src/Forwarding/forwarding_state.h"
 
+#include <span>
+
 namespace bamboostream {
 
 sender_role own_role(const forwarding_state& state, const service_id& service) {
@@ -62,6 +64,38 @@
     co_return co_await state.permits->acquire(std::move(server), priority);
 }
 
+namespace {
+
+/// An engine that may be chosen, with its work and the generations that are moving there.
+struct examined_engine {
+    const registered_backend* engine = nullptr;
+    backend_work work;
+    bool admits = false;
+};
+
+/// Removes the engines at which the request would take room that generations of leaving engines
+/// need. Engines in `engines` don't leave.
+void keep_room_for_moves(forwarding_state& state, const engine_request& request,
+                         const needed_room& need, std::span<const examined_engine> engines,
+                         std::vector<const registered_backend*>& admitting) {
+    const auto receiver = [&request](const examined_engine& it) {
+        return receiving_engine{request.engine_memory_tokens, it.engine->slots, it.work};
+    };
+    int fitting = 0;
+    for (const examined_engine& it : engines) {
+        fitting += moves_that_fit(state.reserve_limits, need, receiver(it));
+    }
+    admitting.clear();
+    for (const examined_engine& it : engines) {
+        if (it.admits && leaves_room(state.reserve_limits, need, fitting, receiver(it),
+                                     request.work, request.priority)) {
+            admitting.push_back(it.engine);
+        }
+    }
+}
+
+} // namespace
+
 engine_choice choose_engine(forwarding_state& state, const engine_request& request,
                             sender_role role, time_point now) {
     placement_request wanted;
@@ -70,20 +104,40 @@
     wanted.server_memory_tokens = request.engine_memory_tokens;
     const admission_request admission_terms{request.work, request.engine_memory_tokens,
                                             request.priority, request.objective};
-    const auto check_engine = [&](const registered_backend& engine) {
+    const bool reserves = state.server_loads.reports_host_load(request.service);
+    const needed_room need =
+        reserves ? state.reserve.needed(request.service, state.loads, now) : needed_room{};
+    const auto work_at = [&](const registered_backend& engine) {
+        backend_work out = state.loads.total(engine.id, now);
+        if (reserves) {
+            out += state.reserve.incoming(engine.id);
+        }
+        return out;
+    };
+    const auto check_engine = [&](const registered_backend& engine, const backend_work& work) {
         return check_admission(
-            state.admission, admission_terms, state.loads.total(engine.id, now),
+            state.admission, admission_terms, work,
             state.prefill.tokens_per_ms(request.service, backend_hash(engine.id)));
     };
     auto engines = servers_with_capacity(state, request.service, role, now);
     std::erase_if(engines, [&request](const registered_backend* engine) {
         return !request.version.empty() && engine->version != request.version;
     });
-    std::vector<const registered_backend*> admitting = engines;
-    std::erase_if(admitting, [&](const registered_backend* engine) {
-        return check_engine(*engine) != admission_result::admit;
-    });
+    std::vector<examined_engine> examined;
+    std::vector<const registered_backend*> admitting;
+    for (const registered_backend* engine : engines) {
+        const backend_work work = work_at(*engine);
+        const bool admits = check_engine(*engine, work) == admission_result::admit;
+        examined.push_back({engine, work, admits});
+        if (admits) {
+            admitting.push_back(engine);
+        }
+    }
     const bool any_admits = !admitting.empty();
+    if (any_admits && need.generations > 0) {
+        keep_room_for_moves(state, request, need, examined, admitting);
+    }
+    const bool any_has_room = !admitting.empty();
     while (const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now)) {
         const bool limited = is_rate_limited(state, chosen->id);
         if (!limited || take_own_permit(state, *chosen, request.priority, now)) {
@@ -98,10 +152,14 @@
     if (least_loaded == nullptr) {
         return {};
     }
+    const backend_work work = work_at(*least_loaded);
+    if (any_admits && !any_has_room) {
+        // Ends with the notice, so it tells nothing of how long an overload lasts.
+        return {*least_loaded, admission_result::memory_reserved, work, {}};
+    }
     const admission_result result =
-        any_admits ? admission_result::rate_limited : check_engine(*least_loaded);
-    return {*least_loaded, result, state.loads.total(least_loaded->id, now),
-            state.overloads[request.service].record_refusal(now)};
+        any_admits ? admission_result::rate_limited : check_engine(*least_loaded, work);
+    return {*least_loaded, result, work, state.overloads[request.service].record_refusal(now)};
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -410,6 +410,9 @@
     if (!stream_) {
         stream_ = std::make_shared<active_stream>(exchange_.executor(), request_.id);
         stream_->movable = is_movable();
+        if (state_.server_loads.reports_host_load(service_->id)) {
+            stream_->priority = priority_;
+        }
         stream_->prompt_tokens = request_.prompt_tokens;
         stream_->expected_output_tokens = request_.expected_output_tokens;
         stream_->max_output_tokens = request_.max_output_tokens;
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -150,6 +150,9 @@
     if (cause == refusal_cause::rate_limited) {
         about.permit_wait = min_permit_wait();
     }
+    if (cause == refusal_cause::memory_reserved) {
+        about.hold = state_.reserve.time_left(service_->id, monotonic_now());
+    }
     const bool is_held =
         cause == refusal_cause::quarantined || cause == refusal_cause::awaiting_trial;
     const suspect_state* held =
@@ -186,6 +189,9 @@
     if (rate_limited_) {
         return refusal_cause::rate_limited;
     }
+    if (memory_reserved_) {
+        return refusal_cause::memory_reserved;
+    }
     if (state_.quarantine.any() &&
         state_.quarantine.verdict(subject()) >= quarantine_verdict::suspected) {
         return quarantine_cause();
@@ -332,6 +338,7 @@
     wanted.avoid = avoid_;
     wanted.preferred_domain = state_.local_failure_domain;
     rate_limited_ = false;
+    memory_reserved_ = false;
     for (int asked = 0; asked < max_permits_asked && !caller_left_; ++asked) {
         std::optional<engine_choice> choice;
         if (state_.scheduler != nullptr) {
@@ -346,6 +353,7 @@
         if (choice->result != admission_result::admit) {
             admission_refused_ = true;
             rate_limited_ = choice->result == admission_result::rate_limited;
+            memory_reserved_ = choice->result == admission_result::memory_reserved;
             overload_duration_ = choice->overload;
             log_admission_refusal(*choice);
             co_return std::nullopt;
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -220,6 +220,8 @@
     bool admission_refused_ = false;
     /// The latest choice found only servers that have got the requests a second that they take.
     bool rate_limited_ = false;
+    /// Admission refused the request because memory is held for generations of leaving engines.
+    bool memory_reserved_ = false;
     /// How long requests of the service had been refused by then.
     duration overload_duration_{};
 
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -14,6 +14,7 @@
 #include "bamboostream/src/Http/http_connection_pool.h"
 #include "bamboostream/src/Limits/cold_start_limit.h"
 #include "bamboostream/src/Limits/engine_admission.h"
+#include "bamboostream/src/Limits/move_reserve.h"
 #include "bamboostream/src/Limits/overload_tracker.h"
 #include "bamboostream/src/Limits/permit_issuer.h"
 #include "bamboostream/src/Limits/quarantine_registry.h"
@@ -85,6 +86,10 @@
     std::uint64_t connects_timed_out = 0;
     std::uint64_t connects_refused = 0;
     std::uint64_t moved = 0;
+    /// Generations at leaving engines for which no target has been found at the last try.
+    std::uint64_t without_target = 0;
+    /// Generations whose engine went away before they could be moved, by cause.
+    std::array<std::uint64_t, static_cast<std::size_t>(no_move_cause::count_)> not_moved{};
     std::array<std::uint64_t, static_cast<std::size_t>(continuation_refusal::count_)>
         not_continued{};
     /// Requests to take a stream up whose origin was known.
@@ -137,6 +142,10 @@
     prefill_rates prefill;
     window_budget budget;
     admission_rules admission;
+    /// Room for generations of leaving engines, for services whose servers report the load of their
+    /// host.
+    move_reserve reserve;
+    reserve_rules reserve_limits;
     backend_picker picker;
     cold_start_limit cold_starts;
     /// Limits that backend servers name on the requests a second that they take.
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -73,6 +73,19 @@
     }
 }
 
+void append_moves(std::string& out, const forwarding_state& state, time_point now) {
+    const needed_room need = state.reserve.latest_need(now);
+    append(out, "gauge", "reserved_tokens", static_cast<std::uint64_t>(need.tokens));
+    append(out, "gauge", "streams_to_move", static_cast<std::uint64_t>(need.generations));
+    append(out, "gauge", "streams_without_target", state.counters.without_target);
+    out += "# TYPE bamboostream_streams_not_moved_total counter\n";
+    for (std::size_t i = 0; i < state.counters.not_moved.size(); ++i) {
+        fmt::format_to(std::back_inserter(out),
+                       "bamboostream_streams_not_moved_total{{cause=\"{}\"}} {}\n",
+                       to_string(static_cast<no_move_cause>(i)), state.counters.not_moved[i]);
+    }
+}
+
 } // namespace
 
 std::string exposition(const forwarding_state& state, const gateway_stats& stats, time_point now) {
@@ -111,6 +124,7 @@
     append(out, "gauge", "tunnels_carried", c.open_tunnels);
     append(out, "gauge", "backend_servers_cut_off", state.reachability.servers_cut_off());
     append(out, "counter", "moved_generations_total", c.moved);
+    append_moves(out, state, now);
     append(out, "counter", "placed_by_owner_total", c.placed_by_owner);
     append(out, "counter", "owners_silent_total", c.owner_timeouts);
     append(out, "counter", "dropped_log_lines_total", dropped_log_lines());
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -173,6 +173,8 @@
         item->memory_tokens = generation.memory_tokens;
         item->tokens_left = generation.tokens_left;
         item->software_version = generation.version.text();
+        item->priority = static_cast<std::uint8_t>(std::clamp(generation.priority, 0, 255));
+        item->output_tokens = tokens_on_wire(generation.output_tokens);
         reply.generations.push_back(std::move(item));
     }
     return reply;
@@ -182,7 +184,8 @@
     std::vector<movable_generation> out;
     for (const auto& item : reply.generations) {
         out.push_back({item->id, item->memory_tokens, item->tokens_left,
-                       software_version(item->software_version)});
+                       software_version(item->software_version), item->priority,
+                       item->output_tokens});
     }
     return out;
 }
--- a/bamboostream/src/Limits/retry_delay.cpp
+++ b/bamboostream/src/Limits/retry_delay.cpp
@@ -22,6 +22,14 @@
 constexpr milliseconds min_outage_delay{100};
 /// Observed outages of the store last 2 to 9 s; half of them are over by then.
 constexpr milliseconds max_outage_delay{5'000};
+/// Fraction of the objective after which a retry is still expected to meet it.
+constexpr double max_hold_fraction = 0.6;
+constexpr double min_hold_fraction = 0.3;
+/// Callers refused during a hold return over this time after its end, so that the prompts of those
+/// who return don't queue at once.
+constexpr milliseconds return_spread{400};
+/// Holds end after at most this time.
+constexpr milliseconds max_hold_delay{2'000};
 /// Short, since callers send the retry to another address.
 constexpr milliseconds leaving_delay{50};
 
@@ -35,6 +43,23 @@
     return std::clamp<duration>(wanted, least, most);
 }
 
+duration delay_after_hold(const refused_request& request, std::mt19937_64& random) {
+    const duration objective = request.objective > duration{} ? request.objective : max_hold_delay;
+    duration latest = fraction_of(objective, max_hold_fraction, min_transient_delay,
+                                  milliseconds(max_hold_delay));
+    if (request.caller_timeout) {
+        latest = std::min(latest, std::chrono::duration_cast<duration>(*request.caller_timeout *
+                                                                       max_wait_fraction));
+    }
+    const duration earliest =
+        request.hold < latest ? request.hold
+                              : std::min(latest, fraction_of(objective, min_hold_fraction,
+                                                             min_transient_delay, max_hold_delay));
+    const duration end = std::min(latest, earliest + return_spread);
+    return std::uniform_int_distribution<duration::rep>(earliest.count(), end.count())(random) *
+           duration(1);
+}
+
 } // namespace
 
 duration choose_retry_delay(const refused_request& request, std::mt19937_64& random) {
@@ -44,6 +69,9 @@
     if (request.cause == refusal_cause::quarantined) {
         return request.quarantine;
     }
+    if (request.cause == refusal_cause::memory_reserved) {
+        return delay_after_hold(request, random);
+    }
     const bool awaits_servers = request.cause == refusal_cause::state_unknown ||
                                 request.cause == refusal_cause::version_unavailable;
     if (awaits_servers && request.caller_timeout) {
--- a/bamboostream/src/Limits/retry_delay.h
+++ b/bamboostream/src/Limits/retry_delay.h
@@ -29,6 +29,8 @@
     version_unavailable,
     /// All servers that could take the request have got the requests a second that they take.
     rate_limited,
+    /// The memory that is left is held for generations that must leave their engines.
+    memory_reserved,
 };
 
 /// The properties of a refused request that determine its retry delay.
@@ -44,6 +46,8 @@
     duration quarantine{};
     /// Time until a server may take another request, if its rate is the cause.
     duration permit_wait{};
+    /// How long memory is held for generations that must leave their engines, if that is the cause.
+    duration hold{};
 };
 
 /// Returns the time after which a refused caller should retry, randomized so that callers refused
@@ -53,6 +57,10 @@
 /// longer is expected to last as long again, and outages of a store last seconds: callers that
 /// retry during either are refused a second time and get no response at all. They get a longer
 /// delay, up to a third of their remaining timeout, which is the longest delay that callers honour.
+///
+/// Memory that is held for generations of leaving engines is free again when these engines have
+/// gone: callers retry then if their first event can still be in time, and earlier otherwise, since
+/// room is also freed in between.
 duration choose_retry_delay(const refused_request& request, std::mt19937_64& random);
 
 } // namespace bamboostream
