--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -4,6 +4,7 @@
 #include "bamboostream/src/Routing/pace_cost.h"
 
 #include <algorithm>
+#include <span>
 
 namespace bamboostream {
 
@@ -88,6 +89,35 @@
                                     state.stream_sizes.typical(request.service));
 }
 
+/// An engine that may be chosen, with its work and the generations that are moving there.
+struct examined_engine {
+    const registered_backend* engine = nullptr;
+    backend_work work;
+    admission_result result = admission_result::admit;
+};
+
+/// Removes the engines at which the request would take room that generations of leaving engines
+/// need. Engines in `engines` don't leave.
+void keep_room_for_moves(forwarding_state& state, const engine_request& request,
+                         const needed_room& need, std::span<const examined_engine> engines,
+                         std::vector<const registered_backend*>& admitting) {
+    const auto receiver = [&request](const examined_engine& it) {
+        return receiving_engine{request.engine_memory_tokens, it.engine->slots, it.work};
+    };
+    int fitting = 0;
+    for (const examined_engine& it : engines) {
+        fitting += moves_that_fit(state.reserve_limits, need, receiver(it));
+    }
+    admitting.clear();
+    for (const examined_engine& it : engines) {
+        if (it.result == admission_result::admit &&
+            leaves_room(state.reserve_limits, need, fitting, receiver(it), request.work,
+                        request.priority)) {
+            admitting.push_back(it.engine);
+        }
+    }
+}
+
 } // namespace
 
 engine_choice choose_engine(forwarding_state& state, const engine_request& request,
@@ -98,28 +128,41 @@
     wanted.server_memory_tokens = request.engine_memory_tokens;
     const admission_request admission_terms{request.work, request.engine_memory_tokens,
                                             request.priority, request.objective};
+    const bool reserves = state.is_contended(request.service);
+    const needed_room need =
+        reserves ? state.reserve.needed(request.service, state.loads, now) : needed_room{};
     std::optional<pace_cost> by_pace = make_pace_cost(state, request);
-    const auto check_engine = [&](const registered_backend& engine) {
+    const auto examine = [&](const registered_backend& engine) {
         const std::uint64_t hash = backend_hash(engine.id);
-        const backend_work work = state.loads.total(hash, now);
+        examined_engine out{&engine, state.loads.total(hash, now)};
+        if (reserves) {
+            out.work += state.reserve.incoming(engine.id);
+        }
         const double tokens_per_ms = state.prefill.tokens_per_ms(request.service, hash);
-        const admission_result result =
-            check_admission(state.admission, admission_terms, work, tokens_per_ms);
-        if (by_pace && result == admission_result::admit) {
-            by_pace->add(engine, hash, work, tokens_per_ms);
+        out.result = check_admission(state.admission, admission_terms, out.work, tokens_per_ms);
+        if (by_pace && out.result == admission_result::admit) {
+            by_pace->add(engine, hash, out.work, tokens_per_ms);
         }
-        return result;
+        return out;
     };
     auto engines = servers_with_capacity(state, request.service, role, now);
     std::erase_if(engines, [&request](const registered_backend* engine) {
         return !request.version.empty() && engine->version != request.version;
     });
-    std::vector<const registered_backend*> admitting = engines;
-    std::erase_if(admitting, [&](const registered_backend* engine) {
-        return check_engine(*engine) != admission_result::admit;
-    });
+    std::vector<examined_engine> examined;
+    std::vector<const registered_backend*> admitting;
+    for (const registered_backend* engine : engines) {
+        examined.push_back(examine(*engine));
+        if (examined.back().result == admission_result::admit) {
+            admitting.push_back(engine);
+        }
+    }
     const bool any_admits = !admitting.empty();
     wanted.additional_cost = by_pace ? &*by_pace : nullptr;
+    if (any_admits && need.generations > 0) {
+        keep_room_for_moves(state, request, need, examined, admitting);
+    }
+    const bool any_has_room = !admitting.empty();
     while (const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now)) {
         const bool limited = is_rate_limited(state, chosen->id);
         if (!limited || take_own_permit(state, *chosen, request.priority, now)) {
@@ -135,9 +178,15 @@
     if (least_loaded == nullptr) {
         return {};
     }
-    const admission_result result =
-        any_admits ? admission_result::rate_limited : check_engine(*least_loaded);
-    return {*least_loaded, result, state.loads.total(least_loaded->id, now),
+    const auto reason =
+        std::find_if(examined.begin(), examined.end(),
+                     [&](const examined_engine& it) { return it.engine == least_loaded; });
+    if (any_admits && !any_has_room) {
+        // Ends with the notice, so it tells nothing of how long an overload lasts.
+        return {*least_loaded, admission_result::memory_reserved, reason->work, {}};
+    }
+    const admission_result result = any_admits ? admission_result::rate_limited : reason->result;
+    return {*least_loaded, result, reason->work,
             state.overloads[request.service].record_refusal(now)};
 }
 
--- a/bamboostream/src/Forwarding/engine_choice.h
+++ b/bamboostream/src/Forwarding/engine_choice.h
@@ -28,8 +28,8 @@
     /// Objective for the longest pause between two events; zero if there is none, or if the
     /// servers of the service don't report the load of their host.
     duration pause_objective{};
-    /// Nothing if requests carry no keys, or if the servers of the service don't report the load of
-    /// their host.
+    /// Nothing if requests carry no keys, or if the memory of the service's engines isn't
+    /// contended.
     std::optional<workspace_id> workspace;
     /// Only engines that run this software version may be chosen; any if it is empty.
     software_version version;
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -272,6 +272,11 @@
     const time_point now = monotonic_now();
     if (facts.load) {
         state_.server_loads.observe(service_->id, sent_to_.id, *facts.load, now);
+        if (facts.load->host_percent && service_->engine) {
+            state_.pace.observe_host(service_->id, backend_hash(sent_to_.id),
+                                     *facts.load->host_percent, now);
+            state_.engine_outcomes.record_host(sent_to_.id, *facts.load->host_percent);
+        }
     } else if (!facts.malformed_load.empty() && state_.server_loads.should_warn(sent_to_.id, now)) {
         log_event(events::server_load_malformed, "backend={} request={} text={}",
                   sent_to_.id.text(), request_.id, facts.malformed_load);
@@ -432,6 +437,9 @@
     if (!stream_) {
         stream_ = std::make_shared<active_stream>(exchange_.executor(), request_.id);
         stream_->movable = is_movable();
+        if (state_.is_contended(service_->id)) {
+            stream_->priority = priority_;
+        }
         stream_->prompt_tokens = request_.prompt_tokens;
         stream_->expected_output_tokens = request_.expected_output_tokens;
         stream_->max_output_tokens = request_.max_output_tokens;
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -262,6 +262,7 @@
 bool gateway::parts::start() {
     std::string why;
     forwarding.admission = settings.admission;
+    forwarding.memory_pressure = settings.memory_pressure;
     forwarding.outbound_address = settings.outbound_address;
     forwarding.server_checks.set_local_address(settings.outbound_address);
     forwarding.cold_starts.set_rules(settings.cold_starts);
--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -43,6 +43,9 @@
     std::vector<std::string> seeds;
     window_budget_rules budget;
     admission_rules admission;
+    /// The memory of engines is short at times: running generations go before new ones, and
+    /// workspaces get fair shares of it.
+    bool memory_pressure = false;
     /// Empty when the platform sets no bound.
     std::optional<cold_start_rules> cold_starts;
     /// Time between the termination signal and the kill.
--- a/bamboostream/src/Gateway/owner_scheduler.cpp
+++ b/bamboostream/src/Gateway/owner_scheduler.cpp
@@ -82,6 +82,7 @@
             service = &engine->service;
         }
         forwarding_.server_loads.set_reports_host_load(*service);
+        forwarding_.pace.observe_host(*service, reported.backend, reported.host_percent, now);
         forwarding_.pace.observe(*service, reported.backend, reported.sample, now);
     }
 }
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -99,7 +99,8 @@
         out.push_back(
             {entry.backend(),
              {static_cast<double>(entry.events()), static_cast<double>(entry.ms()),
-              static_cast<double>(entry.late()), milliseconds(entry.pause_objective_ms())}});
+              static_cast<double>(entry.late()), milliseconds(entry.pause_objective_ms())},
+             entry.host_percent()});
     }
     return out;
 }
@@ -125,7 +126,8 @@
         report.paces.emplace_back(entry.backend, static_cast<std::uint32_t>(entry.sample.intervals),
                                   static_cast<std::uint32_t>(std::lround(entry.sample.total_ms)),
                                   short_on_wire(entry.sample.late),
-                                  short_on_wire(to_milliseconds(entry.sample.pause_objective)));
+                                  short_on_wire(to_milliseconds(entry.sample.pause_objective)),
+                                  short_on_wire(entry.host_percent));
     }
     return report;
 }
@@ -197,6 +199,8 @@
         item->memory_tokens = generation.memory_tokens;
         item->tokens_left = generation.tokens_left;
         item->software_version = generation.version.text();
+        item->priority = static_cast<std::uint8_t>(std::clamp(generation.priority, 0, 255));
+        item->output_tokens = tokens_on_wire(generation.output_tokens);
         reply.generations.push_back(std::move(item));
     }
     return reply;
@@ -206,7 +210,8 @@
     std::vector<movable_generation> out;
     for (const auto& item : reply.generations) {
         out.push_back({item->id, item->memory_tokens, item->tokens_left,
-                       software_version(item->software_version)});
+                       software_version(item->software_version), item->priority,
+                       item->output_tokens});
     }
     return out;
 }
--- a/bamboostream/src/Routing/outcome_collector.cpp
+++ b/bamboostream/src/Routing/outcome_collector.cpp
@@ -27,6 +27,11 @@
     seen.pause_objective = sample.pause_objective;
 }
 
+void outcome_collector::record_host(const backend_id& id, int percent) {
+    int& seen = hosts_.try_emplace(backend_hash(id), percent).first->second;
+    seen = std::min(seen, percent);
+}
+
 void outcome_collector::note(const backend_id& id, bool succeeded) {
     backend_outcomes& seen = of(id);
     std::uint16_t& count = succeeded ? seen.succeeded : seen.failed;
@@ -40,6 +45,9 @@
     for (const auto& [key, seen] : std::exchange(paces_, {})) {
         out.push_back({key.first, seen});
     }
+    for (const auto& [backend, percent] : std::exchange(hosts_, {})) {
+        out.push_back({backend, {}, percent});
+    }
     return out;
 }
 
--- a/bamboostream/src/Routing/outcome_collector.h
+++ b/bamboostream/src/Routing/outcome_collector.h
@@ -29,6 +29,8 @@
     /// The `backend_hash` of the server.
     std::uint64_t backend = 0;
     pace_sample sample;
+    /// Latest figure of the server's host machine in percent; 0 if it reported none.
+    int host_percent = 0;
 };
 
 /// Collects what this instance observes at engines until it is reported to the owners, which choose
@@ -40,9 +42,11 @@
     void note(const backend_id& id, bool succeeded);
     void record_prefill(const backend_id& id, const prefill_sample& sample);
     void record_pace(const backend_id& id, const pace_sample& sample);
+    void record_host(const backend_id& id, int percent);
     /// Returns the outcomes since the last call.
     std::vector<backend_outcomes> take();
-    /// Returns the intervals since the last call, one entry for each server and objective.
+    /// Returns the intervals since the last call, one entry for each server and objective, and the
+    /// figures of host machines, in entries of their own.
     std::vector<backend_pace> take_paces();
 
 private:
@@ -50,6 +54,7 @@
 
     std::unordered_map<std::uint64_t, backend_outcomes> outcomes_;
     std::map<std::pair<std::uint64_t, duration>, pace_sample> paces_;
+    std::unordered_map<std::uint64_t, int> hosts_;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Routing/server_pace.cpp
+++ b/bamboostream/src/Routing/server_pace.cpp
@@ -41,6 +41,14 @@
 /// slow.
 constexpr double min_judged_intervals = 40.0;
 
+/// A figure above the lowest one raises it by this part of the difference: the machine of one in
+/// ten responses is disturbed, and a machine that has become slow is known after some 50 responses.
+constexpr double host_rise = 0.02;
+constexpr double max_host_percent = 10'000.0;
+constexpr double cautious_quantile = 0.75;
+/// The quantile is computed over all servers, so not for each sample.
+constexpr std::uint32_t observations_per_update = 64;
+
 double prior_rate(std::size_t band) {
     return std::exp(-prior_slope / ((static_cast<double>(band) + 0.5) * band_width));
 }
@@ -98,10 +106,18 @@
     return age > 0.0 ? intervals * half_life / (half_life + age) : intervals;
 }
 
+double server_pace::server_entry::prior_ms() const {
+    if (host_percent <= 0.0 || service->host_intervals <= 0.0) {
+        return service->mean_ms();
+    }
+    const double ratio = host_percent * service->host_intervals / service->host_sum;
+    return service->mean_ms() * std::clamp(ratio, 1.0 / max_mean_ratio, max_mean_ratio);
+}
+
 double server_pace::server_entry::ms_per_event() const {
-    const double own = remaining_intervals();
-    return (own * total_ms / intervals + server_prior_intervals * service->mean_ms()) /
-           (own + server_prior_intervals);
+    const double own = intervals > 0.0 ? remaining_intervals() : 0.0;
+    const double own_ms = intervals > 0.0 ? own * total_ms / intervals : 0.0;
+    return (own_ms + server_prior_intervals * prior_ms()) / (own + server_prior_intervals);
 }
 
 server_pace::service_entry& server_pace::entry_of(const service_id& service) {
@@ -113,6 +129,44 @@
     return out;
 }
 
+server_pace::server_entry& server_pace::server_of(service_entry& service, std::uint64_t server_hash,
+                                                  time_point now) {
+    server_entry& own = servers_[server_hash];
+    if (own.service != &service) {
+        own = {};
+        own.service = &service;
+        own.at = now;
+    }
+    return own;
+}
+
+void server_pace::observe_host(const service_id& service, std::uint64_t server_hash, int percent,
+                               time_point now) {
+    if (percent <= 0) {
+        return;
+    }
+    server_entry& own = server_of(entry_of(service), server_hash, now);
+    const double figure = std::min<double>(percent, max_host_percent);
+    own.host_percent = own.host_percent <= 0.0 || figure < own.host_percent
+                           ? figure
+                           : own.host_percent + host_rise * (figure - own.host_percent);
+}
+
+void server_pace::update_cautious_pace(service_entry& service) const {
+    std::vector<double> paces;
+    for (const auto& [hash, own] : servers_) {
+        if (own.service == &service) {
+            paces.push_back(own.ms_per_event());
+        }
+    }
+    if (!paces.empty()) {
+        const auto at = paces.begin() + static_cast<std::ptrdiff_t>(
+                                            cautious_quantile * static_cast<double>(paces.size()));
+        std::nth_element(paces.begin(), at, paces.end());
+        service.cautious_ms = *at;
+    }
+}
+
 void server_pace::observe(const service_id& service, std::uint64_t server_hash,
                           const pace_sample& sample, time_point now) {
     if (!(sample.intervals > 0.0) || !(sample.total_ms > 0.0)) {
@@ -131,11 +185,11 @@
     };
     add(common.intervals, common.total_ms, service_retention_intervals);
     common.at = std::max(common.at, now);
-    server_entry& own = servers_[server_hash];
-    if (own.service != &common) {
-        own = {};
-        own.service = &common;
-        own.at = now;
+    server_entry& own = server_of(common, server_hash, now);
+    if (own.host_percent > 0.0) {
+        const double kept = std::max(0.0, 1.0 - weight / service_retention_intervals);
+        common.host_intervals = common.host_intervals * kept + weight;
+        common.host_sum = common.host_sum * kept + weight * own.host_percent;
     }
     if (own.intervals > 0.0) {
         const double remaining = own.remaining_intervals() / own.intervals;
@@ -144,6 +198,9 @@
     }
     add(own.intervals, own.total_ms, server_retention_intervals);
     own.at = now;
+    if (common.observations++ % observations_per_update == 0) {
+        update_cautious_pace(common);
+    }
     const double objective_ms = to_milliseconds(sample.pause_objective);
     if (objective_ms <= 0.0) {
         return;
@@ -175,7 +232,7 @@
     }
     const auto common = services_.find(service);
     return common != services_.end()
-               ? common->second.late_rate(common->second.mean_ms() / objective_ms)
+               ? common->second.late_rate(common->second.cautious_ms / objective_ms)
                : 0.0;
 }
 
@@ -186,7 +243,7 @@
 
 std::optional<server_pace::estimate> server_pace::find(std::uint64_t server_hash) const {
     const auto own = servers_.find(server_hash);
-    if (own == servers_.end()) {
+    if (own == servers_.end() || own->second.intervals <= 0.0) {
         return std::nullopt;
     }
     return estimate{own->second.ms_per_event(), own->second.remaining_intervals(),
@@ -203,7 +260,8 @@
     std::vector<std::pair<std::uint64_t, server_entry*>> judged;
     std::vector<double> paces;
     for (auto& [hash, own] : servers_) {
-        if (own.service->id == service && own.remaining_intervals() >= min_judged_intervals) {
+        if (own.service->id == service && own.intervals > 0.0 &&
+            own.remaining_intervals() >= min_judged_intervals) {
             judged.emplace_back(hash, &own);
             paces.push_back(own.ms_per_event());
         }
--- a/bamboostream/src/Routing/server_pace.h
+++ b/bamboostream/src/Routing/server_pace.h
@@ -58,6 +58,11 @@
     /// Records intervals observed at a server; `server_hash` is its `backend_hash`.
     void observe(const service_id& service, std::uint64_t server_hash, const pace_sample& sample,
                  time_point now);
+    /// Records how long work takes on a server's host machine at present, in percent, as the server
+    /// reports it. The lowest recent figure tells the lasting speed of the machine before there are
+    /// samples.
+    void observe_host(const service_id& service, std::uint64_t server_hash, int percent,
+                      time_point now);
     /// The lasting pace of a server: mean time between two events in ms. That of the service if
     /// nothing is known of the server; 0 if nothing is known of the service either.
     double ms_per_event(const service_id& service, std::uint64_t server_hash) const;
@@ -102,6 +107,13 @@
         /// The late rate at a ratio of pace to objective.
         double late_rate(double ratio) const;
         void update_late_rates();
+        /// Host figures of the servers, weighted by the intervals observed there.
+        double host_intervals = 0.0;
+        double host_sum = 0.0;
+        /// The pace that is assumed of a server of which nothing is known: that of the slowest
+        /// quarter, since a long stream on a slow server is late for certain.
+        double cautious_ms = 0.0;
+        std::uint32_t observations = 0;
     };
     struct server_entry {
         service_entry* service = nullptr;
@@ -109,12 +121,18 @@
         double total_ms = 0.0;
         time_point at{};
         bool slow = false;
+        /// Lowest recent figure of the host machine in percent; 0 if unknown.
+        double host_percent = 0.0;
 
+        /// The pace expected before there are samples.
+        double prior_ms() const;
         double remaining_intervals() const;
         double ms_per_event() const;
     };
 
     service_entry& entry_of(const service_id& service);
+    server_entry& server_of(service_entry& service, std::uint64_t server_hash, time_point now);
+    void update_cautious_pace(service_entry& service) const;
 
     /// Entries have stable addresses, to which those of servers point; a configuration has few
     /// services.
