Bound the permits of each issuer by window, and tell ended instances from partitioned ones

Cause: issuers that may act at the same time were kept within the bound by rates that are low enough to be kept for ever. A standby issued 0.4 of the limit, a new owner 0.6, and after half of the instances had ended the rest issued 0.65 of it for a minute, with the slack of 5 requests unused.

Change: each issuer counts what it has issued in 4 s in any role, and stays within a part of the allowance of 6 x the limit + 5: an owner 4 x the limit + 3, a standby or new owner 2 x the limit + 2, and an owner of a part of the instances that part of the whole. An owner that was the standby keeps its permits, and issuers are told their roles once a second. The member table counts processes that are known to have ended (they leave, refuse connections or are replaced) and tells them in MemberFact.ended; they don't count as instances that may be cut off.

The load test has 27 further rows. The rows that were there before run as before; issuers are told their roles once a second in new rows only.

--- a/bamboostream/src/Control/frames.cpp
+++ b/bamboostream/src/Control/frames.cpp
@@ -41,6 +41,7 @@
     out->busy_permille = facts.busy_permille;
     out->configuration_version = facts.configuration_version;
     out->capacity = facts.capacity;
+    out->ended = facts.ended;
     return out;
 }
 
@@ -56,6 +57,7 @@
     out.busy_permille = fact.busy_permille;
     out.configuration_version = fact.configuration_version;
     out.capacity = fact.capacity;
+    out.ended = fact.ended;
     return out;
 }
 
--- a/bamboostream/src/Control/membership_service.cpp
+++ b/bamboostream/src/Control/membership_service.cpp
@@ -83,8 +83,7 @@
 }
 
 asio::awaitable<bool> membership_service::send_probe(std::string peer, std::string target,
-                                                     milliseconds timeout) {
-    link_failure why;
+                                                     milliseconds timeout, link_failure& why) {
     wire::ProbeT probe = to_wire(members_.probe_gossip());
     probe.target = target;
     auto reply = co_await links_.call(peer, make_frame(std::move(probe)), timeout, why);
@@ -102,17 +101,23 @@
 }
 
 asio::awaitable<void> membership_service::probe_one(std::string peer) {
-    if (co_await send_probe(peer, "", gossip_timing.probe_timeout)) {
+    const std::optional<member_facts> probed = members_.find(peer);
+    link_failure why;
+    if (co_await send_probe(peer, "", gossip_timing.probe_timeout, why)) {
         members_.probe_answered(peer, monotonic_now());
         co_return;
     }
     for (const std::string& helper : members_.choose_helpers(peer)) {
-        if (co_await send_probe(helper, peer, gossip_timing.probe_timeout * 3 / 2)) {
+        link_failure ignored;
+        if (co_await send_probe(helper, peer, gossip_timing.probe_timeout * 3 / 2, ignored)) {
             members_.probe_answered(peer, monotonic_now());
             co_return;
         }
     }
     members_.probe_failed(peer, monotonic_now());
+    if (probed && why.code == link_error::refused) {
+        members_.probe_refused(probed->id, monotonic_now());
+    }
     report_changes();
 }
 
@@ -123,7 +128,8 @@
     const std::string target = probe.target;
     bool reached = false;
     if (!target.empty()) {
-        reached = co_await send_probe(target, "", gossip_timing.probe_timeout);
+        link_failure ignored;
+        reached = co_await send_probe(target, "", gossip_timing.probe_timeout, ignored);
     }
     wire::ProbeT answer = to_wire(members_.answer_gossip(received));
     answer.target = reached ? target : std::string{};
--- a/bamboostream/src/Control/membership_service.h
+++ b/bamboostream/src/Control/membership_service.h
@@ -94,7 +94,7 @@
     boost::asio::awaitable<void> probe_loop();
     boost::asio::awaitable<void> probe_one(std::string peer);
     boost::asio::awaitable<bool> send_probe(std::string peer, std::string target,
-                                            milliseconds timeout);
+                                            milliseconds timeout, link_failure& why);
     boost::asio::awaitable<void> list_loop();
     boost::asio::awaitable<void> watch_loop();
     boost::asio::awaitable<void> watch_one(backend_facts backend);
--- a/bamboostream/src/Control/rate_limit_exchange.cpp
+++ b/bamboostream/src/Control/rate_limit_exchange.cpp
@@ -115,10 +115,20 @@
     links_.send_to_each(recipients, make_frame(std::move(report)));
 }
 
+void rate_limit_exchange::note_roles(std::span<const server_rate_limit> known, time_point now) {
+    for (const server_rate_limit& state : known) {
+        const registered_backend* server = servers_.find(state.server);
+        if (server != nullptr && state.per_second) {
+            issuer_.check(terms_for(*server, 0), now);
+        }
+    }
+}
+
 asio::awaitable<void> rate_limit_exchange::repeat_loop() {
     while (true) {
         co_await pause_for(repeat_period);
         std::vector<server_rate_limit> known = limits_.all();
+        note_roles(known, monotonic_now());
         const std::vector<std::string>& peers = membership_.usable_peers();
         if (known.empty() || peers.empty()) {
             continue;
--- a/bamboostream/src/Control/rate_limit_exchange.h
+++ b/bamboostream/src/Control/rate_limit_exchange.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,8 @@
 
     void announce(const server_rate_limit& state, rate_limit_change change, bool seen_here);
     boost::asio::awaitable<void> repeat_loop();
+    /// Tells the issuer of this instance its present role for each server.
+    void note_roles(std::span<const server_rate_limit> known, time_point now);
     std::vector<std::string> issuers(const registered_backend& server) const;
     issuer_role own_role(const registered_backend& server) const;
     permit_terms terms_for(const registered_backend& server, int priority) const;
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -100,6 +100,7 @@
     append(out, "counter", "sends_to_rate_limited_servers_total", c.sends_to_limited);
     append(out, "gauge", "rate_limited_servers", state.rate_limits.size());
     append(out, "counter", "rate_permits_issued_total", state.issuer.issued());
+    append(out, "gauge", "possible_instances", state.issuer.possible_instances());
     append_permits(out, stats.permits);
     append(out, "counter", "new_connections_total", c.new_connections);
     append(out, "counter", "connects_timed_out_total", c.connects_timed_out);
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -99,7 +99,8 @@
         const std::vector<backend_work_entry> own = forwarding_.loads.own();
         forwarding_.live_instances = membership_.usable_peers().size() + 1;
         forwarding_.cold_starts.update_instance_count(forwarding_.live_instances, monotonic_now());
-        forwarding_.issuer.update_instance_count(forwarding_.live_instances, monotonic_now());
+        forwarding_.issuer.update_instance_count(
+            forwarding_.live_instances, membership_.members().ended_processes(), monotonic_now());
         owner_scheduler_.update_roles(monotonic_now());
         if (!own.empty() || !reported_none) {
             links_.send_to_each(owner_scheduler_.load_report_recipients(),
--- a/bamboostream/src/Links/peer_links.cpp
+++ b/bamboostream/src/Links/peer_links.cpp
@@ -43,7 +43,8 @@
     asio::steady_timer completion;
     std::string peer;
     std::unique_ptr<wire::FrameT> reply;
-    bool connect_failed = false;
+    /// Why the connection failed; `none` if it didn't.
+    link_error connect_error = link_error::none;
 };
 
 /// One TCP connection to or from a peer.
@@ -147,7 +148,9 @@
             peer->last_failure = monotonic_now();
             links->traffic.dropped_frames += peer->unsent_frames.size();
             peer->unsent_frames.clear();
-            links->fail_pending_calls(peer->address);
+            links->fail_pending_calls(peer->address, ec == asio::error::connection_refused
+                                                         ? link_error::refused
+                                                         : link_error::not_connected);
             co_return;
         }
         peer->connection = std::make_shared<peer_connection>(std::move(*socket));
@@ -160,10 +163,10 @@
 
     /// Fails the calls to a peer that can't be reached, so that a dead instance is noticed without
     /// waiting for a timeout.
-    void fail_pending_calls(const std::string& address) {
+    void fail_pending_calls(const std::string& address, link_error why) {
         for (const auto& [correlation, call] : calls) {
             if (call->peer == address) {
-                call->connect_failed = true;
+                call->connect_error = why;
                 call->completion.cancel();
             }
         }
@@ -366,7 +369,8 @@
     co_await pending->completion.async_wait(token(ec));
     state->calls.erase(correlation);
     if (!pending->reply) {
-        why.set(pending->connect_failed ? link_error::not_connected : link_error::timed_out,
+        why.set(pending->connect_error != link_error::none ? pending->connect_error
+                                                           : link_error::timed_out,
                 "no reply from " + peer);
     }
     co_return std::move(pending->reply);
--- a/bamboostream/src/Links/peer_links.h
+++ b/bamboostream/src/Links/peer_links.h
@@ -20,8 +20,9 @@
 
 namespace bamboostream {
 
-/// Why a call to another instance returned no reply.
-enum class link_error : std::uint8_t { none, not_connected, timed_out };
+/// Why a call to another instance returned no reply. `refused`: the machine of the other instance
+/// refused the connection, since no process accepts any there.
+enum class link_error : std::uint8_t { none, not_connected, refused, timed_out };
 using link_failure = failure<link_error>;
 
 /// Counters of the traffic between instances. docs/CAPACITY.md gives the budget for it.
--- a/bamboostream/src/Membership/member_table.cpp
+++ b/bamboostream/src/Membership/member_table.cpp
@@ -165,6 +165,24 @@
     record_change(r.facts, true, liveness::live, false);
 }
 
+void member_table::probe_refused(const instance_id& process, time_point now) {
+    const auto found = members_.find(process.address);
+    if (found == members_.end() || found->second.facts.ended ||
+        found->second.facts.id.start_stamp != process.start_stamp ||
+        found->second.facts.state == liveness::live || now < grace_until_ || suspects_itself_) {
+        return;
+    }
+    record& r = found->second;
+    r.facts.ended = true;
+    count_end(r);
+    schedule_retransmits(r, change_retransmit_factor);
+}
+
+void member_table::count_end(record& r) {
+    ended_processes_ += r.end_counted ? 0 : 1;
+    r.end_counted = true;
+}
+
 void member_table::schedule_retransmits(record& r, std::uint32_t factor) const {
     const double members = static_cast<double>(members_.size()) + 2.0;
     r.retransmits_left = factor * static_cast<std::uint32_t>(std::ceil(std::log2(members)));
@@ -198,6 +216,10 @@
         ++joined_;
         const bool is_new = found == members_.end();
         record& fresh = members_[received.id.address];
+        if (!is_new) {
+            count_end(fresh);
+        }
+        fresh.end_counted = received.leaving || received.ended;
         fresh.facts = received;
         fresh.state_since = now;
         fresh.key = key_of(received.id);
@@ -213,8 +235,11 @@
     const liveness before = known.facts.state;
     if (supersedes(received, known.facts)) {
         const bool leaving = known.facts.leaving || received.leaving;
+        const bool refuted = received.incarnation > known.facts.incarnation;
+        const bool ended = received.ended || (known.facts.ended && !refuted);
         known.facts = received;
         known.facts.leaving = leaving;
+        known.facts.ended = ended;
         known.state_since = now;
         schedule_retransmits(known, change_retransmit_factor);
     } else if (direct && received.state == liveness::live && known.facts.state != liveness::live) {
@@ -228,6 +253,13 @@
         known.facts.leaving = true;
         schedule_retransmits(known, change_retransmit_factor);
     }
+    if (received.ended && !known.facts.ended && received.incarnation == known.facts.incarnation) {
+        known.facts.ended = true;
+        schedule_retransmits(known, change_retransmit_factor);
+    }
+    if (known.facts.leaving || known.facts.ended) {
+        count_end(known);
+    }
     if (left || before != known.facts.state) {
         record_change(known.facts, true, before, left);
     }
--- a/bamboostream/src/Membership/member_table.h
+++ b/bamboostream/src/Membership/member_table.h
@@ -31,6 +31,9 @@
     liveness state = liveness::live;
     /// A graceful shutdown has begun. Never revoked for the same start stamp.
     bool leaving = false;
+    /// The process is known to have ended: its machine refused a connection. Retracted if the
+    /// instance refutes that it has failed.
+    bool ended = false;
     /// Load of the entry role in thousandths, 0 to 1000.
     std::uint16_t busy_permille = 0;
     std::int64_t configuration_version = 0;
@@ -104,6 +107,11 @@
     void probe_answered(std::string_view address, time_point now);
     /// Records that `address` answered neither directly nor through helpers.
     void probe_failed(std::string_view address, time_point now);
+    /// Records that the machine of `process` refused the connection of a probe that was sent while
+    /// that process was known there, and that no helper reached it. Call after `probe_failed`. A
+    /// partition discards packets or resets connections, so the process has ended, unless this
+    /// instance suspects its own network.
+    void probe_refused(const instance_id& process, time_point now);
     /// Merges facts from a peer. `direct` marks the sender's own facts about itself.
     void merge(const member_facts& received, bool direct, time_point now);
     /// Gossip to send in a probe: this instance's own facts, then the changes with the most
@@ -133,6 +141,10 @@
     std::vector<member_facts> usable() const;
     /// Addresses of all other members in the table, including those that are gone.
     std::vector<std::string> all_addresses() const;
+    /// Processes of other instances that are known to have ended or to be leaving, or in whose
+    /// place another one has started, counted since the start: they act for no others any more,
+    /// while an instance that is merely suspect or gone may be partitioned and go on.
+    std::size_t ended_processes() const { return ended_processes_; }
     std::optional<member_facts> find(std::string_view address) const;
     /// True while probes of several members fail with no answer in between. The failure is then
     /// likelier in this instance's own network, and no other member is marked as suspect.
@@ -148,11 +160,14 @@
         std::uint32_t retransmits_left = 0;
         /// Hash of this process of the member, sent in `member_gossip::keys`.
         std::uint32_t key = 0;
+        /// Included in `ended_processes`, or never usable.
+        bool end_counted = false;
     };
 
     void schedule_retransmits(record& r, std::uint32_t factor) const;
     void record_change(const member_facts& now, bool was_known, liveness before, bool left);
     void refute(const member_facts& received);
+    void count_end(record& r);
     void record_probe_result(std::string_view address, bool answered, time_point now);
     void refill_probe_order();
     std::uint64_t summary() const;
@@ -179,6 +194,7 @@
     /// Members added since the last call of `choose_probes`, and in the period before it.
     std::size_t joined_ = 0;
     std::size_t joined_before_ = 0;
+    std::size_t ended_processes_ = 0;
 };
 
 } // namespace bamboostream
--- a/test/membership_test.cpp
+++ b/test/membership_test.cpp
@@ -29,6 +29,11 @@
     }
     member_table& at(const std::string& name) { return *tables_.at(name); }
     void kill(const std::string& name) { dead_.insert(name); }
+    /// Ends the process of a member, so that its machine refuses connections.
+    void end(const std::string& name) {
+        dead_.insert(name);
+        refusing_.insert(name);
+    }
     void revive(const std::string& name) { dead_.erase(name); }
     void remove(const std::string& name) { tables_.erase(name); }
 
@@ -63,7 +68,11 @@
     }
     void probe(member_table& asker, const std::string& name, const std::string& peer) {
         if (!reachable(peer)) {
+            const auto process = asker.find(peer);
             asker.probe_failed(peer, now_);
+            if (process && refusing_.contains(peer)) {
+                asker.probe_refused(process->id, now_);
+            }
             return;
         }
         exchange(asker, name, at(peer), peer);
@@ -82,6 +91,7 @@
 
     std::map<std::string, std::unique_ptr<member_table>> tables_;
     std::set<std::string> dead_;
+    std::set<std::string> refusing_;
     time_point now_{seconds(100)};
     std::uint64_t seed_ = 1;
 };
@@ -307,6 +317,63 @@
     EXPECT_GE(isolated.usable().size(), 5U);
 }
 
+struct end_row {
+    std::string name;
+    void (*act)(gossip_group&);
+    std::size_t known_ends;
+    friend void PrintTo(const end_row& row, std::ostream* out) { *out << row.name; }
+};
+
+class known_ends : public testing::TestWithParam<end_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, known_ends,
+    testing::Values(end_row{"unreachable", [](gossip_group& g) { g.kill("m2"); }, 0},
+                    end_row{"refuses_connections", [](gossip_group& g) { g.end("m2"); }, 1},
+                    end_row{"leaves", [](gossip_group& g) { g.at("m2").begin_leaving(); }, 1},
+                    end_row{"leaves_and_ends",
+                            [](gossip_group& g) {
+                                g.at("m2").begin_leaving();
+                                g.run_for(seconds(4));
+                                g.end("m2");
+                            },
+                            1},
+                    end_row{"restarts",
+                            [](gossip_group& g) {
+                                g.remove("m2");
+                                g.add("m2", 2);
+                            },
+                            1}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a partitioned instance that is taken for one that has ended, and an end that is
+// counted twice or not told.
+TEST_P(known_ends, are_told_to_all) {
+    gossip_group g(8);
+    g.run_for(seconds(4));
+    GetParam().act(g);
+    g.run_for(seconds(8));
+    for (const std::string observer : {"m0", "m5", "m7"}) {
+        EXPECT_EQ(g.at(observer).ended_processes(), GetParam().known_ends) << observer;
+    }
+}
+
+// Guards against the end of a process that is recorded for the next one at its address, or kept
+// although the process refutes it.
+TEST(member_table_test, an_end_concerns_one_process) {
+    gossip_group g(3);
+    g.run_for(seconds(3));
+    member_table& observer = g.at("m0");
+    observer.probe_failed("m1", g.now());
+    observer.probe_refused({"m1", 0}, g.now());
+    EXPECT_FALSE(observer.find("m1")->ended);
+    observer.probe_refused({"m1", 1}, g.now());
+    EXPECT_TRUE(observer.find("m1")->ended);
+    g.run_for(seconds(4));
+    EXPECT_FALSE(observer.find("m1")->ended);
+    EXPECT_TRUE(usable(g, "m0", "m1"));
+}
+
 TEST(member_table_test, leaving_is_never_taken_back_for_the_same_start) {
     gossip_group g(3);
     g.run_for(seconds(3));
--- a/test/platform/rate_limit_exchange_test.cpp
+++ b/test/platform/rate_limit_exchange_test.cpp
@@ -150,6 +150,32 @@
     EXPECT_GE(standby.forwarding.issuer.issued(), 1u);
 }
 
+// Guards against a standby of an owner that has just taken over, which would begin without permits
+// when that owner ends.
+TEST_F(rate_limit_exchange_test, a_new_standby_has_permits_before_it_is_asked) {
+    for (const auto& it : group_.all) {
+        it->rate_limits->start();
+    }
+    observe(*group_.all[3], 2.0);
+    group_.run_for(told_bound);
+    const std::vector<peer_instance*> before = order();
+    group_.kill(*before[0]);
+    peer_instance& asker = *before.back();
+    const auto issuers = [&] {
+        return asker.membership->owners(issuer_key(asker.forwarding)(server_), 2);
+    };
+    const time_point until = monotonic_now() + seconds(8);
+    while (issuers().front() == before[0]->address() && monotonic_now() < until) {
+        group_.run_for(milliseconds(50));
+    }
+    group_.run_for(milliseconds(2'500));
+    const std::vector<std::string> now = issuers();
+    ASSERT_NE(now[0], before[0]->address());
+    ASSERT_NE(asker.address(), now[1]);
+    group_.kill(group_.at(now[0]));
+    EXPECT_TRUE(acquire(asker));
+}
+
 // Guards against a request that waits for issuers which don't answer, or that is sent without them.
 TEST_F(rate_limit_exchange_test, without_an_answer_there_is_no_permit) {
     observe(*group_.all[3], 10.0);
--- a/test/rate_permit_load_test.cpp
+++ b/test/rate_permit_load_test.cpp
@@ -20,6 +20,9 @@
 constexpr double allowed_factor = 1.5;
 constexpr double allowed_slack = 5.0;
 constexpr double min_used = 0.8;
+/// Two halves that can't be told from a half that is left alone share the bound of 6 x the limit +
+/// 5 in 4 s, so that each issues 0.75 x the limit and 0.6 a second: less than 0.8 of 20 a second.
+constexpr double max_half_used = 0.75;
 constexpr seconds length{40};
 /// How long an instance goes on asking, or acting as, an owner that is no longer one.
 constexpr milliseconds view_lag{1'000};
@@ -29,10 +32,14 @@
     /// The owner is killed every 5 s; the others ask it in vain until they know, and the standby
     /// meanwhile.
     owners_killed,
+    /// As `owners_killed`, but an instance takes over that was not the standby.
+    owners_replaced,
     /// Every 5 s another instance takes over; for a second, half of the others ask the old one.
     owners_change,
     /// The instances are cut off from each other in two halves, each with an owner, for 10 s.
     halves,
+    /// As `halves`, but all instances notice the cut after a second, and half of them its end.
+    halves_late,
     /// One instance in eight is cut off from the others, for 10 s.
     some_cut_off,
     /// Half of the instances end after 5 s and stay away.
@@ -51,6 +58,16 @@
     demand_kind demand = demand_kind::spread;
     /// Attempts at the server a second, as a multiple of the limit.
     double demand_factor = 6.0;
+    /// The part of the limit that must be used.
+    double least_used = min_used;
+    /// Whether it is known of instances that are killed or lost that they have ended.
+    bool ends_known = false;
+    /// Whether each instance tells its issuer its role once a second, not only when it is asked.
+    bool roles_noted = false;
+    /// Time between changes of the owner.
+    milliseconds period{5'000};
+    /// How long instances are cut off from each other, or from the owner.
+    seconds cut{10};
     friend void PrintTo(const permit_scenario& row, std::ostream* out) { *out << row.name; }
 };
 
@@ -76,7 +93,10 @@
         double due = 0.0;
         for (time_point now = start; now < start + length; now += step) {
             for (std::size_t i = 0; i < issuers_.size(); ++i) {
-                issuers_[i].update_instance_count(seen_by(i, now), now);
+                issuers_[i].update_instance_count(seen_by(i, now), ended(now), now);
+            }
+            if (parameters_.roles_noted && (now - start) % seconds(1) < step) {
+                note_roles(now);
             }
             for (due += per_step; due >= 1.0; due -= 1.0) {
                 try_send(sender(now), now);
@@ -88,18 +108,54 @@
 private:
     seconds phase(time_point now) const { return std::chrono::duration_cast<seconds>(now - start); }
     bool disturbed(time_point now) const {
-        return phase(now) >= seconds(5) && phase(now) < seconds(15);
+        return phase(now) >= seconds(5) && phase(now) < seconds(5) + parameters_.cut;
+    }
+    bool is_half_gone(time_point now) const {
+        return parameters_.view == view_kind::half_lost && phase(now) >= seconds(5);
+    }
+    bool is_killed_kind() const {
+        return parameters_.view == view_kind::owners_killed ||
+               parameters_.view == view_kind::owners_replaced;
+    }
+    std::size_t ended(time_point now) const {
+        if (!parameters_.ends_known) {
+            return 0;
+        }
+        return is_half_gone(now)  ? issuers_.size() / 2
+               : is_killed_kind() ? turn(std::max(now - view_lag, start))
+                                  : 0;
+    }
+    std::size_t turn(time_point now) const {
+        return static_cast<std::size_t>((now - start) / parameters_.period);
+    }
+    void note_roles(time_point now) {
+        const bool killed = is_killed_kind();
+        const std::size_t all = issuers_.size();
+        const std::size_t known = turn(std::max(now - view_lag, start));
+        for (std::size_t i = 0; i < all; ++i) {
+            const bool new_owner = !killed && i == turn(now) % all;
+            const issuer_role role = new_owner || i == known % all      ? issuer_role::owner
+                                     : killed && i == standby_in(known) ? issuer_role::standby
+                                                                        : issuer_role::none;
+            issuers_[i].check({server_, parameters_.per_second, role, 0}, now);
+        }
+    }
+    /// The standby of the owner of a turn.
+    std::size_t standby_in(std::size_t turn) const {
+        const std::size_t all = issuers_.size();
+        return (turn + 1 + (parameters_.view == view_kind::owners_replaced ? all / 2 : 0)) % all;
     }
 
     std::size_t seen_by(std::size_t i, time_point now) const {
         const std::size_t all = issuers_.size();
-        if (parameters_.view == view_kind::halves && disturbed(now)) {
+        const bool late = parameters_.view == view_kind::halves_late && disturbed(now - view_lag);
+        if (disturbed(now) && (parameters_.view == view_kind::halves || late)) {
             return i < all / 2 ? all / 2 : all - all / 2;
         }
         if (parameters_.view == view_kind::some_cut_off && disturbed(now)) {
             return i < all / 8 ? all / 8 : all - all / 8;
         }
-        if (parameters_.view == view_kind::half_lost && phase(now) >= seconds(5)) {
+        if (is_half_gone(now)) {
             return all - all / 2;
         }
         return all;
@@ -108,12 +164,13 @@
     /// Those that instance `i` asks in turn, without those that don't answer.
     std::vector<asked_issuer> asked_by(std::size_t i, time_point now) const {
         const std::size_t all = issuers_.size();
-        const auto turn = static_cast<std::size_t>((now - start) / seconds(5));
-        const bool just_changed = turn > 0 && (now - start) % seconds(5) < view_lag;
+        const std::size_t turn = this->turn(now);
+        const bool just_changed = turn > 0 && (now - start) % parameters_.period < view_lag;
         switch (parameters_.view) {
         case view_kind::owners_killed:
+        case view_kind::owners_replaced:
             if (just_changed) {
-                return {{turn % all, issuer_role::standby}};
+                return {{standby_in(turn - 1), issuer_role::standby}};
             }
             return {{turn % all, issuer_role::owner}};
         case view_kind::owners_change:
@@ -123,10 +180,15 @@
             return {{turn % all, issuer_role::owner}};
         case view_kind::halves:
             return {{disturbed(now) && i >= all / 2 ? all / 2 : 0, issuer_role::owner}};
+        case view_kind::halves_late:
+            if (i >= all / 2 && disturbed(now) && !disturbed(now - view_lag)) {
+                return {{all - 1, issuer_role::standby}};
+            }
+            return {{i >= all / 2 && disturbed(now - view_lag) ? all / 2 : 0, issuer_role::owner}};
         case view_kind::some_cut_off:
             return {{disturbed(now) && i < all / 8 ? 0 : all / 8, issuer_role::owner}};
         case view_kind::half_lost:
-            return {{phase(now) >= seconds(5) ? all - 1 : 0, issuer_role::owner}};
+            return {{is_half_gone(now) ? all - 1 : 0, issuer_role::owner}};
         case view_kind::owner_unreachable:
             if (disturbed(now) && i % 2 == 0) {
                 return {{1, issuer_role::standby}};
@@ -146,8 +208,7 @@
         if (parameters_.demand == demand_kind::moving) {
             return static_cast<std::size_t>(phase(now).count()) * 7 % all;
         }
-        const std::size_t first =
-            parameters_.view == view_kind::half_lost && phase(now) >= seconds(5) ? all / 2 : 0;
+        const std::size_t first = is_half_gone(now) ? all / 2 : 0;
         return std::uniform_int_distribution<std::size_t>(first, all - 1)(random_);
     }
 
@@ -191,6 +252,26 @@
     return per_second * to_milliseconds(window) / 1'000.0 * allowed_factor + allowed_slack;
 }
 
+permit_scenario owners_every(view_kind view, std::string name, std::size_t instances,
+                             double per_second, int period_ms) {
+    permit_scenario out{std::move(name), instances, per_second, view};
+    out.roles_noted = true;
+    out.period = milliseconds(period_ms);
+    return out;
+}
+
+permit_scenario cut_for(view_kind view, std::string name, std::size_t instances, double per_second,
+                        int cut_s) {
+    permit_scenario out{std::move(name), instances, per_second, view};
+    out.cut = seconds(cut_s);
+    return out;
+}
+
+permit_scenario with_known_ends(permit_scenario out) {
+    out.ends_known = true;
+    return out;
+}
+
 class permit_load : public testing::TestWithParam<permit_scenario> {};
 
 using enum view_kind;
@@ -198,26 +279,54 @@
 
 INSTANTIATE_TEST_SUITE_P(
     table, permit_load,
-    testing::Values(permit_scenario{"two", 2, 2.4}, permit_scenario{"eight", 8, 2.4},
-                    permit_scenario{"grown", 75, 2.4}, permit_scenario{"many", 300, 2.4},
-                    permit_scenario{"most", 1'100, 2.4},
-                    permit_scenario{"eight_at_one_in_five_seconds", 8, 0.2},
-                    permit_scenario{"many_at_one_in_five_seconds", 300, 0.2},
-                    permit_scenario{"eight_at_twenty", 8, 20.0},
-                    permit_scenario{"many_at_twenty", 300, 20.0},
-                    permit_scenario{"little_demand", 8, 2.4, agree, spread, 1.1},
-                    permit_scenario{"by_one_instance", 75, 2.4, agree, one_instance},
-                    permit_scenario{"by_changing_instances", 75, 2.4, agree, moving},
-                    permit_scenario{"owners_killed", 8, 2.4, owners_killed},
-                    permit_scenario{"owners_killed_at_twenty", 75, 20.0, owners_killed},
-                    permit_scenario{"owners_change", 8, 2.4, owners_change},
-                    permit_scenario{"owners_change_at_twenty", 75, 20.0, owners_change},
-                    permit_scenario{"halves", 8, 2.4, halves},
-                    permit_scenario{"halves_at_twenty", 75, 20.0, halves},
-                    permit_scenario{"some_cut_off", 75, 20.0, some_cut_off},
-                    permit_scenario{"half_lost", 75, 2.4, half_lost},
-                    permit_scenario{"owner_unreachable", 8, 2.4, owner_unreachable},
-                    permit_scenario{"owner_unreachable_at_twenty", 75, 20.0, owner_unreachable}),
+    testing::Values(
+        permit_scenario{"two", 2, 2.4}, permit_scenario{"eight", 8, 2.4},
+        permit_scenario{"grown", 75, 2.4}, permit_scenario{"many", 300, 2.4},
+        permit_scenario{"most", 1'100, 2.4},
+        permit_scenario{"eight_at_one_in_five_seconds", 8, 0.2},
+        permit_scenario{"many_at_one_in_five_seconds", 300, 0.2},
+        permit_scenario{"eight_at_twenty", 8, 20.0}, permit_scenario{"many_at_twenty", 300, 20.0},
+        permit_scenario{"little_demand", 8, 2.4, agree, spread, 1.1},
+        permit_scenario{"by_one_instance", 75, 2.4, agree, one_instance},
+        permit_scenario{"by_changing_instances", 75, 2.4, agree, moving},
+        permit_scenario{"owners_killed", 8, 2.4, owners_killed},
+        permit_scenario{"owners_killed_at_twenty", 75, 20.0, owners_killed},
+        permit_scenario{"owners_change", 8, 2.4, owners_change},
+        permit_scenario{"owners_change_at_twenty", 75, 20.0, owners_change},
+        permit_scenario{"halves", 8, 2.4, halves},
+        permit_scenario{"halves_at_twenty", 75, 20.0, halves},
+        permit_scenario{"some_cut_off", 75, 20.0, some_cut_off},
+        permit_scenario{"half_lost", 75, 2.4, half_lost},
+        permit_scenario{"owner_unreachable", 8, 2.4, owner_unreachable},
+        permit_scenario{"owner_unreachable_at_twenty", 75, 20.0, owner_unreachable},
+        owners_every(owners_killed, "killed_every_two_s", 75, 20.0, 2'000),
+        owners_every(owners_killed, "killed_every_three_s", 8, 2.4, 3'000),
+        owners_every(owners_killed, "killed_every_11_s", 8, 2.4, 11'000),
+        owners_every(owners_killed, "killed_of_two", 2, 2.4, 5'000),
+        owners_every(owners_killed, "killed_of_most", 1'100, 2.4, 5'000),
+        owners_every(owners_killed, "killed_at_one_in_five_s", 8, 0.2, 5'000),
+        owners_every(owners_replaced, "replaced", 8, 2.4, 5'000),
+        owners_every(owners_replaced, "replaced_at_twenty", 75, 20.0, 5'000),
+        owners_every(owners_change, "change_every_second", 75, 20.0, 1'000),
+        owners_every(owners_change, "change_every_two_s", 8, 2.4, 2'000),
+        cut_for(halves, "halves_for_25_s", 8, 2.4, 25),
+        cut_for(halves, "halves_for_25_s_at_twenty", 75, 20.0, 25),
+        cut_for(halves, "halves_of_two", 2, 2.4, 25),
+        cut_for(halves, "halves_of_most", 1'100, 2.4, 25),
+        cut_for(halves, "halves_at_one_in_five_s", 300, 0.2, 25),
+        cut_for(halves_late, "halves_late", 8, 2.4, 15),
+        cut_for(halves_late, "halves_late_at_twenty", 75, 20.0, 15),
+        cut_for(some_cut_off, "some_cut_off_for_25_s", 8, 2.4, 25),
+        cut_for(owner_unreachable, "owner_unreachable_for_25_s", 300, 20.0, 25),
+        permit_scenario{"half_lost_of_two", 2, 2.4, half_lost},
+        permit_scenario{"half_lost_of_most", 1'100, 2.4, half_lost},
+        permit_scenario{"half_lost_at_one_in_five_s", 8, 0.2, half_lost},
+        permit_scenario{"half_lost_at_twenty", 75, 20.0, half_lost, spread, 6.0, max_half_used},
+        with_known_ends({"half_ended", 75, 2.4, half_lost}),
+        with_known_ends({"half_ended_at_twenty", 75, 20.0, half_lost}),
+        with_known_ends(owners_every(owners_replaced, "replaced_every_3_s", 8, 2.4, 3'000)),
+        with_known_ends(owners_every(owners_replaced, "replaced_every_2_s_at_20", 75, 20.0,
+                                     2'000))),
     [](const auto& info) { return info.param.name; });
 
 // Guards against issuers that together let a server get more than it takes.
@@ -234,7 +343,7 @@
     const double used = static_cast<double>(permit_simulation(row).run().size()) /
                         (row.per_second * to_milliseconds(length) / 1'000.0);
     fmt::print("used {:.2f}\n", used);
-    EXPECT_GE(used, min_used);
+    EXPECT_GE(used, row.least_used);
 }
 
 /// How instances may keep a common limit.
@@ -325,6 +434,35 @@
     EXPECT_GE(static_cast<double>(at_low_limit), min_used * low * 6.0);
 }
 
+struct count_row {
+    std::string name;
+    /// Live instances and those that are known to have ended, second by second.
+    std::vector<std::pair<std::size_t, std::size_t>> counts;
+    std::size_t max_recent;
+    friend void PrintTo(const count_row& row, std::ostream* out) { *out << row.name; }
+};
+
+class counted_instances : public testing::TestWithParam<count_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, counted_instances,
+    testing::Values(count_row{"lost", {{75, 0}, {38, 0}}, 75},
+                    count_row{"ended", {{75, 0}, {38, 37}}, 38},
+                    count_row{"known_to_have_ended_later", {{75, 0}, {38, 0}, {38, 37}}, 38},
+                    count_row{"replaced_then_lost", {{75, 0}, {74, 1}, {75, 1}, {38, 1}}, 75},
+                    count_row{"some_ended_some_lost", {{75, 0}, {60, 10}}, 65}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a partition that is taken for the end of instances which were replaced before it.
+TEST_P(counted_instances, are_those_that_may_be_running) {
+    instance_count counted;
+    time_point now = start;
+    for (const auto& [live, ended] : GetParam().counts) {
+        counted.update(live, ended, now += seconds(1));
+    }
+    EXPECT_EQ(counted.max_recent(), GetParam().max_recent);
+}
+
 // Guards against less urgent requests that take the permits of urgent ones.
 TEST(permit_issuer_test, urgent_requests_come_first) {
     permit_issuer issuer;
