Divide engine memory between workspaces while it is short

A workspace that asks for ten times its usual demand got most of the memory that became free, and the others were refused as often as it was. The owner of a service and its standby now divide the memory of the engines max-min fairly between the workspaces that ask, by holdings that instances report with their work, and refuse requests of a workspace above its share while others are below theirs. Only services whose servers report the load of their host are affected.

Requests refused by admission are counted by cause and logged with their workspace.

--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -62,6 +62,26 @@
     co_return co_await state.permits->acquire(std::move(server), priority);
 }
 
+namespace {
+
+/// Whether the request exceeds its workspace's share of the memory of `engines` engines. Nothing is
+/// refused or recorded for instances that don't send workspaces, those of the previous version or
+/// that haven't seen a server of the service report the load of its host yet.
+share_decision check_share(forwarding_state& state, const engine_request& request,
+                           std::size_t engines, time_point now) {
+    const bool knows_workspace = request.workspace || request.pause_objective > duration{};
+    if (!knows_workspace || !state.server_loads.reports_host_load(request.service)) {
+        return {};
+    }
+    return state.shares.check(
+        {make_workspace_key(request.service, request.workspace), request.work.memory_tokens,
+         request.work.memory_tokens - request.work.unread_tokens, request.priority,
+         static_cast<std::int64_t>(engines) * request.engine_memory_tokens},
+        state.admission, now);
+}
+
+} // namespace
+
 engine_choice choose_engine(forwarding_state& state, const engine_request& request,
                             sender_role role, time_point now) {
     placement_request wanted;
@@ -76,6 +96,14 @@
             state.prefill.tokens_per_ms(request.service, backend_hash(engine.id)));
     };
     auto engines = servers_with_capacity(state, request.service, role, now);
+    const share_decision share = check_share(state, request, engines.size(), now);
+    if (share.over_share) {
+        const auto* least_loaded = state.picker.pick(engines, state.loads, wanted, now);
+        if (least_loaded != nullptr) {
+            return {*least_loaded, admission_result::workspace_over_share,
+                    state.loads.total(least_loaded->id, now), share.overload};
+        }
+    }
     std::erase_if(engines, [&request](const registered_backend* engine) {
         return !request.version.empty() && engine->version != request.version;
     });
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -226,12 +226,14 @@
 void forwarded_call::register_work(const backend_id& id) {
     unregister_work();
     work_backend_ = id;
+    work_key_ = make_workspace_key(service_->id, workspace_);
     update_work(expected_work());
 }
 
 void forwarded_call::update_work(const backend_work& work) {
     const bool must_notify = work.unread_tokens != registered_work_.unread_tokens;
     state_.loads.subtract(work_backend_, registered_work_);
+    state_.shares.add(work_key_, work.memory_tokens - registered_work_.memory_tokens);
     registered_work_ = work;
     state_.loads.add(work_backend_, registered_work_);
     if (must_notify && state_.on_generation_change) {
@@ -245,6 +247,7 @@
     }
     const bool must_notify = registered_work_.memory_tokens > 0;
     state_.loads.subtract(work_backend_, registered_work_);
+    state_.shares.add(work_key_, -registered_work_.memory_tokens);
     registered_work_ = {};
     work_backend_ = {};
     if (must_notify && state_.on_generation_change) {
@@ -310,9 +313,11 @@
 
 void forwarded_call::record_rate_limited(const registered_backend* server) {
     overload_duration_ = state_.overloads[service_->id].record_refusal(monotonic_now());
-    log_event(events::request_refused, "request={} reason={} route={} backend={} per_second={}",
-              request_.id, to_string(admission_result::rate_limited), route_->name,
-              server ? server->id.text() : "none",
+    state_.counters.count(admission_result::rate_limited);
+    log_event(events::request_refused,
+              "request={} reason={} route={} workspace={} backend={} per_second={}", request_.id,
+              to_string(admission_result::rate_limited), route_->name,
+              workspace_ ? workspace_->text() : "none", server ? server->id.text() : "none",
               rate_text(server ? state_.rate_limits.find(server->id) : std::nullopt));
 }
 
@@ -347,6 +352,7 @@
             admission_refused_ = true;
             rate_limited_ = choice->result == admission_result::rate_limited;
             overload_duration_ = choice->overload;
+            state_.counters.count(choice->result);
             log_admission_refusal(*choice);
             co_return std::nullopt;
         }
@@ -370,8 +376,10 @@
 
 void forwarded_call::log_admission_refusal(const engine_choice& choice) const {
     log_event(events::request_refused,
-              "request={} reason={} route={} backend={} memory_tokens={} unread_tokens={} of={}",
-              request_.id, to_string(choice.result), route_->name, choice.engine->id.text(),
+              "request={} reason={} route={} workspace={} backend={} memory_tokens={} "
+              "unread_tokens={} of={}",
+              request_.id, to_string(choice.result), route_->name,
+              workspace_ ? workspace_->text() : "none", choice.engine->id.text(),
               choice.work.memory_tokens, choice.work.unread_tokens,
               service_->engine->memory_tokens);
 }
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -19,6 +19,7 @@
 #include "bamboostream/src/Limits/quarantine_registry.h"
 #include "bamboostream/src/Limits/retry_delay.h"
 #include "bamboostream/src/Limits/server_rate_limits.h"
+#include "bamboostream/src/Limits/workspace_shares.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Membership/view_age.h"
 #include "bamboostream/src/Routing/backend_picker.h"
@@ -103,9 +104,12 @@
     /// were not answered in time.
     std::uint64_t placed_by_owner = 0;
     std::uint64_t owner_timeouts = 0;
+    /// Callers' requests that admission refused, by cause, also if another instance decided.
+    std::array<std::uint64_t, static_cast<std::size_t>(admission_result::count_)> refused{};
 
     void count(forward_result result) { ++results[static_cast<std::size_t>(result)]; }
     void count(continuation_refusal cause) { ++not_continued[static_cast<std::size_t>(cause)]; }
+    void count(admission_result cause) { ++refused[static_cast<std::size_t>(cause)]; }
     void count(carrier_answer answer) { ++carrier_answers[static_cast<std::size_t>(answer)]; }
 };
 
@@ -148,6 +152,8 @@
     /// Overload per service, from the generations that this instance refused while choosing
     /// engines.
     std::unordered_map<service_id, overload_tracker> overloads;
+    /// Engine memory that workspaces hold; limits them while this instance chooses for others.
+    workspace_shares shares;
     /// Results to report to the instances that choose engines for this one.
     outcome_collector engine_outcomes;
     /// Backend servers that other instances reach and this one doesn't.
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -94,6 +94,13 @@
                        "bamboostream_carrier_answers_total{{answer=\"{}\"}} {}\n",
                        to_string(static_cast<carrier_answer>(i)), c.carrier_answers[i]);
     }
+    out += "# TYPE bamboostream_refused_total counter\n";
+    // Skips `admission_result::admit`, which is no refusal.
+    for (std::size_t i = 1; i < c.refused.size(); ++i) {
+        fmt::format_to(std::back_inserter(out), "bamboostream_refused_total{{cause=\"{}\"}} {}\n",
+                       to_string(static_cast<admission_result>(i)), c.refused[i]);
+    }
+    append(out, "gauge", "workspaces_over_share", state.shares.over_share(now));
     append(out, "counter", "streams_taken_up_total", c.streams_taken_up);
     append(out, "gauge", "stream_origins", state.origins.size());
     append(out, "counter", "sends_total", c.sends);
--- a/bamboostream/src/Gateway/owner_scheduler.cpp
+++ b/bamboostream/src/Gateway/owner_scheduler.cpp
@@ -46,9 +46,39 @@
     return {out.begin(), out.end()};
 }
 
+std::vector<workspace_holding> owner_scheduler::own_holdings() const {
+    std::vector<workspace_holding> out;
+    if (forwarding_.routes) {
+        for (const service_rule& service : forwarding_.routes->configuration().services) {
+            if (service.engine && forwarding_.server_loads.reports_host_load(service.id)) {
+                forwarding_.shares.append_own(service.id, out);
+            }
+        }
+    }
+    return out;
+}
+
+void owner_scheduler::hear_workspaces(const wire::LoadReportT& report, const std::string& sender,
+                                      time_point now) {
+    const std::vector<workspace_holding> holdings = workspaces_from_wire(report);
+    forwarding_.shares.hear(sender, holdings, now);
+    if (holdings.empty() || !forwarding_.routes) {
+        return;
+    }
+    // Instances report holdings only of services whose servers report the load of their host.
+    for (const service_rule& service : forwarding_.routes->configuration().services) {
+        const std::uint64_t hash = make_workspace_key(service.id, {}).service;
+        if (std::any_of(holdings.begin(), holdings.end(),
+                        [hash](const auto& it) { return it.key.service == hash; })) {
+            forwarding_.server_loads.set_reports_host_load(service.id);
+        }
+    }
+}
+
 void owner_scheduler::hear(const wire::LoadReportT& report, const std::string& sender) {
     const time_point now = monotonic_now();
     forwarding_.loads.hear(sender, from_wire(report), now);
+    hear_workspaces(report, sender, now);
     for (const backend_outcomes& reported : outcomes_from_wire(report)) {
         const registered_backend* engine =
             forwarding_.registry.find_if([&reported](const registered_backend& it) {
@@ -124,6 +154,8 @@
                                  : own == order.begin() ? sender_role::owner
                                                         : sender_role::standby;
         forwarding_.cold_starts.update_role(service.id, role, now);
+        forwarding_.shares.set_chooses(service.id, role != sender_role::fallback,
+                                       forwarding_.live_instances <= 1, now);
     }
 }
 
@@ -137,9 +169,18 @@
         return make_reply(wire::AdmitReplyT{});
     }
     wanted.engine_memory_tokens = service->engine->memory_tokens;
+    if (wanted.workspace) {
+        forwarding_.server_loads.set_reports_host_load(wanted.service);
+    }
     const engine_choice choice = choose_engine(forwarding_, wanted, role(wanted.service), now);
     if (choice.engine && choice.result == admission_result::admit) {
         forwarding_.loads.add_expected(sender, {backend_hash(choice.engine->id), wanted.work}, now);
+        if (forwarding_.server_loads.reports_host_load(wanted.service)) {
+            forwarding_.shares.add_expected(
+                sender,
+                {make_workspace_key(wanted.service, wanted.workspace), wanted.work.memory_tokens},
+                now);
+        }
     }
     return make_reply(to_wire(choice));
 }
--- a/bamboostream/src/Gateway/owner_scheduler.h
+++ b/bamboostream/src/Gateway/owner_scheduler.h
@@ -40,6 +40,9 @@
                                          const std::string& sender);
     /// Processes another instance's report of its work and of the outcomes.
     void hear(const wire::LoadReportT& report, const std::string& sender);
+    /// The engine memory that workspaces hold at this instance, to be reported to the recipients;
+    /// only for services whose servers report the load of their host.
+    std::vector<workspace_holding> own_holdings() const;
     /// Determines for each service whether this instance is its owner or standby.
     void update_roles(time_point now);
     /// The instances that must know of work at the engines, without this one.
@@ -48,6 +51,8 @@
 private:
     /// The owner and the standby of a service.
     std::vector<std::string> owners(const service_id& service) const;
+    void hear_workspaces(const wire::LoadReportT& report, const std::string& sender,
+                         time_point now);
     bool is_unresponsive(const std::string& owner, time_point now) const;
 
     peer_links& links_;
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -102,8 +102,10 @@
         forwarding_.issuer.update_instance_count(forwarding_.live_instances, monotonic_now());
         owner_scheduler_.update_roles(monotonic_now());
         if (!own.empty() || !reported_none) {
+            wire::LoadReportT report = to_wire(own, forwarding_.engine_outcomes.take());
+            report.workspaces = to_wire(owner_scheduler_.own_holdings());
             links_.send_to_each(owner_scheduler_.load_report_recipients(),
-                                make_frame(to_wire(own, forwarding_.engine_outcomes.take())));
+                                make_frame(std::move(report)));
         }
         reported_none = own.empty();
         co_await wait_on(load_due_, monotonic_now() + load_period);
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -76,6 +76,23 @@
     return out;
 }
 
+std::vector<wire::WorkspaceEntry> to_wire(std::span<const workspace_holding> holdings) {
+    std::vector<wire::WorkspaceEntry> out;
+    for (const workspace_holding& it : holdings) {
+        out.emplace_back(it.key.service, it.key.workspace,
+                         static_cast<std::int32_t>(tokens_on_wire(it.memory_tokens)));
+    }
+    return out;
+}
+
+std::vector<workspace_holding> workspaces_from_wire(const wire::LoadReportT& report) {
+    std::vector<workspace_holding> out;
+    for (const wire::WorkspaceEntry& it : report.workspaces) {
+        out.push_back({{it.service(), it.workspace()}, std::max(it.memory_tokens(), 0)});
+    }
+    return out;
+}
+
 std::vector<backend_outcomes> outcomes_from_wire(const wire::LoadReportT& report) {
     std::vector<backend_outcomes> out;
     for (const wire::OutcomeEntry& entry : report.outcomes) {
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -5,6 +5,7 @@
 #include "bamboostream/src/Forwarding/active_streams.h"
 #include "bamboostream/src/Forwarding/engine_choice.h"
 #include "bamboostream/src/Gateway/deployment_contract.h"
+#include "bamboostream/src/Limits/workspace_shares.h"
 #include "bamboostream/src/Links/generated/wire_generated.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Routing/load_table.h"
@@ -38,6 +39,8 @@
 wire::LoadReportT to_wire(std::span<const backend_work_entry> own,
                           std::span<const backend_outcomes> outcomes);
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report);
+std::vector<wire::WorkspaceEntry> to_wire(std::span<const workspace_holding> holdings);
+std::vector<workspace_holding> workspaces_from_wire(const wire::LoadReportT& report);
 std::vector<backend_outcomes> outcomes_from_wire(const wire::LoadReportT& report);
 
 wire::AdmitRequestT to_wire(const engine_request& request);
--- a/bamboostream/src/Limits/engine_admission.cpp
+++ b/bamboostream/src/Limits/engine_admission.cpp
@@ -13,6 +13,11 @@
     return names[static_cast<std::size_t>(result)];
 }
 
+double max_claimed_fraction(const admission_rules& rules, int priority) {
+    const int rank = std::clamp(priority, 0, rules.ranks - 1);
+    return rules.max_claimed_fraction - rules.claimed_fraction_step * rank;
+}
+
 duration expected_prefill_time(std::int64_t queued, std::int64_t prompt, double tokens_per_ms) {
     return from_milliseconds(static_cast<double>(queued + prompt) / tokens_per_ms);
 }
@@ -21,10 +26,8 @@
                                  const backend_work& work, double tokens_per_ms) {
     const double claimed = static_cast<double>(work.memory_tokens + request.work.memory_tokens) /
                            static_cast<double>(std::max<std::int64_t>(request.memory_tokens, 1));
-    const int rank = std::clamp(request.priority, 0, rules.ranks - 1);
     // An idle engine admits a request of any size: one that exceeds the limit would fit nowhere.
-    if (work.requests > 0 &&
-        claimed > rules.max_claimed_fraction - rules.claimed_fraction_step * rank) {
+    if (work.requests > 0 && claimed > max_claimed_fraction(rules, request.priority)) {
         return admission_result::memory_full;
     }
     const duration start =
--- a/bamboostream/src/Limits/engine_admission.h
+++ b/bamboostream/src/Limits/engine_admission.h
@@ -52,6 +52,10 @@
 /// Name of a result in log lines.
 std::string_view to_string(admission_result result);
 
+/// Fraction of an engine's memory that its generations may hold for a request of this rank to be
+/// admitted there.
+double max_claimed_fraction(const admission_rules& rules, int priority);
+
 /// The time that an engine takes to prefill `queued` prompt tokens and then `prompt` more, at
 /// `tokens_per_ms` tokens a millisecond.
 duration expected_prefill_time(std::int64_t queued, std::int64_t prompt, double tokens_per_ms);
--- a/test/platform/admission_load_test.cpp
+++ b/test/platform/admission_load_test.cpp
@@ -7,11 +7,14 @@
 #include "test/platform/decision_helpers.h"
 #include "test/platform/modelled_engines.h"
 
+#include <array>
 #include <cmath>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <map>
 #include <memory>
+#include <numeric>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -51,14 +54,28 @@
     int served_on_retry = 0;
 };
 
+/// Engines, and the demand of each workspace relative to the others; no workspaces if it is empty.
+struct simulated_pool {
+    int engines = engine_count;
+    std::vector<double> demands;
+    bool divides_memory = false;
+};
+
 /// Simulates engines under `load` times the usual rate of requests for `overload_time`. One
 /// instance chooses engines for all, and refused callers retry once, after their retry delay.
 class overload_simulation {
 public:
-    overload_simulation(double load, std::uint64_t seed, seconds overload_time = simulated_time)
-        : load_(load), overload_time_(overload_time), random_(seed),
-          state_(codec_, failure_domain_id("norra"), {}, seed) {
-        for (int i = 0; i < engine_count; ++i) {
+    overload_simulation(double load, std::uint64_t seed, seconds overload_time = simulated_time,
+                        const simulated_pool& pool = {})
+        : load_(load), overload_time_(overload_time), engines_(pool.engines), random_(seed),
+          state_(codec_, failure_domain_id("norra"), {}, seed),
+          workspace_of_(pool.demands.begin(), pool.demands.end()),
+          by_workspace_(pool.demands.size()) {
+        if (pool.divides_memory) {
+            state_.server_loads.set_reports_host_load(service_id("s"));
+            state_.shares.set_chooses(service_id("s"), true, true, start - seconds(1));
+        }
+        for (int i = 0; i < engines_; ++i) {
             const registered_backend engine = backend(fmt::format("i-{}", i));
             state_.registry.update(engine, now_);
             models_.emplace(engine.id, std::make_unique<engine_model>(test::modelled_engine()));
@@ -83,10 +100,12 @@
     }
 
     const outcome& of(const caller_kind& kind) { return results_[&kind]; }
+    const outcome& of_workspace(std::size_t workspace) const { return by_workspace_[workspace]; }
 
 private:
     struct generation {
         const caller_kind* kind = nullptr;
+        std::optional<std::size_t> workspace;
         model_job job;
         std::int64_t expected = 0;
         std::int64_t produced = 0;
@@ -101,7 +120,7 @@
 
     void arrive(const caller_kind& kind, milliseconds tick) {
         const double load = now_ < start + overload_time_ ? load_ : 0.8;
-        const double share = kind.a_second * engine_count * load * to_milliseconds(tick) / 1000.0;
+        const double share = kind.a_second * engines_ * load * to_milliseconds(tick) / 1000.0;
         if (std::uniform_real_distribution<double>(0.0, 1.0)(random_) >= share) {
             return;
         }
@@ -117,10 +136,25 @@
         const double estimate =
             g.job.output_tokens * std::exp(std::normal_distribution<>(0, 1.0)(random_));
         g.expected = std::clamp<std::int64_t>(static_cast<std::int64_t>(estimate), 1, 1'768);
-        ++results_[&kind].arrived;
+        if (!by_workspace_.empty()) {
+            g.workspace = workspace_of_(random_);
+        }
+        count(g, &outcome::arrived);
         place(g);
     }
 
+    void count(const generation& g, int outcome::*what) {
+        ++(results_[g.kind].*what);
+        if (g.workspace) {
+            ++(by_workspace_[*g.workspace].*what);
+        }
+    }
+
+    static std::optional<workspace_id> workspace_of(const generation& g) {
+        return g.workspace ? std::optional(workspace_id(fmt::format("w-{}", *g.workspace)))
+                           : std::nullopt;
+    }
+
     void place(generation g) {
         engine_request request;
         request.service = service_id("s");
@@ -129,6 +163,7 @@
         request.priority = g.kind->priority;
         request.objective = g.kind->objective;
         request.preferred_domain = failure_domain_id("norra");
+        request.workspace = workspace_of(g);
         const engine_choice choice = choose_engine(state_, request, sender_role::owner, now_);
         if (choice.result == admission_result::admit) {
             g.at = choice.engine->id;
@@ -138,7 +173,7 @@
             models_.at(g.at)->submit(g.job, now_);
             running_.emplace(g.job.id, g);
         } else if (g.is_retry) {
-            ++results_[g.kind].refused;
+            count(g, &outcome::refused);
         } else {
             schedule_retry(g, choice.overload);
         }
@@ -163,6 +198,8 @@
 
     void record_work(generation& g, const backend_work& work) {
         state_.loads.subtract(g.at, g.recorded_work);
+        state_.shares.add(make_workspace_key(service_id("s"), workspace_of(g)),
+                          work.memory_tokens - g.recorded_work.memory_tokens);
         g.recorded_work = work;
         state_.loads.add(g.at, work);
     }
@@ -181,9 +218,8 @@
         if (!g.first_event_seen) {
             g.first_event_seen = true;
             record_prefill(g, e.at);
-            outcome& result = results_[g.kind];
-            ++(e.at - g.arrived <= g.kind->objective ? result.on_time : result.late);
-            result.served_on_retry += g.is_retry ? 1 : 0;
+            count(g, e.at - g.arrived <= g.kind->objective ? &outcome::on_time : &outcome::late);
+            results_[g.kind].served_on_retry += g.is_retry ? 1 : 0;
         }
         g.produced = e.sequence + 1;
         const std::int64_t left = std::max(g.expected - g.produced, g.produced / 2);
@@ -192,6 +228,7 @@
 
     double load_;
     seconds overload_time_;
+    int engines_;
     std::mt19937_64 random_;
     time_point now_ = start;
     const platform::platform_request_codec codec_;
@@ -200,6 +237,9 @@
     std::map<std::uint64_t, generation> running_;
     std::multimap<time_point, generation> retries_;
     std::map<const caller_kind*, outcome> results_;
+    /// The workspace of a request, by their demands.
+    std::discrete_distribution<std::size_t> workspace_of_;
+    std::vector<outcome> by_workspace_;
     std::uint64_t next_id_ = 1;
 };
 
@@ -264,5 +304,83 @@
     }
 }
 
+// --- shares of workspaces
+
+constexpr std::array<std::uint64_t, 5> share_seeds{1, 2, 3, 4, 5};
+
+/// 24 workspaces, the first three of them with these demands; the others have a demand of 1.
+simulated_pool shared_pool(double first, double large, bool divides_memory) {
+    simulated_pool out{30, std::vector<double>(24, 1.0), divides_memory};
+    out.demands[0] = first;
+    out.demands[1] = out.demands[2] = large;
+    return out;
+}
+
+/// Fraction of the requests that are served in time, of all workspaces but the first. The first one
+/// of three large workspaces asks for `factor` times its usual demand.
+double served_of_others(double factor, bool divides_memory) {
+    const simulated_pool pool = shared_pool(4.0 * factor, 4.0, divides_memory);
+    constexpr double usual_demand = 33.0;
+    const double load =
+        std::accumulate(pool.demands.begin(), pool.demands.end(), 0.0) / usual_demand;
+    outcome sum;
+    for (const std::uint64_t seed : share_seeds) {
+        overload_simulation simulation(load, seed, simulated_time, pool);
+        simulation.run();
+        for (std::size_t i = 1; i < pool.demands.size(); ++i) {
+            sum.arrived += simulation.of_workspace(i).arrived;
+            sum.on_time += simulation.of_workspace(i).on_time;
+        }
+    }
+    return static_cast<double>(sum.on_time) / sum.arrived;
+}
+
+// Guards against a flood of one workspace that costs the others their responses.
+TEST(workspace_load, a_flood_of_one_costs_the_others_nothing) {
+    const double calm = served_of_others(1.0, true);
+    const double flooded = served_of_others(10.0, true);
+    const double undivided = served_of_others(10.0, false);
+    fmt::print("served of others: calm {:.3f}, flooded {:.3f}, without shares {:.3f}\n", calm,
+               flooded, undivided);
+    EXPECT_GE(flooded, 0.95 * calm);
+    EXPECT_LT(undivided, 0.9 * calm);
+}
+
+/// Workspaces that all ask for `load` times their usual demand, the usual demand of the large ones,
+/// and the least value relative to the same without shares.
+struct common_surge {
+    double load;
+    double large;
+    double least;
+};
+
+class workspace_surge : public testing::TestWithParam<common_surge> {};
+
+// If large workspaces ask for more than their shares, room is kept for the others, which costs some
+// of the value.
+INSTANTIATE_TEST_SUITE_P(table, workspace_surge,
+                         testing::Values(common_surge{1.0, 1.0, 1.0}, common_surge{1.0, 4.0, 1.0},
+                                         common_surge{1.5, 1.0, 0.98}, common_surge{2.2, 1.0, 0.98},
+                                         common_surge{1.5, 4.0, 0.94},
+                                         common_surge{2.2, 4.0, 0.94}));
+
+// Guards against shares that leave memory idle when all workspaces ask for more.
+TEST_P(workspace_surge, shares_leave_no_memory_idle) {
+    const auto& [load, large, least] = GetParam();
+    std::array<double, 2> value{};
+    for (const std::uint64_t seed : share_seeds) {
+        for (const bool divides : {false, true}) {
+            overload_simulation simulation(load, seed, simulated_time,
+                                           shared_pool(large, large, divides));
+            simulation.run();
+            value[divides ? 1 : 0] +=
+                7.4 * simulation.of(long_kind).on_time + simulation.of(short_kind).on_time;
+        }
+    }
+    fmt::print("load {}, large {}: value {:.0f} without shares, {:.0f} with\n", load, large,
+               value[0], value[1]);
+    EXPECT_GE(value[1], least * value[0]);
+}
+
 } // namespace
 } // namespace bamboostream
--- a/test/platform/owner_scheduler_test.cpp
+++ b/test/platform/owner_scheduler_test.cpp
@@ -195,6 +195,78 @@
     EXPECT_EQ(admit_requests(owner()), 1);
 }
 
+/// Shares of workspaces; instances report what the generations that they forward hold.
+class shared_engines : public owner_scheduler_test {
+protected:
+    static constexpr std::int64_t pool = engine_count * engine_memory;
+
+    /// `reports`: servers report the load of their host, as seen by the instance that asks.
+    void run(bool reports) {
+        for (const auto& it : group_.all) {
+            it->peers->start();
+        }
+        if (reports) {
+            asker().forwarding.server_loads.set_reports_host_load(service_id("s"));
+        }
+        hold(asker(), "large", pool * 3 / 4);
+        hold(asker(), "small", pool / 3);
+        group_.run_for(workspace_shares::learning_time + milliseconds(450));
+    }
+    static void hold(peer_instance& at, const std::string& workspace, std::int64_t tokens) {
+        at.forwarding.loads.add(backend_id("i-0"), {1, 1'000, 0});
+        at.forwarding.shares.add(key_of(workspace), tokens);
+    }
+    static workspace_key key_of(const std::string& workspace) {
+        return make_workspace_key(service_id("s"), workspace_id(workspace));
+    }
+    static std::int64_t held(peer_instance& at, const std::string& workspace) {
+        return at.forwarding.shares.held(key_of(workspace), monotonic_now());
+    }
+    engine_request request_of(const std::string& workspace) const {
+        engine_request out = request();
+        out.priority = 1;
+        if (!workspace.empty()) {
+            out.workspace.emplace(workspace);
+        }
+        return out;
+    }
+    admission_result result(peer_instance& from, const std::string& workspace) {
+        const auto choice = ask(from, request_of(workspace));
+        return choice && choice->engine ? choice->result : admission_result::count_;
+    }
+};
+
+// Guards against an owner or standby that doesn't know the holdings, counts choices late, or
+// refuses the wrong workspace, and against other instances that get reports or divide memory.
+TEST_F(shared_engines, are_divided_by_the_owner_and_its_standby) {
+    run(true);
+    EXPECT_EQ(result(asker(), "small"), admission_result::admit);
+    EXPECT_EQ(held(owner(), "small"), pool / 3 + 9'000);
+    EXPECT_EQ(result(*order_[3], "large"), admission_result::workspace_over_share);
+    // Instances of the previous version name no workspace.
+    EXPECT_EQ(result(*order_[3], ""), admission_result::admit);
+    EXPECT_EQ(held(*order_[3], "large"), 0);
+    const time_point now = monotonic_now();
+    choose_engine(asker().forwarding, request_of("small"), sender_role::fallback, now);
+    EXPECT_EQ(
+        choose_engine(asker().forwarding, request_of("large"), sender_role::fallback, now).result,
+        admission_result::admit);
+    group_.kill(owner());
+    EXPECT_EQ(held(deputy(), "large"), pool * 3 / 4);
+    EXPECT_EQ(result(asker(), "small"), admission_result::admit);
+    EXPECT_EQ(result(asker(), "large"), admission_result::workspace_over_share);
+}
+
+// Guards against reports and refusals for services whose servers don't report the load of their
+// host.
+TEST_F(shared_engines, are_not_divided_without_reports_of_the_host_load) {
+    run(false);
+    EXPECT_EQ(held(owner(), "large"), 0);
+    EXPECT_TRUE(asker().owner->own_holdings().empty());
+    EXPECT_EQ(result(asker(), ""), admission_result::admit);
+    EXPECT_FALSE(owner().forwarding.server_loads.reports_host_load(service_id("s")));
+}
+
 // All engines are full. The owner's answer refuses the caller, as a local decision would.
 TEST_F(owner_scheduler_test, says_when_no_engine_has_room) {
     for (int i = 0; i < engine_count; ++i) {
