--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -118,6 +118,22 @@
     }
 }
 
+/// Whether the request exceeds its workspace's share of the memory of `engines` engines. Nothing is
+/// refused or recorded for instances that don't send workspaces, those of the previous version or
+/// that don't know yet that the memory of the service's engines is contended.
+share_decision check_share(forwarding_state& state, const engine_request& request,
+                           std::size_t engines, time_point now) {
+    const bool knows_workspace = request.workspace || request.pause_objective > duration{};
+    if (!knows_workspace || !state.is_contended(request.service)) {
+        return {};
+    }
+    return state.shares.check(
+        {make_workspace_key(request.service, request.workspace), request.work.memory_tokens,
+         request.work.memory_tokens - request.work.unread_tokens, request.priority,
+         static_cast<std::int64_t>(engines) * request.engine_memory_tokens},
+        state.admission, now);
+}
+
 } // namespace
 
 engine_choice choose_engine(forwarding_state& state, const engine_request& request,
@@ -146,6 +162,14 @@
         return out;
     };
     auto engines = servers_with_capacity(state, request.service, role, now);
+    const share_decision share = check_share(state, request, engines.size(), now);
+    if (share.over_share) {
+        const auto* least_loaded = state.picker.pick(engines, state.loads, wanted, now);
+        if (least_loaded != nullptr) {
+            return {*least_loaded, admission_result::workspace_over_share,
+                    state.loads.total(least_loaded->id, now), share.overload};
+        }
+    }
     std::erase_if(engines, [&request](const registered_backend* engine) {
         return !request.version.empty() && engine->version != request.version;
     });
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -20,6 +20,7 @@
 #include "bamboostream/src/Limits/quarantine_registry.h"
 #include "bamboostream/src/Limits/retry_delay.h"
 #include "bamboostream/src/Limits/server_rate_limits.h"
+#include "bamboostream/src/Limits/workspace_shares.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Membership/view_age.h"
 #include "bamboostream/src/Routing/backend_picker.h"
@@ -41,6 +42,7 @@
 #include <random>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace bamboostream {
 
@@ -110,9 +112,12 @@
     /// were not answered in time.
     std::uint64_t placed_by_owner = 0;
     std::uint64_t owner_timeouts = 0;
+    /// Callers' requests that admission refused, by cause, also if another instance decided.
+    std::array<std::uint64_t, static_cast<std::size_t>(admission_result::count_)> refused{};
 
     void count(forward_result result) { ++results[static_cast<std::size_t>(result)]; }
     void count(continuation_refusal cause) { ++not_continued[static_cast<std::size_t>(cause)]; }
+    void count(admission_result cause) { ++refused[static_cast<std::size_t>(cause)]; }
     void count(carrier_answer answer) { ++carrier_answers[static_cast<std::size_t>(answer)]; }
 };
 
@@ -153,6 +158,8 @@
     move_reserve reserve;
     /// The deployment says that the memory of its engines is short at times.
     bool memory_pressure = false;
+    /// Services whose memory is contended as far as other instances know.
+    std::unordered_set<service_id> contended_services;
     reserve_rules reserve_limits;
     backend_picker picker;
     cold_start_limit cold_starts;
@@ -165,6 +172,8 @@
     /// Overload per service, from the generations that this instance refused while choosing
     /// engines.
     std::unordered_map<service_id, overload_tracker> overloads;
+    /// Engine memory that workspaces hold; limits them while this instance chooses for others.
+    workspace_shares shares;
     /// Results to report to the instances that choose engines for this one.
     outcome_collector engine_outcomes;
     /// Backend servers that other instances reach and this one doesn't.
@@ -202,7 +211,8 @@
     /// Whether engine memory is kept for running generations and divided between workspaces: where
     /// the deployment says that it is short, or the servers share their machines.
     bool is_contended(const service_id& service) const {
-        return memory_pressure || server_loads.reports_host_load(service);
+        return memory_pressure || server_loads.reports_host_load(service) ||
+               contended_services.contains(service);
     }
 };
 
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -104,9 +104,11 @@
         owner_scheduler_.update_roles(monotonic_now());
         owner_scheduler_.update_slow_servers(monotonic_now());
         if (!own.empty() || !reported_none) {
+            wire::LoadReportT report = to_wire(own, forwarding_.engine_outcomes.take(),
+                                               forwarding_.engine_outcomes.take_paces());
+            report.workspaces = to_wire(owner_scheduler_.own_holdings());
             links_.send_to_each(owner_scheduler_.load_report_recipients(),
-                                make_frame(to_wire(own, forwarding_.engine_outcomes.take(),
-                                                   forwarding_.engine_outcomes.take_paces())));
+                                make_frame(std::move(report)));
         }
         reported_none = own.empty();
         co_await wait_on(load_due_, monotonic_now() + load_period);
--- a/bamboostream/src/Gateway/peer_frames.h
+++ b/bamboostream/src/Gateway/peer_frames.h
@@ -5,6 +5,7 @@
 #include "bamboostream/src/Forwarding/active_streams.h"
 #include "bamboostream/src/Forwarding/engine_choice.h"
 #include "bamboostream/src/Gateway/deployment_contract.h"
+#include "bamboostream/src/Limits/workspace_shares.h"
 #include "bamboostream/src/Links/generated/wire_generated.h"
 #include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Routing/load_table.h"
@@ -39,6 +40,8 @@
                           std::span<const backend_outcomes> outcomes,
                           std::span<const backend_pace> paces = {});
 std::vector<backend_work_entry> from_wire(const wire::LoadReportT& report);
+std::vector<wire::WorkspaceEntry> to_wire(std::span<const workspace_holding> holdings);
+std::vector<workspace_holding> workspaces_from_wire(const wire::LoadReportT& report);
 std::vector<backend_outcomes> outcomes_from_wire(const wire::LoadReportT& report);
 std::vector<backend_pace> paces_from_wire(const wire::LoadReportT& report);
 
