--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -97,7 +97,7 @@
         state_.routes ? state_.routes->find_service(backend.service) : nullptr;
     const bool moves = service != nullptr && service->engine && service->engine->moves;
     if (moves) {
-        state_.reserve.start(backend.service, backend.id, monotonic_now());
+        state_.reserve.start(backend, monotonic_now());
     }
     if (moves && !start_evacuation(backend)) {
         delegated_.push_back({backend, monotonic_now()});
@@ -215,10 +215,12 @@
                                   {1, generation.memory_tokens + generation.tokens_left, 0});
         work->taken.insert(generation.id);
         const bool far = target.failure_domain != source.failure_domain;
+        const duration expected = copy_time(generation.memory_tokens, speed, far);
         const milliseconds timeout =
-            std::min(first_copy_timeout, std::chrono::duration_cast<milliseconds>(
-                                             2 * copy_time(generation.memory_tokens, speed, far)) +
-                                             copy_overrun);
+            expected > duration{}
+                ? std::min(first_copy_timeout,
+                           std::chrono::duration_cast<milliseconds>(2 * expected) + copy_overrun)
+                : first_copy_timeout;
         const time_point begun = monotonic_now();
         move_error error = move_error::none;
         const auto handle = co_await copy_first(source, target, generation.id, timeout, error);
--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -2,8 +2,6 @@
 
 #include "bamboostream/src/Forwarding/forwarding_state.h"
 
-#include <span>
-
 namespace bamboostream {
 
 sender_role own_role(const forwarding_state& state, const service_id& service) {
@@ -66,33 +64,54 @@
 
 namespace {
 
-/// An engine that may be chosen, with its work and the generations that are moving there.
-struct examined_engine {
-    const registered_backend* engine = nullptr;
-    backend_work work;
-    bool admits = false;
-};
+/// The room for moves at the engines of a service, by software version: a generation can move only
+/// to engines of the version that began it.
+class rooms_for_moves {
+public:
+    /// Empty if no engine of the service leaves, or if its servers don't report the load of their
+    /// host.
+    rooms_for_moves(forwarding_state& state, const engine_request& request, time_point now) {
+        if (!state.server_loads.reports_host_load(request.service)) {
+            return;
+        }
+        for (const versioned_need& it : state.reserve.needed(request.service, state.loads, now)) {
+            rooms_.push_back({it.version, move_room(state.reserve_limits, it.need,
+                                                    request.engine_memory_tokens)});
+        }
+    }
 
-/// Removes the engines at which the request would take room that generations of leaving engines
-/// need. Engines in `engines` don't leave.
-void keep_room_for_moves(forwarding_state& state, const engine_request& request,
-                         const needed_room& need, std::span<const examined_engine> engines,
-                         std::vector<const registered_backend*>& admitting) {
-    const auto receiver = [&request](const examined_engine& it) {
-        return receiving_engine{request.engine_memory_tokens, it.engine->slots, it.work};
-    };
-    int fitting = 0;
-    for (const examined_engine& it : engines) {
-        fitting += moves_that_fit(state.reserve_limits, need, receiver(it));
+    bool any() const { return !rooms_.empty(); }
+    /// Adds the room at an engine. Returns how much of it `added` would take there.
+    int add(const registered_backend& engine, const backend_work& work, const backend_work& added) {
+        move_room* room = find(engine);
+        if (room == nullptr) {
+            return 0;
+        }
+        room->add(work, engine.slots);
+        return room->lost_by(work, engine.slots, added);
     }
-    admitting.clear();
-    for (const examined_engine& it : engines) {
-        if (it.admits && leaves_room(state.reserve_limits, need, fitting, receiver(it),
-                                     request.work, request.priority)) {
-            admitting.push_back(it.engine);
+    bool admits(const registered_backend& engine, int lost, int priority) {
+        const move_room* room = find(engine);
+        return room == nullptr || room->admits(lost, priority);
+    }
+
+private:
+    struct versioned_room {
+        software_version version;
+        move_room room;
+    };
+
+    move_room* find(const registered_backend& engine) {
+        for (versioned_room& it : rooms_) {
+            if (it.version == engine.version) {
+                return &it.room;
+            }
         }
+        return nullptr;
     }
-}
+
+    std::vector<versioned_room> rooms_;
+};
 
 } // namespace
 
@@ -105,8 +124,7 @@
     const admission_request admission_terms{request.work, request.engine_memory_tokens,
                                             request.priority, request.objective};
     const bool reserves = state.server_loads.reports_host_load(request.service);
-    const needed_room need =
-        reserves ? state.reserve.needed(request.service, state.loads, now) : needed_room{};
+    rooms_for_moves rooms(state, request, now);
     const auto work_at = [&](const registered_backend& engine) {
         backend_work out = state.loads.total(engine.id, now);
         if (reserves) {
@@ -123,20 +141,26 @@
     std::erase_if(engines, [&request](const registered_backend* engine) {
         return !request.version.empty() && engine->version != request.version;
     });
-    std::vector<examined_engine> examined;
-    std::vector<const registered_backend*> admitting;
-    for (const registered_backend* engine : engines) {
+    std::vector<const registered_backend*> admitting = engines;
+    // For each engine in `admitting`, the room for moves that the request would take there.
+    std::vector<int> lost;
+    lost.reserve(rooms.any() ? engines.size() : 0);
+    std::erase_if(admitting, [&](const registered_backend* engine) {
         const backend_work work = work_at(*engine);
         const bool admits = check_engine(*engine, work) == admission_result::admit;
-        examined.push_back({engine, work, admits});
-        if (admits) {
-            admitting.push_back(engine);
+        if (rooms.any()) {
+            const int lost_there = rooms.add(*engine, work, request.work);
+            if (admits) {
+                lost.push_back(lost_there);
+            }
         }
-    }
+        return !admits;
+    });
     const bool any_admits = !admitting.empty();
-    if (any_admits && need.generations > 0) {
-        keep_room_for_moves(state, request, need, examined, admitting);
-    }
+    std::size_t index = 0;
+    std::erase_if(admitting, [&](const registered_backend* engine) {
+        return rooms.any() && !rooms.admits(*engine, lost[index++], request.priority);
+    });
     const bool any_has_room = !admitting.empty();
     while (const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now)) {
         const bool limited = is_rate_limited(state, chosen->id);
--- a/bamboostream/src/Limits/move_reserve.cpp
+++ b/bamboostream/src/Limits/move_reserve.cpp
@@ -11,13 +11,8 @@
 /// seen up to seconds after the engine has gone, must not count as a new announcement.
 constexpr seconds announcement_lifetime{60};
 /// The need is the sum over all leaving engines, a sixth of the pool. It is computed again after
-/// this time, in which a pool of 60 engines gets less than one new generation.
-constexpr milliseconds need_lifetime{4};
-
-std::int64_t free_tokens(const reserve_rules& rules, const receiving_engine& engine) {
-    return static_cast<std::int64_t>(static_cast<double>(engine.memory_tokens) * rules.max_fill) -
-           engine.work.memory_tokens;
-}
+/// this time, in which a pool of 60 engines gets one or two new generations.
+constexpr milliseconds need_lifetime{20};
 
 } // namespace
 
@@ -27,33 +22,24 @@
     return names[static_cast<std::size_t>(cause)];
 }
 
-int moves_that_fit(const reserve_rules& rules, const needed_room& need,
-                   const receiving_engine& engine) {
-    const std::int64_t mean = std::max<std::int64_t>(need.mean_tokens(), 1);
-    const std::int64_t by_memory = std::max<std::int64_t>(free_tokens(rules, engine), 0) / mean;
-    const std::int64_t by_slots = std::max(engine.slots - engine.work.requests, 0);
-    return static_cast<int>(std::min(by_memory, by_slots));
-}
+move_room::move_room(const reserve_rules& rules, const needed_room& need,
+                     std::int64_t memory_tokens)
+    : rules_(rules), needed_(need.generations),
+      max_tokens_(static_cast<double>(memory_tokens) * rules.max_fill),
+      per_token_(1.0 / static_cast<double>(std::max<std::int64_t>(need.mean_tokens(), 1))) {}
 
-bool leaves_room(const reserve_rules& rules, const needed_room& need, int fitting,
-                 const receiving_engine& engine, const backend_work& work, int priority) {
-    if (need.generations <= 0) {
-        return true;
-    }
-    receiving_engine after = engine;
-    after.work += work;
-    const int lost = moves_that_fit(rules, need, engine) - moves_that_fit(rules, need, after);
+bool move_room::admits(int lost, int priority) const {
     const double fraction =
-        std::min(1.0, rules.urgent_fraction + rules.fraction_step * std::max(priority, 0));
-    return lost == 0 || static_cast<double>(fitting - lost) >= fraction * need.generations;
+        std::min(1.0, rules_.urgent_fraction + rules_.fraction_step * std::max(priority, 0));
+    return lost == 0 || static_cast<double>(fitting_ - lost) >= fraction * needed_;
 }
 
-void move_reserve::start(const service_id& service, const backend_id& engine, time_point now) {
+void move_reserve::start(const registered_backend& engine, time_point now) {
     std::erase_if(leaving_, [now](const auto& item) {
         return now - item.second.announced_at > announcement_lifetime;
     });
-    leaving_.try_emplace(engine, leaving_engine{service, now, false});
-    latest_.erase(service);
+    leaving_.try_emplace(engine.id, leaving_engine{engine.service, engine.version, now, false});
+    latest_.erase(engine.service);
 }
 
 void move_reserve::end(const backend_id& engine) {
@@ -88,48 +74,63 @@
 }
 
 backend_work move_reserve::incoming(const backend_id& target) const {
+    if (copies_.empty()) {
+        return {};
+    }
     const auto found = copies_.find(target);
     return found == copies_.end() ? backend_work{} : found->second.work;
 }
 
-needed_room move_reserve::needed(const service_id& service, load_table& loads, time_point now) {
-    if (leaving_.empty()) {
-        return {};
-    }
-    const auto [cached, is_new] = latest_.try_emplace(service);
-    if (!is_new && now - cached->second.at < need_lifetime) {
-        return cached->second.need;
-    }
-    needed_room need;
-    const auto add = [&need](const backend_work& work, int sign) {
-        need.generations += sign * work.requests;
-        need.tokens += sign * work.memory_tokens;
+std::vector<versioned_need> move_reserve::sum_needs(const service_id& service, load_table& loads,
+                                                    time_point now) const {
+    std::vector<versioned_need> out;
+    const auto add = [&out](const software_version& version, const backend_work& work, int sign) {
+        auto found = std::find_if(out.begin(), out.end(), [&version](const versioned_need& it) {
+            return it.version == version;
+        });
+        if (found == out.end()) {
+            found = out.insert(out.end(), {version, {}});
+        }
+        found->need.generations += sign * work.requests;
+        found->need.tokens += sign * work.memory_tokens;
     };
     for (const auto& [id, engine] : leaving_) {
         if (engine.service == service && holds_room(engine, now)) {
-            add(loads.total(id, now), 1);
+            add(engine.version, loads.total(id, now), 1);
         }
     }
     for (const auto& [target, copied] : copies_) {
         const auto source = leaving_.find(copied.source);
         if (source != leaving_.end() && source->second.service == service &&
             holds_room(source->second, now)) {
-            add(copied.work, -1);
+            add(source->second.version, copied.work, -1);
         }
     }
-    if (need.generations <= 0 || need.tokens <= 0) {
-        need = {};
+    std::erase_if(out, [](const versioned_need& it) {
+        return it.need.generations <= 0 || it.need.tokens <= 0;
+    });
+    return out;
+}
+
+std::span<const versioned_need> move_reserve::needed(const service_id& service, load_table& loads,
+                                                     time_point now) {
+    if (leaving_.empty()) {
+        return {};
+    }
+    const auto [cached, is_new] = latest_.try_emplace(service);
+    if (is_new || now - cached->second.at >= need_lifetime) {
+        cached->second = {sum_needs(service, loads, now), now};
     }
-    cached->second = {need, now};
-    return need;
+    return cached->second.needs;
 }
 
 needed_room move_reserve::latest_need(time_point now) const {
     needed_room out;
     for (const auto& [service, cached] : latest_) {
-        if (time_left(service, now) > duration{}) {
-            out.generations += cached.need.generations;
-            out.tokens += cached.need.tokens;
+        const bool holds = time_left(service, now) > duration{};
+        for (const versioned_need& it : cached.needs) {
+            out.generations += holds ? it.need.generations : 0;
+            out.tokens += holds ? it.need.tokens : 0;
         }
     }
     return out;
--- a/bamboostream/src/Limits/move_reserve.h
+++ b/bamboostream/src/Limits/move_reserve.h
@@ -2,12 +2,16 @@
 
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Core/identities.h"
+#include "bamboostream/src/Membership/backend_registry.h"
 #include "bamboostream/src/Routing/load_table.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace bamboostream {
 
@@ -50,24 +54,57 @@
     std::int64_t mean_tokens() const { return generations > 0 ? tokens / generations : 0; }
 };
 
-/// Capacity and work of an engine that may receive generations.
-struct receiving_engine {
-    std::int64_t memory_tokens = 0;
-    int slots = 0;
-    backend_work work;
+/// The need of generations that only engines of one software version can receive.
+struct versioned_need {
+    software_version version;
+    needed_room need;
 };
 
-/// How many average generations of `need` fit into the engine. Counted in whole generations:
-/// remainders at many engines are no room for a generation that moves.
-int moves_that_fit(const reserve_rules& rules, const needed_room& need,
-                   const receiving_engine& engine);
-
-/// Whether a new generation of rank `priority` that adds `work` to `engine` leaves enough room in
-/// the pool for `need`. `fitting` is the sum of `moves_that_fit` over all engines that take work.
+/// Tells whether new generations leave the room that generations of leaving engines need.
+///
+/// Room is counted in whole generations of the average size of those that need it: remainders at
+/// many engines are no room for a generation that moves. Built anew for each choice of an engine,
+/// which examines all engines.
 ///
-/// Example: `leaves_room(rules, need, fitting, engine, request.work, request.priority)`
-bool leaves_room(const reserve_rules& rules, const needed_room& need, int fitting,
-                 const receiving_engine& engine, const backend_work& work, int priority);
+/// Example: `room.add(work, slots)` for each engine that takes work, then
+/// `room.admits(room.lost_by(work, slots, request.work), request.priority)`.
+class move_room {
+public:
+    /// All engines have `memory_tokens`.
+    move_room(const reserve_rules& rules, const needed_room& need, std::int64_t memory_tokens);
+
+    /// Adds the room of an engine that holds `work`.
+    void add(const backend_work& work, int slots) { fitting_ += fitting(work, slots); }
+    /// How many fewer generations fit into an engine that holds `work` once it gets `added`.
+    int lost_by(const backend_work& work, int slots, const backend_work& added) const {
+        return fitting(work, slots) -
+               fitting({work.requests + added.requests, work.memory_tokens + added.memory_tokens,
+                        work.unread_tokens},
+                       slots);
+    }
+    /// Whether a new generation of rank `priority` may take the room of `lost` generations.
+    bool admits(int lost, int priority) const;
+
+private:
+    /// Keeps an engine whose free memory is an exact multiple of the average from losing one
+    /// generation by rounding.
+    static constexpr double rounding_margin = 1e-6;
+
+    int fitting(const backend_work& work, int slots) const {
+        const double free = max_tokens_ - static_cast<double>(work.memory_tokens);
+        const int by_memory =
+            free > 0.0 ? static_cast<int>(free * per_token_ + rounding_margin) : 0;
+        return std::min(by_memory, std::max(slots - work.requests, 0));
+    }
+
+    const reserve_rules& rules_;
+    int needed_;
+    double max_tokens_;
+    /// The share of an average generation that one token is. Multiplication is much faster than
+    /// division, and a pool may have 11,000 engines.
+    double per_token_;
+    int fitting_ = 0;
+};
 
 /// The engines that have announced that they leave, and the copies under way from them.
 ///
@@ -76,7 +113,7 @@
 /// engines and falls as their generations move, end or are lost; a standby knows it as well as the
 /// owner, without a message of its own. Not thread-safe.
 ///
-/// Example: `reserve.start(service, engine, now); reserve.needed(service, loads, now);`
+/// Example: `reserve.start(engine, now); reserve.needed(engine.service, loads, now);`
 class move_reserve {
 public:
     /// Engines end 1.5 to 2.1 s after their announcement.
@@ -85,7 +122,7 @@
 
     /// Records that an engine has announced that it leaves. A repeated announcement changes
     /// nothing: an engine that stays in spite of it holds room for `max_notice` only.
-    void start(const service_id& service, const backend_id& engine, time_point now);
+    void start(const registered_backend& engine, time_point now);
     /// Records that an engine is gone or has started again.
     void end(const backend_id& engine);
     /// Forgets an engine, so that its next announcement counts.
@@ -103,14 +140,17 @@
     backend_work incoming(const backend_id& target) const;
 
     /// The room that generations of the service's leaving engines need, without those that are
-    /// being copied.
-    needed_room needed(const service_id& service, load_table& loads, time_point now);
+    /// being copied. One entry for each software version of which any need room; valid until the
+    /// next call.
+    std::span<const versioned_need> needed(const service_id& service, load_table& loads,
+                                           time_point now);
     /// The latest results of `needed`, summed over all services, for metrics.
     needed_room latest_need(time_point now) const;
 
 private:
     struct leaving_engine {
         service_id service;
+        software_version version;
         time_point announced_at;
         bool gone = false;
     };
@@ -119,10 +159,12 @@
         backend_work work;
     };
     struct cached_need {
-        needed_room need;
+        std::vector<versioned_need> needs;
         time_point at{};
     };
 
+    std::vector<versioned_need> sum_needs(const service_id& service, load_table& loads,
+                                          time_point now) const;
     bool holds_room(const leaving_engine& engine, time_point now) const;
 
     std::unordered_map<backend_id, leaving_engine> leaving_;
--- a/bamboostream/src/Limits/retry_delay.cpp
+++ b/bamboostream/src/Limits/retry_delay.cpp
@@ -28,7 +28,7 @@
 /// Callers refused during a hold return over this time after its end, so that the prompts of those
 /// who return don't queue at once.
 constexpr milliseconds return_spread{400};
-/// Holds end after at most this time.
+/// Longest delay: by then the engines whose generations the hold is for have gone.
 constexpr milliseconds max_hold_delay{2'000};
 /// Short, since callers send the retry to another address.
 constexpr milliseconds leaving_delay{50};
@@ -45,19 +45,20 @@
 
 duration delay_after_hold(const refused_request& request, std::mt19937_64& random) {
     const duration objective = request.objective > duration{} ? request.objective : max_hold_delay;
-    duration latest = fraction_of(objective, max_hold_fraction, min_transient_delay,
-                                  milliseconds(max_hold_delay));
+    duration latest =
+        fraction_of(objective, max_hold_fraction, min_transient_delay, max_hold_delay);
     if (request.caller_timeout) {
         latest = std::min(latest, std::chrono::duration_cast<duration>(*request.caller_timeout *
                                                                        max_wait_fraction));
     }
-    const duration earliest =
-        request.hold < latest ? request.hold
-                              : std::min(latest, fraction_of(objective, min_hold_fraction,
-                                                             min_transient_delay, max_hold_delay));
+    duration earliest = std::min<duration>(request.hold, max_hold_delay - return_spread);
+    if (earliest >= latest) {
+        earliest = std::min(
+            latest, fraction_of(objective, min_hold_fraction, min_transient_delay, max_hold_delay));
+    }
     const duration end = std::min(latest, earliest + return_spread);
-    return std::uniform_int_distribution<duration::rep>(earliest.count(), end.count())(random) *
-           duration(1);
+    return duration(
+        std::uniform_int_distribution<duration::rep>(earliest.count(), end.count())(random));
 }
 
 } // namespace
