--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -4,7 +4,6 @@
 #include "bamboostream/src/Routing/pace_cost.h"
 
 #include <algorithm>
-#include <span>
 
 namespace bamboostream {
 
@@ -89,34 +88,53 @@
                                     state.stream_sizes.typical(request.service));
 }
 
-/// An engine that may be chosen, with its work and the generations that are moving there.
-struct examined_engine {
-    const registered_backend* engine = nullptr;
-    backend_work work;
-    admission_result result = admission_result::admit;
-};
+/// The room for moves at the engines of a service, by software version: a generation can move only
+/// to engines of the version that began it.
+class rooms_for_moves {
+public:
+    /// Empty if no engine of the service leaves, or if its memory isn't contended.
+    rooms_for_moves(forwarding_state& state, const engine_request& request, time_point now) {
+        if (!state.is_contended(request.service)) {
+            return;
+        }
+        for (const versioned_need& it : state.reserve.needed(request.service, state.loads, now)) {
+            rooms_.push_back({it.version, move_room(state.reserve_limits, it.need,
+                                                    request.engine_memory_tokens)});
+        }
+    }
 
-/// Removes the engines at which the request would take room that generations of leaving engines
-/// need. Engines in `engines` don't leave.
-void keep_room_for_moves(forwarding_state& state, const engine_request& request,
-                         const needed_room& need, std::span<const examined_engine> engines,
-                         std::vector<const registered_backend*>& admitting) {
-    const auto receiver = [&request](const examined_engine& it) {
-        return receiving_engine{request.engine_memory_tokens, it.engine->slots, it.work};
+    bool any() const { return !rooms_.empty(); }
+    /// Adds the room at an engine. Returns how much of it `added` would take there.
+    int add(const registered_backend& engine, const backend_work& work, const backend_work& added) {
+        move_room* room = find(engine);
+        if (room == nullptr) {
+            return 0;
+        }
+        room->add(work, engine.slots);
+        return room->lost_by(work, engine.slots, added);
+    }
+    bool admits(const registered_backend& engine, int lost, int priority) {
+        const move_room* room = find(engine);
+        return room == nullptr || room->admits(lost, priority);
+    }
+
+private:
+    struct versioned_room {
+        software_version version;
+        move_room room;
     };
-    int fitting = 0;
-    for (const examined_engine& it : engines) {
-        fitting += moves_that_fit(state.reserve_limits, need, receiver(it));
-    }
-    admitting.clear();
-    for (const examined_engine& it : engines) {
-        if (it.result == admission_result::admit &&
-            leaves_room(state.reserve_limits, need, fitting, receiver(it), request.work,
-                        request.priority)) {
-            admitting.push_back(it.engine);
+
+    move_room* find(const registered_backend& engine) {
+        for (versioned_room& it : rooms_) {
+            if (it.version == engine.version) {
+                return &it.room;
+            }
         }
+        return nullptr;
     }
-}
+
+    std::vector<versioned_room> rooms_;
+};
 
 /// Whether the request exceeds its workspace's share of the memory of `engines` engines. Nothing is
 /// refused or recorded for instances that don't send workspaces, those of the previous version or
@@ -145,22 +163,19 @@
     const admission_request admission_terms{request.work, request.engine_memory_tokens,
                                             request.priority, request.objective};
     const bool reserves = state.is_contended(request.service);
-    const needed_room need =
-        reserves ? state.reserve.needed(request.service, state.loads, now) : needed_room{};
+    rooms_for_moves rooms(state, request, now);
     std::optional<pace_cost> by_pace = make_pace_cost(state, request);
-    const auto examine = [&](const registered_backend& engine) {
-        const std::uint64_t hash = backend_hash(engine.id);
-        examined_engine out{&engine, state.loads.total(hash, now)};
+    const double mean_tokens_per_ms = state.prefill.mean_tokens_per_ms(request.service);
+    const auto work_at = [&](const registered_backend& engine, std::uint64_t hash) {
+        backend_work out = state.loads.total(hash, now);
         if (reserves) {
-            out.work += state.reserve.incoming(engine.id);
-        }
-        const double tokens_per_ms = state.prefill.tokens_per_ms(request.service, hash);
-        out.result = check_admission(state.admission, admission_terms, out.work, tokens_per_ms);
-        if (by_pace && out.result == admission_result::admit) {
-            by_pace->add(engine, hash, out.work, tokens_per_ms);
+            out += state.reserve.incoming(engine.id);
         }
         return out;
     };
+    const auto prefill_rate = [&](std::uint64_t hash) {
+        return state.prefill.tokens_per_ms(mean_tokens_per_ms, hash);
+    };
     auto engines = servers_with_capacity(state, request.service, role, now);
     const share_decision share = check_share(state, request, engines.size(), now);
     if (share.over_share) {
@@ -173,45 +188,82 @@
     std::erase_if(engines, [&request](const registered_backend* engine) {
         return !request.version.empty() && engine->version != request.version;
     });
-    std::vector<examined_engine> examined;
     std::vector<const registered_backend*> admitting;
+    std::vector<backend_work> work_at_admitting;
+    // For each engine in `admitting`, the room for moves that the request would take there.
+    std::vector<int> lost;
+    admitting.reserve(engines.size());
+    work_at_admitting.reserve(engines.size());
+    if (by_pace) {
+        by_pace->reserve(engines.size());
+    }
     for (const registered_backend* engine : engines) {
-        examined.push_back(examine(*engine));
-        if (examined.back().result == admission_result::admit) {
-            admitting.push_back(engine);
+        const std::uint64_t hash = backend_hash(engine->id);
+        const backend_work work = work_at(*engine, hash);
+        const double tokens_per_ms = prefill_rate(hash);
+        const bool admits = check_admission(state.admission, admission_terms, work,
+                                            tokens_per_ms) == admission_result::admit;
+        const int lost_there = rooms.any() ? rooms.add(*engine, work, request.work) : 0;
+        if (!admits) {
+            continue;
+        }
+        admitting.push_back(engine);
+        work_at_admitting.push_back(work);
+        if (rooms.any()) {
+            lost.push_back(lost_there);
+        }
+        if (by_pace) {
+            by_pace->add(*engine, hash, work, tokens_per_ms);
         }
     }
     const bool any_admits = !admitting.empty();
-    wanted.additional_cost = by_pace ? &*by_pace : nullptr;
-    if (any_admits && need.generations > 0) {
-        keep_room_for_moves(state, request, need, examined, admitting);
+    if (rooms.any()) {
+        std::size_t kept = 0;
+        for (std::size_t i = 0; i < admitting.size(); ++i) {
+            if (rooms.admits(*admitting[i], lost[i], request.priority)) {
+                admitting[kept] = admitting[i];
+                work_at_admitting[kept++] = work_at_admitting[i];
+            }
+        }
+        admitting.resize(kept);
+        work_at_admitting.resize(kept);
     }
     const bool any_has_room = !admitting.empty();
-    while (const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now)) {
+    wanted.additional_cost = by_pace ? &*by_pace : nullptr;
+    while (true) {
+        wanted.work = work_at_admitting;
+        const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now);
+        if (chosen == nullptr) {
+            break;
+        }
+        const auto at = std::find(admitting.begin(), admitting.end(), chosen);
+        const auto work = work_at_admitting.begin() + (at - admitting.begin());
         const bool limited = is_rate_limited(state, chosen->id);
         if (!limited || take_own_permit(state, *chosen, request.priority, now)) {
             record_send(state, *chosen, now);
-            return {
-                *chosen, admission_result::admit, state.loads.total(chosen->id, now), {}, limited};
+            return {*chosen, admission_result::admit, *work, {}, limited};
         }
-        std::erase(admitting, chosen);
+        admitting.erase(at);
+        work_at_admitting.erase(work);
     }
     wanted.additional_cost = nullptr;
+    wanted.work = {};
     // No engine takes the request: the least loaded one gives the reason and the load to report.
     const registered_backend* least_loaded = state.picker.pick(engines, state.loads, wanted, now);
     if (least_loaded == nullptr) {
         return {};
     }
-    const auto reason =
-        std::find_if(examined.begin(), examined.end(),
-                     [&](const examined_engine& it) { return it.engine == least_loaded; });
+    const std::uint64_t hash = backend_hash(least_loaded->id);
+    const backend_work work = work_at(*least_loaded, hash);
     if (any_admits && !any_has_room) {
         // Ends with the notice, so it tells nothing of how long an overload lasts.
-        return {*least_loaded, admission_result::memory_reserved, reason->work, {}};
+        return {*least_loaded, admission_result::memory_reserved, work, {}};
     }
-    const admission_result result = any_admits ? admission_result::rate_limited : reason->result;
-    return {*least_loaded, result, reason->work,
-            state.overloads[request.service].record_refusal(now)};
+    const admission_result result =
+        any_admits
+            ? admission_result::rate_limited
+            : check_admission(state.admission, admission_terms, work, prefill_rate(hash));
+    return {*least_loaded, result, work, state.overloads[request.service].record_refusal(now)};
 }
 
 } // namespace bamboostream
