--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -99,14 +99,21 @@
     const admission_request admission_terms{request.work, request.engine_memory_tokens,
                                             request.priority, request.objective};
     std::optional<pace_cost> by_pace = make_pace_cost(state, request);
+    const double mean_tokens_per_ms = state.prefill.mean_tokens_per_ms(request.service);
+    std::vector<const registered_backend*> admitting;
+    std::vector<backend_work> work_at_admitting;
     const auto check_engine = [&](const registered_backend& engine) {
         const std::uint64_t hash = backend_hash(engine.id);
         const backend_work work = state.loads.total(hash, now);
-        const double tokens_per_ms = state.prefill.tokens_per_ms(request.service, hash);
+        const double tokens_per_ms = state.prefill.tokens_per_ms(mean_tokens_per_ms, hash);
         const admission_result result =
             check_admission(state.admission, admission_terms, work, tokens_per_ms);
-        if (by_pace && result == admission_result::admit) {
-            by_pace->add(engine, hash, work, tokens_per_ms);
+        if (result == admission_result::admit) {
+            admitting.push_back(&engine);
+            work_at_admitting.push_back(work);
+            if (by_pace) {
+                by_pace->add(engine, hash, work, tokens_per_ms);
+            }
         }
         return result;
     };
@@ -114,22 +121,34 @@
     std::erase_if(engines, [&request](const registered_backend* engine) {
         return !request.version.empty() && engine->version != request.version;
     });
-    std::vector<const registered_backend*> admitting = engines;
-    std::erase_if(admitting, [&](const registered_backend* engine) {
-        return check_engine(*engine) != admission_result::admit;
-    });
+    admitting.reserve(engines.size());
+    work_at_admitting.reserve(engines.size());
+    if (by_pace) {
+        by_pace->reserve(engines.size());
+    }
+    for (const registered_backend* engine : engines) {
+        check_engine(*engine);
+    }
     const bool any_admits = !admitting.empty();
     wanted.additional_cost = by_pace ? &*by_pace : nullptr;
-    while (const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now)) {
+    while (true) {
+        wanted.work = work_at_admitting;
+        const auto* chosen = state.picker.pick(admitting, state.loads, wanted, now);
+        if (chosen == nullptr) {
+            break;
+        }
+        const auto at = std::find(admitting.begin(), admitting.end(), chosen);
+        const auto work = work_at_admitting.begin() + (at - admitting.begin());
         const bool limited = is_rate_limited(state, chosen->id);
         if (!limited || take_own_permit(state, *chosen, request.priority, now)) {
             record_send(state, *chosen, now);
-            return {
-                *chosen, admission_result::admit, state.loads.total(chosen->id, now), {}, limited};
+            return {*chosen, admission_result::admit, *work, {}, limited};
         }
-        std::erase(admitting, chosen);
+        admitting.erase(at);
+        work_at_admitting.erase(work);
     }
     wanted.additional_cost = nullptr;
+    wanted.work = {};
     // No engine takes the request: the least loaded one gives the reason and the load to report.
     const registered_backend* least_loaded = state.picker.pick(engines, state.loads, wanted, now);
     if (least_loaded == nullptr) {
--- a/bamboostream/src/Routing/backend_picker.cpp
+++ b/bamboostream/src/Routing/backend_picker.cpp
@@ -54,16 +54,19 @@
         double cost;
     };
     std::vector<candidate> candidates;
+    candidates.reserve(servers.size());
     double best = std::numeric_limits<double>::max();
     const auto collect_candidates = [&](bool include_excluded) {
-        for (const registered_backend* server : servers) {
+        for (std::size_t i = 0; i < servers.size(); ++i) {
+            const registered_backend* server = servers[i];
             const bool avoided = std::find(request.avoid.begin(), request.avoid.end(),
                                            server->id) != request.avoid.end();
             if (avoided || (!include_excluded && is_excluded(server->id, now))) {
                 continue;
             }
-            candidates.push_back(
-                {server, cost(*server, loads.total(server->id, now), request, now)});
+            const backend_work work =
+                request.work.empty() ? loads.total(server->id, now) : request.work[i];
+            candidates.push_back({server, cost(*server, work, request, now)});
             best = std::min(best, candidates.back().cost);
         }
     };
--- a/bamboostream/src/Routing/backend_picker.h
+++ b/bamboostream/src/Routing/backend_picker.h
@@ -33,6 +33,9 @@
     failure_domain_id preferred_domain;
     /// Null if there is none.
     const placement_cost* additional_cost = nullptr;
+    /// Work in progress at each of the servers, in their order, if the caller has looked it up
+    /// already; empty to take it from the table.
+    std::span<const backend_work> work;
 };
 
 /// Chooses the backend server for a request by the work in progress at each server.
--- a/bamboostream/src/Routing/pace_cost.cpp
+++ b/bamboostream/src/Routing/pace_cost.cpp
@@ -20,40 +20,67 @@
 /// the cost rises up to `late_cost` at the objective.
 constexpr double safe_start_fraction = 0.5;
 
+/// Below this late rate the delay of other streams by a prompt costs less than the tolerance within
+/// which the picker takes costs as equal.
+constexpr double min_crowding_rate = 1e-5;
+
+/// 1 - exp(-x), for the risk of a stream that expects x late pauses. Most engines have next to
+/// none, for which two terms of the series are exact enough.
+double risk_of(double x) {
+    return x < 0.01 ? x - 0.5 * x * x : -std::expm1(-x);
+}
+
 } // namespace
 
 pace_cost::pace_cost(const server_pace& pace, const service_id& service,
                      const paced_request& request,
                      std::optional<stream_demand::typical_stream> typical)
-    : pace_(pace), service_(service), request_(request), typical_(typical) {}
+    : pace_(pace), service_(service), request_(request),
+      prompt_tokens_(static_cast<double>(std::max<std::int64_t>(request.prompt_tokens, 1))),
+      typical_(typical) {
+    if (request_.first_event_objective > duration{}) {
+        inverse_first_event_objective_ = 1.0 / to_milliseconds(request_.first_event_objective);
+    }
+    if (typical_) {
+        const duration apart = typical_->pause_objective - request_.pause_objective;
+        same_objective_ = apart < milliseconds(1) && apart > milliseconds(-1);
+    }
+}
+
+double pace_cost::crowding_cost(const server_pace::rated& typical, const backend_work& work,
+                                double prefill_tokens_per_ms) const {
+    if (typical.late_rate < min_crowding_rate || typical.ms_per_event <= 0.0) {
+        return 0.0;
+    }
+    // Prompts of one service are of similar size.
+    const double prompts = static_cast<double>(work.unread_tokens) / prompt_tokens_;
+    const double streams = std::max(0.0, work.requests - prompts);
+    const double delayed_intervals =
+        prompt_tokens_ / (prefill_tokens_per_ms * typical.ms_per_event);
+    return late_cost * streams * risk_of(typical.late_rate * delayed_intervals);
+}
 
 double pace_cost::cost_at(std::uint64_t hash, const backend_work& work,
                           double prefill_tokens_per_ms) const {
     double out = 0.0;
-    const double prefill_ms = static_cast<double>(request_.prompt_tokens) / prefill_tokens_per_ms;
-    if (const double own_rate = pace_.late_rate(service_, hash, request_.pause_objective);
-        own_rate > 0.0) {
-        out -= late_cost * std::expm1(-request_.events * own_rate);
+    const double start_ms =
+        (prompt_tokens_ + static_cast<double>(work.unread_tokens)) / prefill_tokens_per_ms;
+    const double start = start_ms * inverse_first_event_objective_;
+    if (start > safe_start_fraction) {
+        out +=
+            late_cost * std::min(1.0, (start - safe_start_fraction) / (1.0 - safe_start_fraction));
     }
-    if (typical_) {
-        const double rate = pace_.late_rate(service_, hash, typical_->pause_objective);
-        out += displaced_cost * std::exp(-typical_->events * rate);
-        const double pace_ms = pace_.ms_per_event(service_, hash);
-        // Prompts of one service are of similar size.
-        const double prompts =
-            static_cast<double>(work.unread_tokens) /
-            static_cast<double>(std::max<std::int64_t>(request_.prompt_tokens, 1));
-        const double streams = std::max(0.0, work.requests - prompts);
-        if (rate > 0.0 && pace_ms > 0.0) {
-            out -= late_cost * streams * std::expm1(-rate * prefill_ms / pace_ms);
-        }
+    if (!typical_) {
+        return out;
     }
-    if (request_.first_event_objective > duration{}) {
-        const double start_ms =
-            prefill_ms + static_cast<double>(work.unread_tokens) / prefill_tokens_per_ms;
-        const double start = start_ms / to_milliseconds(request_.first_event_objective);
-        out += late_cost *
-               std::clamp((start - safe_start_fraction) / (1.0 - safe_start_fraction), 0.0, 1.0);
+    const server_pace::rated typical = pace_.rate(service_, hash, typical_->pause_objective);
+    out += displaced_cost * (1.0 - risk_of(typical_->events * typical.late_rate));
+    out += crowding_cost(typical, work, prefill_tokens_per_ms);
+    if (request_.pause_objective > duration{}) {
+        const double own_rate = same_objective_
+                                    ? typical.late_rate
+                                    : pace_.late_rate(service_, hash, request_.pause_objective);
+        out += late_cost * risk_of(request_.events * own_rate);
     }
     return out;
 }
--- a/bamboostream/src/Routing/pace_cost.h
+++ b/bamboostream/src/Routing/pace_cost.h
@@ -39,6 +39,8 @@
     pace_cost(const server_pace& pace, const service_id& service, const paced_request& request,
               std::optional<stream_demand::typical_stream> typical);
 
+    /// Prepares for this number of engines.
+    void reserve(std::size_t engines) { costs_.reserve(engines); }
     /// Determines the cost of one engine, given its `backend_hash`, its work in progress and the
     /// prompt tokens that it prefills in a millisecond. Engines must be added before the choice, in
     /// the order of the candidates if that is possible: lookups are fastest then.
@@ -49,11 +51,19 @@
 private:
     double cost_at(std::uint64_t hash, const backend_work& work,
                    double prefill_tokens_per_ms) const;
+    /// The cost of the delay that the prefill causes to the streams that run at the engine.
+    double crowding_cost(const server_pace::rated& typical, const backend_work& work,
+                         double prefill_tokens_per_ms) const;
 
     const server_pace& pace_;
     const service_id& service_;
     paced_request request_;
+    double prompt_tokens_;
+    /// Per ms; zero if there is no objective.
+    double inverse_first_event_objective_ = 0.0;
     std::optional<stream_demand::typical_stream> typical_;
+    /// The request has the same objective for pauses as the typical stream.
+    bool same_objective_ = false;
     struct entry {
         const registered_backend* engine;
         double cost;
--- a/bamboostream/src/Routing/prefill_rates.cpp
+++ b/bamboostream/src/Routing/prefill_rates.cpp
@@ -45,15 +45,18 @@
     add(engines_[engine], sample, engine_retention_tokens);
 }
 
-double prefill_rates::tokens_per_ms(const service_id& service, std::uint64_t engine) const {
+double prefill_rates::mean_tokens_per_ms(const service_id& service) const {
     const prefill_sample of_service = average(service);
-    const double common = of_service.tokens / of_service.ms;
+    return of_service.tokens / of_service.ms;
+}
+
+double prefill_rates::tokens_per_ms(double mean, std::uint64_t engine) const {
     const auto found = engines_.find(engine);
     if (found == engines_.end()) {
-        return common;
+        return mean;
     }
     const prefill_sample& own = found->second;
-    return (own.tokens + engine_prior_tokens) / (own.ms + engine_prior_tokens / common);
+    return (own.tokens + engine_prior_tokens) / (own.ms + engine_prior_tokens / mean);
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Routing/prefill_rates.h
+++ b/bamboostream/src/Routing/prefill_rates.h
@@ -25,7 +25,13 @@
     /// had `sample.tokens` prompt tokens to process by then, including those of this generation.
     /// `engine` is its `backend_hash`.
     void note(const service_id& service, std::uint64_t engine, const prefill_sample& sample);
-    double tokens_per_ms(const service_id& service, std::uint64_t engine) const;
+    double tokens_per_ms(const service_id& service, std::uint64_t engine) const {
+        return tokens_per_ms(mean_tokens_per_ms(service), engine);
+    }
+    /// The rate of an engine that nothing is known of.
+    double mean_tokens_per_ms(const service_id& service) const;
+    /// The rate of an engine of a service with this mean rate, for callers that look up many.
+    double tokens_per_ms(double mean, std::uint64_t engine) const;
     /// Discards the samples of an engine that is gone or has restarted.
     void forget(std::uint64_t engine) { engines_.erase(engine); }
 
--- a/bamboostream/src/Routing/server_pace.cpp
+++ b/bamboostream/src/Routing/server_pace.cpp
@@ -16,6 +16,8 @@
 /// Samples also lose weight with time, to half after this: a server that gets no streams because of
 /// its pace is tried again after some minutes.
 constexpr seconds server_half_life{60};
+/// An estimate is computed anew for a choice if the server's latest sample is older than this.
+constexpr seconds max_cached_age{2};
 constexpr double service_retention_intervals = 20'000.0;
 /// Scale on which the intervals of a band decay: enough to measure a share of 1 in 10,000.
 constexpr double band_retention_intervals = 50'000.0;
@@ -99,6 +101,10 @@
 }
 
 double server_pace::server_entry::ms_per_event() const {
+    return service->at - at < max_cached_age ? latest_ms : estimate_ms();
+}
+
+double server_pace::server_entry::estimate_ms() const {
     const double own = remaining_intervals();
     return (own * total_ms / intervals + server_prior_intervals * service->mean_ms()) /
            (own + server_prior_intervals);
@@ -144,6 +150,7 @@
     }
     add(own.intervals, own.total_ms, server_retention_intervals);
     own.at = now;
+    own.latest_ms = own.estimate_ms();
     const double objective_ms = to_milliseconds(sample.pause_objective);
     if (objective_ms <= 0.0) {
         return;
@@ -164,19 +171,21 @@
     return common != services_.end() ? common->second.mean_ms() : 0.0;
 }
 
-double server_pace::late_rate(const service_id& service, std::uint64_t server_hash,
-                              duration pause_objective) const {
-    const double objective_ms = to_milliseconds(pause_objective);
-    if (objective_ms <= 0.0) {
-        return 0.0;
-    }
+server_pace::rated server_pace::rate(const service_id& service, std::uint64_t server_hash,
+                                     duration pause_objective) const {
+    const service_entry* common = nullptr;
+    rated out;
     if (const auto own = servers_.find(server_hash); own != servers_.end()) {
-        return own->second.service->late_rate(own->second.ms_per_event() / objective_ms);
+        common = own->second.service;
+        out.ms_per_event = own->second.ms_per_event();
+    } else if (const auto found = services_.find(service); found != services_.end()) {
+        common = &found->second;
+        out.ms_per_event = common->mean_ms();
     }
-    const auto common = services_.find(service);
-    return common != services_.end()
-               ? common->second.late_rate(common->second.mean_ms() / objective_ms)
-               : 0.0;
+    if (common != nullptr && pause_objective > duration{}) {
+        out.late_rate = common->late_rate(out.ms_per_event / to_milliseconds(pause_objective));
+    }
+    return out;
 }
 
 double server_pace::late_risk(const service_id& service, std::uint64_t server_hash,
--- a/bamboostream/src/Routing/server_pace.h
+++ b/bamboostream/src/Routing/server_pace.h
@@ -55,6 +55,13 @@
         double median_ms = 0.0;
     };
 
+    /// The pace of a server and the rate of late pauses that goes with it.
+    struct rated {
+        double ms_per_event = 0.0;
+        /// Late pauses per interval.
+        double late_rate = 0.0;
+    };
+
     /// Records intervals observed at a server; `server_hash` is its `backend_hash`.
     void observe(const service_id& service, std::uint64_t server_hash, const pace_sample& sample,
                  time_point now);
@@ -65,7 +72,12 @@
     /// intervals has none with probability exp(-n * rate). 0 if nothing is known of the service or
     /// there is no objective.
     double late_rate(const service_id& service, std::uint64_t server_hash,
-                     duration pause_objective) const;
+                     duration pause_objective) const {
+        return rate(service, server_hash, pause_objective).late_rate;
+    }
+    /// Both values by one lookup.
+    rated rate(const service_id& service, std::uint64_t server_hash,
+               duration pause_objective) const;
     /// Probability that a stream with `events` events still to come has a pause over the objective
     /// at a server; 0 if nothing is known.
     double late_risk(const service_id& service, std::uint64_t server_hash, duration pause_objective,
@@ -109,8 +121,11 @@
         double total_ms = 0.0;
         time_point at{};
         bool slow = false;
+        /// Estimate at the latest sample, so that it need not be computed for each choice.
+        double latest_ms = 0.0;
 
         double remaining_intervals() const;
+        double estimate_ms() const;
         double ms_per_event() const;
     };
 
--- a/bench/decision_bench.cpp
+++ b/bench/decision_bench.cpp
@@ -4,6 +4,7 @@
 
 #include "bamboostream/Configuration"
 #include "bamboostream/Core"
+#include "bamboostream/Forwarding"
 #include "bamboostream/Ledger"
 #include "bamboostream/Lengths"
 #include "bamboostream/Limits"
@@ -13,6 +14,7 @@
 #include "bamboostream/Streams"
 #include "bamboostream/src/Control/frames.h"
 #include "platform/platform_record_codec.h"
+#include "platform/platform_request_codec.h"
 #include "test/platform/large_document.h"
 
 #include <boost/json.hpp>
@@ -152,6 +154,45 @@
     return out;
 }
 
+/// One choice of an engine with admission control among engines of two speeds, by the load alone or
+/// also by the pace.
+slope choice_of_engine(bool by_pace) {
+    slope out{by_pace ? "choice_by_pace" : "choice_by_load", "us", "engine of the service", {}, {}};
+    const platform::platform_request_codec codec;
+    const service_id service("s");
+    for (const std::uint64_t engines : {75, 1'000, 11'000}) {
+        forwarding_state state(codec, failure_domain_id("d"), {}, 1);
+        if (by_pace) {
+            state.server_loads.set_reports_host_load(service);
+        }
+        for (std::uint64_t i = 0; i < engines; ++i) {
+            registered_backend engine;
+            engine.id = backend_id(fmt::format("i-{:010x}", i));
+            engine.service = service;
+            state.registry.update(engine, start);
+            const std::uint64_t hash = backend_hash(engine.id);
+            state.loads.add(engine.id, {5, 18'000, static_cast<std::int64_t>(i % 3) * 1'000});
+            state.prefill.note(service, hash, {3'000.0, 500.0});
+            if (by_pace) {
+                state.pace.observe(
+                    service, hash,
+                    {40.0, 40.0 * (i % 3 == 0 ? 70.0 : 28.0), 0.0, milliseconds(180)}, start);
+            }
+        }
+        engine_request request;
+        request.service = service;
+        request.work = {1, 3'840, 3'080};
+        request.engine_memory_tokens = 26'950;
+        request.objective = milliseconds(1'800);
+        request.pause_objective = milliseconds(by_pace ? 180 : 0);
+        out.sizes.push_back(static_cast<double>(engines));
+        out.values.push_back(min_time_us(engines > 5'000 ? 30 : 300, [&] {
+            choose_engine(state, request, sender_role::owner, start);
+        }));
+    }
+    return out;
+}
+
 /// Cost of changing one route, by the number of routes in the document. Changes are sent as
 /// differences because each instance used to receive the whole document (350 kB at 1,500 routes,
 /// 4.7 MB at 20,000) and to parse it on the thread that serves requests.
@@ -551,6 +592,8 @@
     const document_figures d = documents();
     std::vector<slope> all = {routing(),
                               choice_by_view(),
+                              choice_of_engine(false),
+                              choice_of_engine(true),
                               admission(),
                               forecast_refresh(),
                               quarantine_report(),
