--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -260,9 +260,8 @@
         return {*least_loaded, admission_result::memory_reserved, work, {}};
     }
     const admission_result result =
-        any_admits
-            ? admission_result::rate_limited
-            : check_admission(state.admission, admission_terms, work, prefill_rate(hash));
+        any_admits ? admission_result::rate_limited
+                   : check_admission(state.admission, admission_terms, work, prefill_rate(hash));
     return {*least_loaded, result, work, state.overloads[request.service].record_refusal(now)};
 }
 
--- a/bamboostream/src/Routing/server_pace.cpp
+++ b/bamboostream/src/Routing/server_pace.cpp
@@ -16,6 +16,8 @@
 /// Samples also lose weight with time, to half after this: a server that gets no streams because of
 /// its pace is tried again after some minutes.
 constexpr seconds server_half_life{60};
+/// An estimate is computed anew for a choice if the server's latest sample is older than this.
+constexpr seconds max_cached_age{2};
 constexpr double service_retention_intervals = 20'000.0;
 /// Scale on which the intervals of a band decay: enough to measure a share of 1 in 10,000.
 constexpr double band_retention_intervals = 50'000.0;
@@ -115,6 +117,10 @@
 }
 
 double server_pace::server_entry::ms_per_event() const {
+    return service->at - at < max_cached_age ? latest_ms : estimate_ms();
+}
+
+double server_pace::server_entry::estimate_ms() const {
     const double own = intervals > 0.0 ? remaining_intervals() : 0.0;
     const double own_ms = intervals > 0.0 ? own * total_ms / intervals : 0.0;
     return (own_ms + server_prior_intervals * prior_ms()) / (own + server_prior_intervals);
@@ -150,6 +156,10 @@
     own.host_percent = own.host_percent <= 0.0 || figure < own.host_percent
                            ? figure
                            : own.host_percent + host_rise * (figure - own.host_percent);
+    if (own.intervals <= 0.0) {
+        own.at = now;
+    }
+    own.latest_ms = own.estimate_ms();
 }
 
 void server_pace::update_cautious_pace(service_entry& service) const {
@@ -198,6 +208,7 @@
     }
     add(own.intervals, own.total_ms, server_retention_intervals);
     own.at = now;
+    own.latest_ms = own.estimate_ms();
     if (common.observations++ % observations_per_update == 0) {
         update_cautious_pace(common);
     }
@@ -221,19 +232,21 @@
     return common != services_.end() ? common->second.mean_ms() : 0.0;
 }
 
-double server_pace::late_rate(const service_id& service, std::uint64_t server_hash,
-                              duration pause_objective) const {
-    const double objective_ms = to_milliseconds(pause_objective);
-    if (objective_ms <= 0.0) {
-        return 0.0;
-    }
+server_pace::rated server_pace::rate(const service_id& service, std::uint64_t server_hash,
+                                     duration pause_objective) const {
+    const service_entry* common = nullptr;
+    rated out;
     if (const auto own = servers_.find(server_hash); own != servers_.end()) {
-        return own->second.service->late_rate(own->second.ms_per_event() / objective_ms);
+        common = own->second.service;
+        out.ms_per_event = own->second.ms_per_event();
+    } else if (const auto found = services_.find(service); found != services_.end()) {
+        common = &found->second;
+        out.ms_per_event = common->cautious_ms;
     }
-    const auto common = services_.find(service);
-    return common != services_.end()
-               ? common->second.late_rate(common->second.cautious_ms / objective_ms)
-               : 0.0;
+    if (common != nullptr && pause_objective > duration{}) {
+        out.late_rate = common->late_rate(out.ms_per_event / to_milliseconds(pause_objective));
+    }
+    return out;
 }
 
 double server_pace::late_risk(const service_id& service, std::uint64_t server_hash,
