Limit responses that a faulty server sends without an end

Cause: heads, interim responses, chunks and events of a response were read, and partly kept, until the request's deadline. Bodies were kept up to 8 MiB each.

Change: every client connection has limits on head bytes and time, interim responses, chunk framing, body bytes, unfinished events and bytes without an event (response_limits); an execution context has one budget for the memory of responses that are kept, turns for connections that always have bytes ready, and one record of servers that exceeded a limit (response_guard).

--- a/bamboostream/src/Contracts/engine.cpp
+++ b/bamboostream/src/Contracts/engine.cpp
@@ -110,15 +110,16 @@
 boost::asio::awaitable<void> engine_client::cancel(generation_id generation, milliseconds timeout) {
     http_failure ignored;
     http_request message = make_request("DELETE", "/v1/generations/" + generation.text());
-    co_await fetch(executor_, engine_.text(), std::move(message), timeout, ignored);
+    co_await fetch(executor_, engine_.text(), std::move(message), timeout, ignored,
+                   short_response_limits());
 }
 
 boost::asio::awaitable<std::optional<engine_status>> engine_client::status(milliseconds timeout,
                                                                            engine_failure& why) {
     http_failure reason;
     http_request message = make_request("GET", "/v1/status");
-    const auto response =
-        co_await fetch(executor_, engine_.text(), std::move(message), timeout, reason);
+    const auto response = co_await fetch(executor_, engine_.text(), std::move(message), timeout,
+                                         reason, short_response_limits());
     if (!response || response->status != status_ok) {
         set_failure(reason, why);
         co_return std::nullopt;
@@ -150,8 +151,8 @@
                             {"role", order.role},       {"fencing", order.fencing}};
     http_failure reason;
     http_request message = make_request("POST", "/v1/orders", json::serialize(body));
-    const auto response =
-        co_await fetch(executor_, engine_.text(), std::move(message), timeout, reason);
+    const auto response = co_await fetch(executor_, engine_.text(), std::move(message), timeout,
+                                         reason, short_response_limits());
     if (!response) {
         set_failure(reason, why);
         co_return false;
--- a/bamboostream/src/Forwarding/event_splitter.cpp
+++ b/bamboostream/src/Forwarding/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "bamboostream/src/Forwarding/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace bamboostream {
@@ -26,13 +27,26 @@
     return std::nullopt;
 }
 
+/// Whether a block has a line that is neither empty nor a comment.
+bool has_field(std::string_view block) {
+    while (!block.empty()) {
+        const char first = block.front();
+        if (first != ':' && first != '\n' && first != '\r') {
+            return true;
+        }
+        block.remove_prefix(std::min(block.find('\n'), block.size() - 1) + 1);
+    }
+    return false;
+}
+
 } // namespace
 
 event_order event_splitter::take(std::string& out) {
     std::size_t begin = 0;
+    bytes_without_event_ = 0;
     event_order order = event_order::in_order;
     while (true) {
-        const std::size_t at = pending_.find(separator, begin);
+        const std::size_t at = pending_.find(separator, std::max(begin, searched_));
         if (at == std::string::npos) {
             break;
         }
@@ -40,7 +54,11 @@
         const std::string_view event(pending_.data() + begin, end - begin);
         const auto id = parse_event_id(event);
         begin = end;
-        if (id && last_id_ && *id <= *last_id_) {
+        const bool repeated = id && last_id_ && *id <= *last_id_;
+        if (repeated || (!id && !has_field(event))) {
+            bytes_without_event_ += event.size();
+        }
+        if (repeated) {
             continue;
         }
         if (id && last_id_ && *id != *last_id_ + 1) {
@@ -54,7 +72,13 @@
         out += event;
     }
     pending_.erase(0, begin);
+    searched_ = pending_.empty() ? 0 : pending_.size() - 1;
+    taken_bytes_ = begin;
     return order;
 }
 
+event_stream_step event_splitter::latest_step() const {
+    return {pending_.size(), pending_.capacity(), taken_bytes_ > 0, bytes_without_event_};
+}
+
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/event_splitter.h
+++ b/bamboostream/src/Forwarding/event_splitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "bamboostream/src/Http/event_stream_limits.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -31,9 +33,14 @@
     void append(std::string_view bytes) { pending_ += bytes; }
     /// Moves the complete events that may be forwarded to the end of `out`.
     event_order take(std::string& out);
+    /// What the latest call of `take` found, for the limits of the stream.
+    event_stream_step latest_step() const;
     /// Discards a partial event: a stream that resumes at another server starts with a complete
     /// one.
-    void restart() { pending_.clear(); }
+    void restart() {
+        pending_.clear();
+        searched_ = 0;
+    }
     /// Whether no partial event is buffered.
     bool at_boundary() const { return pending_.empty(); }
     /// Id of the last event forwarded.
@@ -43,6 +50,11 @@
 
 private:
     std::string pending_;
+    /// Bytes of `pending_` in which no separator begins.
+    std::size_t searched_ = 0;
+    /// Of the latest `take`.
+    std::size_t taken_bytes_ = 0;
+    std::size_t bytes_without_event_ = 0;
     std::optional<std::uint64_t> last_id_;
     std::uint64_t events_ = 0;
 };
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -5,6 +5,7 @@
 #include "bamboostream/src/Forwarding/forwarded_call.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 // One attempt of a forwarded request at a backend server: connection, response, relayed stream and
@@ -34,9 +35,13 @@
 /// usable when the last step began, at most 1.5 s before the notice, so the request arrives within
 /// the 2 s in which an engine that shuts down still accepts requests already on their way.
 constexpr milliseconds max_notice_age{400};
-/// Responses without a stream are buffered up to this size; larger ones count as lost, because
-/// non-streaming services don't produce them.
-constexpr std::size_t max_response_bytes = 8 * 1024 * 1024;
+/// A response of which nothing has arrived for this long isn't one without an end; and one that has
+/// not taken as long may be just late.
+constexpr seconds receiving_span{1};
+/// Bodies that say that a request was not run take some 100 bytes and arrive with their heads, or
+/// after a lost packet was sent again.
+constexpr std::size_t max_refusal_bytes = 16 * 1024;
+constexpr milliseconds max_refusal_time{400};
 
 /// Adds evidence of a crash that was found later, unless the server has announced since that it was
 /// leaving.
@@ -54,6 +59,13 @@
 
 attempt_end forwarded_call::fail(const destination& to, attempt_end end, std::string_view reason) {
     history_.record(end);
+    const time_point now = monotonic_now();
+    const bool streams = attempt_first_event_ && now - latest_event_ <= receiving_span;
+    if (end == attempt_end::silent && connection_ && !streams && now - sent_at_ > receiving_span &&
+        connection_->has_received_within(receiving_span, now)) {
+        connection_->exceed(response_head_received_ ? response_limit::body_time
+                                                    : response_limit::head_time);
+    }
     const bool counts =
         end == attempt_end::not_sent || end == attempt_end::lost || end == attempt_end::silent;
     const bool ended_here =
@@ -180,6 +192,12 @@
     send.time_left = std::chrono::duration_cast<milliseconds>(deadline_ - now);
     send.resume_after = splitter_.last_id();
     send.copy = to.copy;
+    response_limits limits = connection_->guard().limits();
+    if (route_->streaming) {
+        limits.body_bytes = std::numeric_limits<std::size_t>::max();
+    }
+    connection_->set_limits(limits);
+    connection_->set_server_name(to.backend.id.text());
     connection_->send(state_.codec.serialize_request(exchange_.request(), send),
                       exchange_.request().method == "HEAD");
     if (!connection_->any_sent()) {
@@ -221,8 +239,8 @@
         }
     }
     if (facts.not_run || facts.wrong_server) {
-        std::string ignored;
-        while (co_await connection_->read(ignored)) {
+        if (!co_await discard_refusal()) {
+            co_return fail(to, attempt_end::lost, failure_reason("refusal incomplete"));
         }
         give_back(to);
         co_return fail(to, attempt_end::not_run,
@@ -279,13 +297,18 @@
 asio::awaitable<std::optional<attempt_end>> forwarded_call::forward_body(const destination& to,
                                                                          response_info facts) {
     saved_response response{facts.status, state_.codec.response_fields(*connection_), {}};
-    while (response.body.size() <= max_response_bytes &&
-           co_await connection_->read(response.body)) {
+    reserved_memory kept(connection_->guard());
+    while (co_await connection_->read(response.body)) {
+        if (response.body.size() > connection_->limits().kept_body_bytes ||
+            !kept.resize(response.body.capacity())) {
+            co_return co_await relay_body(to, facts, std::move(response));
+        }
     }
-    if (!connection_->complete()) {
+    if (!connection_->complete() || connection_->exceeded() != response_limit::none) {
         const bool silent = connection_->timed_out();
         connection_->close();
-        co_return fail(to, silent ? attempt_end::silent : attempt_end::lost, "response incomplete");
+        co_return fail(to, silent ? attempt_end::silent : attempt_end::lost,
+                       failure_reason("response incomplete"));
     }
     if (co_await was_cut_off()) {
         co_return fail(to, attempt_end::lost, "server crashed at the end of its response");
@@ -308,6 +331,89 @@
     co_return std::nullopt;
 }
 
+asio::awaitable<bool> forwarded_call::discard_refusal() {
+    const time_point began = monotonic_now();
+    std::size_t bytes = 0;
+    std::string ignored;
+    while (co_await connection_->read(ignored)) {
+        bytes += ignored.size();
+        ignored.clear();
+        if (bytes > max_refusal_bytes) {
+            connection_->exceed(response_limit::body_bytes);
+        } else if (!connection_->complete() && monotonic_now() - began > max_refusal_time) {
+            connection_->exceed(response_limit::body_time);
+        }
+    }
+    co_return connection_->exceeded() == response_limit::none &&
+        !(connection_->timed_out() &&
+          connection_->has_received_within(receiving_span, monotonic_now()));
+}
+
+std::string forwarded_call::failure_reason(std::string_view otherwise) const {
+    const response_limit limit = connection_->exceeded();
+    return limit == response_limit::none ? std::string(otherwise)
+                                         : "limit exceeded: " + std::string(to_string(limit));
+}
+
+/// A failure of the server is forwarded only if no other server may be asked. A response whose
+/// length is unknown is not begun if its server has lately sent one without an end.
+asio::awaitable<std::optional<attempt_end>> forwarded_call::relay_body(const destination& to,
+                                                                       const response_info& facts,
+                                                                       saved_response begin) {
+    const bool is_failure = facts.status >= 500;
+    attempt_history after = history_;
+    after.record(attempt_end::failed);
+    if (is_failure &&
+        may_retry(route_->repeats, route_->max_attempts, after, attempt_end::failed)) {
+        connection_->close();
+        co_return fail(to, attempt_end::failed, "server reported a failure");
+    }
+    if (!connection_->content_length() &&
+        connection_->guard().has_exceeded_lately(to.backend.address, monotonic_now())) {
+        connection_->exceed(response_limit::body_bytes);
+        co_return fail(to, attempt_end::lost, failure_reason(""));
+    }
+    body_started_ = true;
+    connection_->expire_at(deadline_);
+    bool accepted =
+        co_await exchange_.begin_body(begin.status, connection_->content_length(), begin.fields);
+    if (accepted) {
+        accepted = co_await exchange_.write(begin.body);
+    }
+    std::string().swap(begin.body);
+    std::string part;
+    while (accepted && co_await connection_->read(part)) {
+        accepted = co_await exchange_.write(part);
+        part.clear();
+    }
+    if (!accepted) {
+        caller_left_ = true;
+        connection_->close();
+        co_return fail(to, attempt_end::lost, "caller disconnected");
+    }
+    if (!connection_->complete() || connection_->exceeded() != response_limit::none) {
+        const bool silent = connection_->timed_out();
+        connection_->close();
+        co_return fail(to, silent ? attempt_end::silent : attempt_end::lost,
+                       failure_reason("response incomplete"));
+    }
+    if (co_await was_cut_off()) {
+        co_return fail(to, attempt_end::lost, "server crashed at the end of its response");
+    }
+    give_back(to);
+    if (facts.names_request && !is_failure) {
+        record_server_survived(facts.status);
+    }
+    record_outcome(to.backend.id, !is_failure);
+    unregister_work();
+    co_await exchange_.end_stream();
+    state_.counters.count(is_failure ? forward_result::backend_failed : forward_result::answered);
+    log_event(events::request_ended, "request={} route={} backend={} status={} after_ms={:.0f}",
+              request_.id, route_->name, to.backend.id.text(), facts.status,
+              to_milliseconds(monotonic_now() - arrival_));
+    co_return std::nullopt;
+}
+
 asio::awaitable<process_state> forwarded_call::check_server() {
     if (state_.server_states != nullptr) {
         co_return co_await state_.server_states->verify(sent_to_.id, sent_to_.address);
@@ -429,11 +535,17 @@
     std::string bytes;
     std::string events;
     event_order order = event_order::in_order;
+    event_stream_limits limits(connection_->limits(), connection_->guard());
     while (order == event_order::in_order && co_await connection_->read(bytes)) {
         splitter_.append(bytes);
         bytes.clear();
         events.clear();
         order = splitter_.take(events);
+        const response_limit limit = limits.check(splitter_.latest_step(), monotonic_now());
+        if (limit != response_limit::none) {
+            connection_->exceed(limit);
+            break;
+        }
         if (events.empty()) {
             continue;
         }
@@ -449,14 +561,16 @@
             connection_->expire_at(std::min(deadline_, monotonic_now() + max_event_gap));
         }
     }
-    const bool complete_stream =
-        order == event_order::in_order && connection_->complete() && splitter_.at_boundary();
+    const bool complete_stream = order == event_order::in_order && connection_->complete() &&
+                                 splitter_.at_boundary() &&
+                                 connection_->exceeded() == response_limit::none;
     const bool ended_for_move = connection_->ended_by_close() && stream_->move_expected;
     if (!complete_stream || ended_for_move) {
         const bool silent = connection_->timed_out();
         connection_->close();
         co_return fail(to, silent ? attempt_end::silent : attempt_end::lost,
-                       order == event_order::broken ? "an event is missing" : "stream incomplete");
+                       failure_reason(order == event_order::broken ? "an event is missing"
+                                                                   : "stream incomplete"));
     }
     if (co_await was_cut_off()) {
         connection_->close();
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -526,7 +526,8 @@
 
 void forwarded_call::withdraw(const request_digest& request) {
     const suspect_state* held = state_.quarantine.decisions().find_suspect(subject());
-    if (stream_started_ || caller_left_ || held == nullptr || held->suspect != request) {
+    if (stream_started_ || body_started_ || caller_left_ || held == nullptr ||
+        held->suspect != request) {
         return;
     }
     withdrawn_ = true;
@@ -553,7 +554,7 @@
     const bool confirmed_harmful =
         state_.quarantine.any() &&
         state_.quarantine.verdict(subject()) == quarantine_verdict::confirmed;
-    if (withdrawn_ || confirmed_harmful) {
+    if (withdrawn_ || confirmed_harmful || body_started_) {
         return false;
     }
     if (now >= deadline_ || !may_retry(route_->repeats, route_->max_attempts, history_, end)) {
@@ -565,7 +566,7 @@
 asio::awaitable<void> forwarded_call::respond_failure(attempt_end end) {
     const final_response response = choose_final_response(history_, end);
     forward_result result = forward_result::broken_off;
-    if (stream_started_) {
+    if (stream_started_ || body_started_) {
         exchange_.abort();
     } else if (response == final_response::backend_failure && failure_) {
         result = forward_result::backend_failed;
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -112,6 +112,14 @@
     void record_server_load(const response_info& facts);
     boost::asio::awaitable<std::optional<attempt_end>> forward_body(const destination& to,
                                                                     response_info facts);
+    /// Forwards a response that is too large to be kept as it arrives, after `begin`.
+    boost::asio::awaitable<std::optional<attempt_end>>
+    relay_body(const destination& to, const response_info& facts, saved_response begin);
+    /// Reads the rest of a response that says that the request was not run; false if it doesn't
+    /// end.
+    boost::asio::awaitable<bool> discard_refusal();
+    /// Why the response of the latest attempt is of no use, for its log line.
+    std::string failure_reason(std::string_view otherwise) const;
     boost::asio::awaitable<std::optional<attempt_end>> relay(const destination& to,
                                                              response_info facts);
     boost::asio::awaitable<bool> forward_events(std::string_view events, int status);
@@ -209,6 +217,8 @@
     time_point latest_event_;
     duration longest_pause_{};
     bool stream_started_ = false;
+    /// The caller has received a part of a response that was not kept.
+    bool body_started_ = false;
     bool caller_left_ = false;
     /// The request was quarantined while in progress.
     bool withdrawn_ = false;
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -27,6 +27,8 @@
 
 constexpr milliseconds housekeeping_period{500};
 constexpr milliseconds drain_poll_period{20};
+/// The smallest instance of any deployment, for platforms that don't report the memory.
+constexpr double default_memory_mb = 88.0;
 /// Interval at which the settings are checked for changes without a signal.
 constexpr milliseconds settings_period{5'000};
 /// Time left of the grace period when the process ends by itself, so that it isn't killed during a
@@ -261,6 +263,10 @@
 bool gateway::parts::start() {
     std::string why;
     forwarding.admission = settings.admission;
+    const double memory_mb = settings.memory_mb > 0.0 ? settings.memory_mb : default_memory_mb;
+    response_guard::of(context.get_executor())
+        .configure(settings.responses, static_cast<std::size_t>(memory_mb * 1024 * 1024 *
+                                                                settings.response_memory_share));
     forwarding.outbound_address = settings.outbound_address;
     forwarding.server_checks.set_local_address(settings.outbound_address);
     forwarding.cold_starts.set_rules(settings.cold_starts);
@@ -369,7 +375,8 @@
                               distributor->fetcher().pieces(),
                               store.calls(),
                               links.traffic(),
-                              rate_limits->counts()};
+                              rate_limits->counts(),
+                              response_guard::of(context.get_executor()).counts()};
     co_await exchange.respond(200, "text/plain; version=0.0.4",
                               exposition(forwarding, stats, monotonic_now()), {});
 }
--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Forwarding/backend_contract.h"
 #include "bamboostream/src/Gateway/deployment_contract.h"
+#include "bamboostream/src/Http/response_limits.h"
 #include "bamboostream/src/Limits/cold_start_limit.h"
 #include "bamboostream/src/Limits/engine_admission.h"
 #include "bamboostream/src/Routing/window_budget.h"
@@ -39,6 +40,11 @@
     std::uint32_t capacity = 0;
     /// Speed of this instance's link in Mbit/s; zero when the platform doesn't report it.
     double link_mbps = 0.0;
+    /// Memory of this instance in MB; zero when the platform doesn't report it.
+    double memory_mb = 0.0;
+    /// Share of that memory for responses that are kept until they are complete.
+    double response_memory_share = 0.125;
+    response_limits responses;
     /// Addresses at which to look for other instances.
     std::vector<std::string> seeds;
     window_budget_rules budget;
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -94,6 +94,13 @@
                        "bamboostream_carrier_answers_total{{answer=\"{}\"}} {}\n",
                        to_string(static_cast<carrier_answer>(i)), c.carrier_answers[i]);
     }
+    out += "# TYPE bamboostream_endless_responses_total counter\n";
+    // Skips `response_limit::none`.
+    for (std::size_t i = 1; i < stats.endless_responses.size(); ++i) {
+        fmt::format_to(std::back_inserter(out),
+                       "bamboostream_endless_responses_total{{kind=\"{}\"}} {}\n",
+                       to_string(static_cast<response_limit>(i)), stats.endless_responses[i]);
+    }
     append(out, "counter", "streams_taken_up_total", c.streams_taken_up);
     append(out, "gauge", "stream_origins", state.origins.size());
     append(out, "counter", "sends_total", c.sends);
--- a/bamboostream/src/Gateway/gateway_metrics.h
+++ b/bamboostream/src/Gateway/gateway_metrics.h
@@ -4,8 +4,10 @@
 #include "bamboostream/src/Forwarding/forwarding_state.h"
 #include "bamboostream/src/Gateway/document_fetcher.h"
 #include "bamboostream/src/Gateway/store_follower.h"
+#include "bamboostream/src/Http/response_limits.h"
 #include "bamboostream/src/Links/peer_links.h"
 
+#include <array>
 #include <cstdint>
 #include <string>
 
@@ -23,6 +25,8 @@
     store_call_counts store_calls{};
     link_traffic links;
     permit_counts permits;
+    /// Responses that exceeded a limit, by `response_limit`.
+    std::array<std::uint64_t, static_cast<std::size_t>(response_limit::count_)> endless_responses{};
 };
 
 /// Writes the metrics of a gateway in the Prometheus text format. Ages are relative to `now`.
--- a/bamboostream/src/Http/http_client.cpp
+++ b/bamboostream/src/Http/http_client.cpp
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Http/http_connection.h"
 
 #include <fmt/format.h>
+#include <limits>
 
 namespace bamboostream {
 
@@ -27,10 +28,18 @@
     return out;
 }
 
+/// A stream may be of any length.
+response_limits stream_limits() {
+    response_limits out;
+    out.body_bytes = std::numeric_limits<std::size_t>::max();
+    return out;
+}
+
 asio::awaitable<std::shared_ptr<http_connection>>
 open_connection(asio::any_io_executor executor, std::string address, http_request request,
-                milliseconds timeout, http_failure& why) {
+                milliseconds timeout, http_failure& why, const response_limits& limits) {
     const auto connection = std::make_shared<http_connection>(executor);
+    connection->set_limits(limits);
     if (!co_await connection->connect(address, timeout, why)) {
         co_return nullptr;
     }
@@ -49,14 +58,15 @@
 open_http_stream(asio::any_io_executor executor, std::string address, http_request request,
                  milliseconds timeout, http_failure& why) {
     co_return co_await open_connection(std::move(executor), std::move(address), std::move(request),
-                                       timeout, why);
+                                       timeout, why, stream_limits());
 }
 
 asio::awaitable<std::optional<http_response>> fetch(asio::any_io_executor executor,
                                                     std::string address, http_request request,
-                                                    milliseconds timeout, http_failure& why) {
+                                                    milliseconds timeout, http_failure& why,
+                                                    response_limits limits) {
     const auto connection = co_await open_connection(std::move(executor), std::move(address),
-                                                     std::move(request), timeout, why);
+                                                     std::move(request), timeout, why, limits);
     if (!connection) {
         co_return std::nullopt;
     }
@@ -69,7 +79,10 @@
     const bool complete = connection->complete();
     connection->close();
     if (!complete) {
-        why.set(http_error::broken, "the response broke off");
+        const response_limit limit = connection->exceeded();
+        why.set(http_error::broken, limit == response_limit::none
+                                        ? "the response broke off"
+                                        : fmt::format("limit exceeded: {}", to_string(limit)));
         co_return std::nullopt;
     }
     co_return response;
--- a/bamboostream/src/Http/http_client.h
+++ b/bamboostream/src/Http/http_client.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Core/failure.h"
 #include "bamboostream/src/Http/message.h"
+#include "bamboostream/src/Http/response_limits.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -30,6 +31,8 @@
     virtual bool complete() const = 0;
     /// Closes the connection; a `read` in progress returns false.
     virtual void close() = 0;
+    /// Records that the response has exceeded a limit, and closes the connection.
+    virtual void exceed(response_limit limit) = 0;
 };
 
 /// Sends a request and reads the head of the response. Connecting and the exchange take at most
@@ -39,12 +42,11 @@
 open_http_stream(boost::asio::any_io_executor executor, std::string address, http_request request,
                  milliseconds timeout, http_failure& why);
 
-/// Sends a request and reads the whole response. Connecting, the response head and the body take at
-/// most `timeout` each. On failure the result is empty, with the reason in `why`.
-boost::asio::awaitable<std::optional<http_response>> fetch(boost::asio::any_io_executor executor,
-                                                           std::string address,
-                                                           http_request request,
-                                                           milliseconds timeout, http_failure& why);
+/// Sends a request and reads the whole response within `limits`. Connecting, the response head and
+/// the body take at most `timeout` each. On failure the result is empty, with the reason in `why`.
+boost::asio::awaitable<std::optional<http_response>>
+fetch(boost::asio::any_io_executor executor, std::string address, http_request request,
+      milliseconds timeout, http_failure& why, response_limits limits = {});
 
 /// Builds a request with a JSON body, or without one when `body` is empty.
 http_request make_request(std::string_view method, std::string_view target, std::string body = {});
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -17,8 +17,6 @@
 
 namespace {
 
-/// Larger responses are cut off; no backend server of any deployment sends one.
-constexpr std::uint64_t response_body_limit = 64ULL * 1024 * 1024;
 constexpr int first_final_status = 200;
 
 auto token(beast::error_code& ec) {
@@ -35,17 +33,25 @@
 /// megabyte. Requests up to this size fit into what servers read at once.
 constexpr std::size_t max_reusable_request_bytes = 64 * 1024;
 
+/// Bytes that a connection may read without waiting for its turn: more than a response or the
+/// events of an engine's step take, and the rate of a hundred streams.
+constexpr std::size_t burst_bytes = 32 * 1024;
+constexpr std::size_t bytes_per_second = 256 * 1024;
+
 } // namespace
 
 http_connection::http_connection(const asio::any_io_executor& executor)
     : socket_(executor), watchdog_(executor),
-      buffer_(std::make_unique<std::array<char, 16 * 1024>>()) {}
+      buffer_(std::make_unique<std::array<char, 16 * 1024>>()),
+      guard_(response_guard::of(executor)), limits_(guard_.limits()),
+      at_once_(burst_bytes, bytes_per_second), turn_(executor) {}
 
 http_connection::~http_connection() = default;
 
 asio::awaitable<bool> http_connection::connect(std::string address, milliseconds timeout,
                                                http_failure& why, std::string local_address) {
     const auto endpoint = to_endpoint(address);
+    address_ = address;
     if (!endpoint) {
         why.set(http_error::not_connected, "not an ip:port address: " + address);
         co_return false;
@@ -76,12 +82,17 @@
     socket_.set_option(asio::ip::tcp::no_delay(true), ec);
     socket_.non_blocking(true, ec);
     carrier_ = std::move(carrier);
+    address_ = carrier_;
     tunnel_.emplace();
 }
 
 void http_connection::start_parser() {
     parser_.emplace();
-    parser_->body_limit(response_body_limit);
+    // `check_limits` limits the body; the parser would refuse a longer one without telling which.
+    parser_->body_limit(boost::none);
+    parser_->header_limit(static_cast<std::uint32_t>(limits_.head_bytes));
+    head_began_.reset();
+    head_ended_.reset();
     parser_->eager(true);
     parser_->skip(head_only_);
 }
@@ -90,6 +101,11 @@
     head_only_ = head_only;
     ended_by_close_ = false;
     any_sent_ = false;
+    exceeded_ = response_limit::none;
+    response_bytes_ = 0;
+    body_bytes_ = 0;
+    framing_bytes_ = 0;
+    interim_responses_ = 0;
     request_bytes_ = std::move(bytes);
     start_parser();
     beast::error_code ec;
@@ -128,6 +144,11 @@
     beast::error_code ec;
     do {
         if (parser_->is_header_done()) {
+            if (++interim_responses_ > limits_.interim_responses) {
+                exceed(response_limit::interim_responses);
+                ec = http::error::header_limit;
+                break;
+            }
             start_parser();
             if (unparsed_bytes_ > 0) {
                 parse(unparsed_bytes_, ec);
@@ -139,7 +160,10 @@
     } while (!ec && status() < first_final_status);
     if (ec) {
         why.set(is_parse_error(ec) ? http_error::malformed : http_error::broken,
-                timed_out_ ? "timed out" : ec.message());
+                exceeded_ != response_limit::none
+                    ? "limit exceeded: " + std::string(to_string(exceeded_))
+                : timed_out_ ? "timed out"
+                             : ec.message());
         close();
         co_return false;
     }
@@ -167,7 +191,10 @@
 }
 
 asio::awaitable<void> http_connection::read_once(beast::error_code& ec) {
+    co_await await_turn();
     const std::size_t count = co_await read_payload(ec);
+    last_read_ = monotonic_now();
+    at_once_.use(count, last_read_);
     if (ec == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
         ec = {};
         parser_->put_eof(ec);
@@ -182,7 +209,56 @@
     }
 }
 
+asio::awaitable<void> http_connection::await_turn() {
+    const time_point now = monotonic_now();
+    if (at_once_.use(0, now)) {
+        co_return;
+    }
+    const time_point turn = guard_.claim_turn(now);
+    if (turn > now) {
+        beast::error_code ignored;
+        turn_.expires_at(turn);
+        co_await turn_.async_wait(token(ignored));
+    }
+}
+
+void http_connection::exceed(response_limit limit) {
+    if (exceeded_ == response_limit::none) {
+        exceeded_ = limit;
+        guard_.record(server_name_.empty() ? address_ : server_name_, address_, limit,
+                      response_bytes_, monotonic_now());
+    }
+    close();
+}
+
+response_limit http_connection::check_limits(std::size_t used, std::size_t body_bytes,
+                                             bool head_was_done) {
+    response_bytes_ += used;
+    if (!parser_->is_header_done()) {
+        head_began_ = head_began_.value_or(last_read_);
+        return last_read_ - *head_began_ > limits_.head_time ? response_limit::head_time
+                                                             : response_limit::none;
+    }
+    head_ended_ = head_ended_.value_or(last_read_);
+    body_bytes_ += body_bytes;
+    framing_bytes_ += head_was_done ? used - body_bytes : 0;
+    const auto length = parser_->content_length();
+    if (body_bytes_ > limits_.body_bytes ||
+        (!parser_->is_done() && length && *length > limits_.body_bytes)) {
+        return response_limit::body_bytes;
+    }
+    if (framing_bytes_ > limits_.framing_bytes + limits_.framing_per_body_byte * body_bytes_) {
+        return response_limit::framing_bytes;
+    }
+    const seconds for_bytes(body_bytes_ / limits_.min_body_bytes_per_second);
+    const bool late =
+        limits_.body_time && last_read_ - *head_ended_ > *limits_.body_time + for_bytes;
+    return late && !parser_->is_done() ? response_limit::body_time : response_limit::none;
+}
+
 void http_connection::parse(std::size_t available, beast::error_code& ec) {
+    const bool head_was_done = parser_->is_header_done();
+    const std::size_t body_before = parser_->get().body().size();
     std::size_t used = 0;
     while (used < available && !parser_->is_done()) {
         const std::size_t taken =
@@ -202,6 +278,27 @@
     if (!ec && unparsed_bytes_ == buffer_->size()) {
         ec = http::error::header_limit;
     }
+    response_limit limit =
+        check_limits(used, parser_->get().body().size() - body_before, head_was_done);
+    if (ec == http::error::header_limit) {
+        limit =
+            parser_->is_header_done() ? response_limit::framing_bytes : response_limit::head_bytes;
+    }
+    if (limit != response_limit::none) {
+        ec = http::error::header_limit;
+        exceed(limit);
+    }
+}
+
+std::optional<std::uint64_t> http_connection::content_length() const {
+    const auto length = parser_->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+void http_connection::record_surplus() {
+    if (complete() && unparsed_bytes_ > 0 && !ended_by_close_) {
+        exceed(response_limit::surplus_bytes);
+    }
 }
 
 int http_connection::status() const {
@@ -270,6 +367,7 @@
 void http_connection::close() {
     beast::error_code ec;
     watchdog_.cancel();
+    turn_.cancel();
     if (any_sent_ && !complete()) {
         socket_.set_option(asio::socket_base::linger(true, 0), ec);
     }
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "bamboostream/src/Http/byte_allowance.h"
 #include "bamboostream/src/Http/http_client.h"
+#include "bamboostream/src/Http/response_guard.h"
 #include "bamboostream/src/Http/tunnel_records.h"
 
 #include <array>
@@ -48,6 +50,24 @@
     void adopt_tunnel(boost::asio::ip::tcp::socket socket, std::string carrier);
     /// The instance through which this connection is tunneled; empty if it is direct.
     const std::string& carrier() const { return carrier_; }
+    /// The server's name in records of exceeded limits, instead of its address.
+    void set_server_name(std::string name) { server_name_ = std::move(name); }
+    /// Sets the limits of the responses that follow, instead of those of the `response_guard`.
+    void set_limits(const response_limits& limits) { limits_ = limits; }
+    const response_limits& limits() const { return limits_; }
+    response_guard& guard() { return guard_; }
+    /// Records that the response has exceeded a limit, and closes the connection.
+    void exceed(response_limit limit) override;
+    /// The limit that the response has exceeded, if any.
+    response_limit exceeded() const { return exceeded_; }
+    /// Whether bytes of the response have arrived within `span` before `now`.
+    bool has_received_within(duration span, time_point now) const {
+        return response_bytes_ > 0 && now - last_read_ <= span;
+    }
+    /// Records bytes that follow a complete response.
+    void record_surplus();
+    /// The length that the head of the response names, if any.
+    std::optional<std::uint64_t> content_length() const;
     /// Starts an exchange: writes `bytes`, a complete serialized request, in the background. With
     /// `head_only` the response has no body whatever its head says (HEAD).
     void send(std::string bytes, bool head_only);
@@ -85,6 +105,11 @@
 private:
     boost::asio::awaitable<void> write_remaining(std::size_t written);
     boost::asio::awaitable<void> read_once(boost::beast::error_code& ec);
+    /// Waits for this connection's turn if it has had bytes ready all the time.
+    boost::asio::awaitable<void> await_turn();
+    /// The limit that the response exceeds after `used` further bytes were parsed: `body_bytes` of
+    /// the body and the rest of the head, or of the framing if `head_was_done`.
+    response_limit check_limits(std::size_t used, std::size_t body_bytes, bool head_was_done);
     /// Reads after the parsed bytes; with a tunnel, only what its records contain.
     boost::asio::awaitable<std::size_t> read_payload(boost::beast::error_code& ec);
     void parse(std::size_t available, boost::beast::error_code& ec);
@@ -105,6 +130,22 @@
     bool timed_out_ = false;
     bool head_only_ = false;
     bool ended_by_close_ = false;
+    response_guard& guard_;
+    response_limits limits_;
+    std::string address_;
+    std::string server_name_;
+    response_limit exceeded_ = response_limit::none;
+    /// Of the current response, with its interim responses.
+    std::size_t response_bytes_ = 0;
+    std::size_t body_bytes_ = 0;
+    std::size_t framing_bytes_ = 0;
+    int interim_responses_ = 0;
+    /// When the first byte of the current head arrived, and its end.
+    std::optional<time_point> head_began_;
+    std::optional<time_point> head_ended_;
+    time_point last_read_;
+    byte_allowance at_once_;
+    boost::asio::steady_timer turn_;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Http/http_connection_pool.cpp
+++ b/bamboostream/src/Http/http_connection_pool.cpp
@@ -50,6 +50,7 @@
                                      std::shared_ptr<http_connection> connection, time_point now) {
     connection->expire_never();
     if (!connection->reusable()) {
+        connection->record_surplus();
         connection->close();
         return;
     }
--- a/bamboostream/src/Http/http_server.cpp
+++ b/bamboostream/src/Http/http_server.cpp
@@ -139,10 +139,23 @@
         co_return co_await flush();
     }
 
+    asio::awaitable<bool> begin_body(int status, std::optional<std::uint64_t> length,
+                                     std::span<const http_field> fields) override {
+        append_head(status, {}, fields);
+        chunked_ = !length;
+        out_ += length ? fmt::format("Content-Length: {}\r\n\r\n", *length)
+                       : "Transfer-Encoding: chunked\r\n\r\n";
+        co_return co_await flush();
+    }
+
     asio::awaitable<bool> write(std::string_view bytes) override {
         if (bytes.empty()) {
             co_return !gone_;
         }
+        if (!chunked_) {
+            out_ += bytes;
+            co_return co_await flush();
+        }
         fmt::format_to(std::back_inserter(out_), "{:x}\r\n", bytes.size());
         out_ += bytes;
         out_ += "\r\n";
@@ -150,7 +163,7 @@
     }
 
     asio::awaitable<bool> end_stream() override {
-        out_ += "0\r\n\r\n";
+        out_ += chunked_ ? "0\r\n\r\n" : "";
         complete_ = true;
         co_return co_await flush();
     }
@@ -244,6 +257,7 @@
     bool flushing_ = false;
     bool gone_ = false;
     bool complete_ = false;
+    bool chunked_ = true;
 };
 
 struct request_error {
--- a/bamboostream/src/Http/http_server.h
+++ b/bamboostream/src/Http/http_server.h
@@ -32,11 +32,16 @@
     /// Sends the head of a chunked response.
     virtual boost::asio::awaitable<bool> begin_stream(int status, std::string_view content_type,
                                                       std::span<const http_field> fields) = 0;
-    /// Sends `bytes` as one chunk and returns once the socket has accepted it, which is the back
-    /// pressure for a slow caller. May be called while another coroutine of the same thread is in
-    /// `write`. False when the caller is gone or has read nothing for the write timeout.
+    /// Sends the head of a response whose body is written as it arrives, with its length if that is
+    /// known and in chunks otherwise.
+    virtual boost::asio::awaitable<bool> begin_body(int status, std::optional<std::uint64_t> length,
+                                                    std::span<const http_field> fields) = 0;
+    /// Sends `bytes`, as one chunk unless the length was given, and returns once the socket has
+    /// accepted it, which is the back pressure for a slow caller. May be called while another
+    /// coroutine of the same thread is in `write`. False when the caller is gone or has read
+    /// nothing for the write timeout.
     virtual boost::asio::awaitable<bool> write(std::string_view bytes) = 0;
-    /// Ends a chunked response.
+    /// Ends a response that was begun with `begin_stream` or `begin_body`.
     virtual boost::asio::awaitable<bool> end_stream() = 0;
     /// True once a write has failed, the connection has been reset, or a watched caller has closed
     /// it.
--- a/bamboostream/src/Http/server_sent_events.h
+++ b/bamboostream/src/Http/server_sent_events.h
@@ -24,8 +24,9 @@
     std::string& buffer();
     /// Parses the next complete event; false when there is none yet.
     bool next(event& out);
-    /// True when more than `limit` bytes are buffered that belong to no parsed event.
-    bool buffered_more_than(std::size_t limit) const { return buffer_.size() - begin_ > limit; }
+    /// Bytes that belong to no parsed event, and the memory that the buffer takes.
+    std::size_t buffered() const { return buffer_.size() - begin_; }
+    std::size_t capacity() const { return buffer_.capacity(); }
 
 private:
     std::string buffer_;
--- a/bamboostream/src/Streams/relay.cpp
+++ b/bamboostream/src/Streams/relay.cpp
@@ -1,6 +1,7 @@
 #include "bamboostream/src/Streams/relay.h"
 
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Http/event_stream_limits.h"
 #include "bamboostream/src/Http/server_sent_events.h"
 
 #include <array>
@@ -18,7 +19,6 @@
 
 /// Added to the timer so that it fires after the limit and not just before it.
 constexpr milliseconds timer_slack{10};
-constexpr std::size_t max_event_bytes = 256 * 1024;
 /// Dropped events per stream that are logged individually; the rest are only counted.
 constexpr std::uint32_t max_logged_drops = 1;
 constexpr std::array<std::string_view, 4> outcome_names = {"completed", "not_run", "incomplete",
@@ -141,6 +141,9 @@
     asio::co_spawn(executor_, run_idle_watchdog(watchdog), asio::detached);
     time_point last_progress = monotonic_now();
     auto reader = std::make_unique<sse_parser>();
+    response_guard& responses = response_guard::of(executor_);
+    const response_limits limits = responses.limits();
+    auto stream_limits = std::make_unique<event_stream_limits>(limits, responses);
     auto parser = std::make_unique<engine_event_parser>();
     while (true) {
         if (!stream) {
@@ -150,15 +153,22 @@
                 break;
             }
             reader = std::make_unique<sse_parser>();
+            stream_limits = std::make_unique<event_stream_limits>(limits, responses);
         }
         watchdog->stream = stream.get();
         watchdog->last_bytes = monotonic_now();
-        const bool more = co_await stream->read(reader->buffer());
+        std::string& buffer = reader->buffer();
+        const std::size_t buffered_before = buffer.size();
+        const bool more = co_await stream->read(buffer);
+        const std::size_t received = buffer.size() - buffered_before;
         watchdog->last_bytes = monotonic_now();
         watchdog->stream = nullptr;
         bool broken = !more;
+        bool any_parsed = false;
+        bool any_token = false;
         sse_parser::event event;
         while (!broken && reader->next(event)) {
+            any_parsed = true;
             if (event.comment_only) {
                 continue;
             }
@@ -170,6 +180,7 @@
             const token_action action =
                 sequencer.evaluate(parsed.generation, parsed.sequence, parsed.final);
             if (action == token_action::deliver) {
+                any_token = true;
                 last_progress = watchdog->last_bytes;
                 progress.tokens.store(static_cast<std::uint32_t>(sequencer.next()),
                                       std::memory_order_relaxed);
@@ -191,7 +202,13 @@
                           backend_.text(), sequencer.generation(), parsed.sequence);
             }
         }
-        if (reader->buffered_more_than(max_event_bytes)) {
+        // Part of an event is no token yet, and doesn't count.
+        const bool idle = any_parsed && !any_token;
+        const response_limit exceeded = stream_limits->check(
+            {reader->buffered(), reader->capacity(), any_parsed, idle ? received : 0},
+            watchdog->last_bytes);
+        if (exceeded != response_limit::none) {
+            stream->exceed(exceeded);
             broken = true;
         }
         if (out.caller_gone()) {
