--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -43,7 +43,7 @@
     /// Memory of this instance in MB; zero when the platform doesn't report it.
     double memory_mb = 0.0;
     /// Share of that memory for responses that are kept until they are complete.
-    double response_memory_share = 0.125;
+    double response_memory_share = 0.03125;
     response_limits responses;
     /// Addresses at which to look for other instances.
     std::vector<std::string> seeds;
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -33,10 +33,14 @@
 /// megabyte. Requests up to this size fit into what servers read at once.
 constexpr std::size_t max_reusable_request_bytes = 64 * 1024;
 
-/// Bytes that a connection may read without waiting for its turn: more than a response or the
-/// events of an engine's step take, and the rate of a hundred streams.
-constexpr std::size_t burst_bytes = 32 * 1024;
+/// Bytes that a connection may read without waiting for its turn: what a response or the events of
+/// an engine's step take, and the rate of a hundred streams. A hundred responses that arrive at once
+/// delay others by this much each.
+constexpr std::size_t burst_bytes = 16 * 1024;
 constexpr std::size_t bytes_per_second = 256 * 1024;
+/// Whatever handles the bytes makes up to six copies of them, so a hundred responses that arrive
+/// faster than they are handled take some megabytes.
+constexpr std::size_t bytes_per_read = 4 * 1024;
 
 } // namespace
 
@@ -179,7 +183,8 @@
     }
     char* const begin = buffer_->data() + unparsed_bytes_;
     const std::size_t count = co_await socket_.async_read_some(
-        asio::buffer(begin, buffer_->size() - unparsed_bytes_), token(ec));
+        asio::buffer(begin, std::min(buffer_->size() - unparsed_bytes_, bytes_per_read)),
+        token(ec));
     if (!tunnel_) {
         co_return count;
     }
--- a/bamboostream/src/Http/response_guard.cpp
+++ b/bamboostream/src/Http/response_guard.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-/// An eighth of the smallest instance's memory.
-constexpr std::size_t default_memory_bytes = 11 * 1024 * 1024;
+/// A thirty-second of the smallest instance's memory.
+constexpr std::size_t default_memory_bytes = 2816 * 1024;
 /// What every response may keep without a reservation, so that events and ordinary bodies never
 /// fail because others are large.
 constexpr std::size_t unreserved_bytes = 16 * 1024;
-/// A turn reads up to 16 KB, which takes 0.1 to 0.2 ms with parsing and forwarding. Turns that are
-/// further apart than that leave most of the time to other requests.
-constexpr milliseconds turn_interval{1};
+/// A turn reads up to 4 KB, which takes some 0.05 ms with parsing and forwarding. Turns that are
+/// further apart than that leave most of the time to other requests; together they read 16 MB/s.
+constexpr std::chrono::microseconds turn_interval{250};
 constexpr seconds log_interval{60};
 /// Addresses whose latest line is remembered.
 constexpr std::size_t max_logged = 4'096;
--- a/test/system/cluster.h
+++ b/test/system/cluster.h
@@ -28,6 +28,7 @@
     bool wait_for_end(milliseconds timeout);
     int exit_code() const { return exit_code_; }
     bool ended() const { return ended_; }
+    pid_t pid() const { return pid_; }
 
 private:
     pid_t pid_ = -1;
