--- a/test/platform/endless_response_test.cpp
+++ b/test/platform/endless_response_test.cpp
@@ -202,5 +202,182 @@
         milliseconds(8'000));
 }
 
+/// A sound body that is too large to be kept, in the framing that it arrives in.
+struct large_row {
+    const char* name;
+    const char* framing;
+    int status;
+    bool breaks_off;
+};
+
+class large_body : public testing::TestWithParam<large_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, large_body,
+                         testing::Values(large_row{"length", "length", 200, false},
+                                         large_row{"chunks", "chunks", 200, false},
+                                         large_row{"failure", "length", 500, false},
+                                         large_row{"broken_length", "length", 200, true},
+                                         large_row{"broken_chunks", "chunks", 200, true}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against limits that cut off sound bodies, and against a part that looks like the whole.
+TEST_P(large_body, arrives_whole_or_is_aborted) {
+    const large_row& row = GetParam();
+    const std::string body(1'500'000, 'x');
+    forwarding_fixture f;
+    f.add("i-1", [&](scripted_connection& c) -> asio::awaitable<void> {
+        const bool has_length = std::string_view(row.framing) == "length";
+        const std::string framing = has_length ? fmt::format("Content-Length: {}", body.size())
+                                               : std::string("Transfer-Encoding: chunked");
+        const std::string head =
+            fmt::format("HTTP/1.1 {} X\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n{}\r\n\r\n",
+                        row.status, c.field("Attempt-Id"), framing);
+        const std::string sent =
+            has_length ? body : fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
+        co_await c.send(head + sent.substr(0, row.breaks_off ? sent.size() / 2 : sent.size()));
+        if (row.breaks_off) {
+            c.close();
+        }
+    });
+    const auto view = f.ask("once", "attempt-1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), row.status);
+    EXPECT_EQ(view->complete(), !row.breaks_off);
+    EXPECT_EQ(view->field("Content-Length").empty(), std::string_view(row.framing) == "chunks");
+    EXPECT_TRUE(row.breaks_off || view->body() == body);
+}
+
+// Guards against "not run" from a server that can't be believed.
+TEST(endless_refusal, is_not_reported_as_not_run) {
+    forwarding_fixture f;
+    f.add("i-1", [](scripted_connection& c) -> asio::awaitable<void> {
+        const std::string head =
+            fmt::format("HTTP/1.1 503 X\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\nNot-Executed: 1\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n",
+                        c.field("Attempt-Id"));
+        co_await c.send(head);
+        const std::string chunk = fmt::format("4000\r\n{}\r\n", std::string(0x4000, 'x'));
+        while (!c.is_closed()) {
+            co_await c.send(chunk);
+        }
+        c.close();
+    });
+    const auto view = f.ask("once", "attempt-1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 502);
+}
+
+// Guards against a server that stays without requests after it answers again.
+TEST(endless_response_server, counts_as_failing_until_it_answers) {
+    forwarding_fixture f;
+    const auto record = std::make_shared<endless_record>();
+    bool faulty = true;
+    const backend_script endless = send_endlessly(endless_kind::head_fields, 0, record);
+    const backend_script sound = answering("ok");
+    f.add("i-1", [&](scripted_connection& c) -> asio::awaitable<void> {
+        if (faulty) {
+            co_await endless(c);
+        } else {
+            co_await sound(c);
+        }
+    });
+    const auto first = f.ask("once", "attempt-1");
+    f.finish(first);
+    EXPECT_EQ(first->status(), 502);
+    const auto counts = response_guard::of(f.context().get_executor()).counts();
+    EXPECT_EQ(counts.at(static_cast<std::size_t>(response_limit::head_bytes)), 1U);
+    faulty = false;
+    const auto second = f.ask("once", "attempt-2");
+    f.finish(second);
+    EXPECT_EQ(second->status(), 200);
+}
+
+// Guards against connections that always have bytes ready and take the event loop from others.
+TEST(endless_reading, leaves_time_to_others) {
+    asio::io_context context{1};
+    response_limits limits;
+    limits.framing_bytes = std::size_t{1} << 30U;
+    response_guard::of(context.get_executor()).configure(limits, 1024 * 1024);
+    scripted_backend server(
+        context, send_endlessly(endless_kind::comments, 0, std::make_shared<endless_record>()));
+    std::size_t read = 0;
+    for (int i = 0; i < 32; ++i) {
+        asio::co_spawn(
+            context,
+            [&]() -> asio::awaitable<void> {
+                const auto connection =
+                    std::make_shared<http_connection>(co_await asio::this_coro::executor);
+                http_failure why;
+                EXPECT_TRUE(co_await connection->connect(server.address(), seconds(5), why));
+                connection->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false);
+                EXPECT_TRUE(co_await connection->read_head(why));
+                std::string bytes;
+                while (co_await connection->read(bytes)) {
+                    read += bytes.size();
+                    bytes.clear();
+                }
+            },
+            asio::detached);
+    }
+    const time_point began = monotonic_now();
+    context.run_for(milliseconds(400));
+    const double seconds_run = to_milliseconds(monotonic_now() - began) / 1000.0;
+    const double bursts = 32 * 20e3;
+    EXPECT_LT(static_cast<double>(read), bursts + seconds_run * (17e6 + 32 * 262e3));
+    EXPECT_GT(read, 32U * 16'000) << "nothing is read";
+}
+
+struct stream_row {
+    const char* name;
+    /// What arrives every `interval`.
+    event_stream_step step;
+    milliseconds interval;
+    /// The limit that it exceeds within an hour.
+    response_limit exceeded;
+};
+
+class event_stream_limit : public testing::TestWithParam<stream_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, event_stream_limit,
+    testing::Values(
+        stream_row{"keep_alive_each_second", {0, 0, true, 20}, seconds(1), response_limit::none},
+        stream_row{
+            "comment_byte_by_byte", {1, 64, true, 1}, milliseconds(100), response_limit::none},
+        stream_row{"event_after_pauses", {0, 0, true, 0}, seconds(600), response_limit::none},
+        stream_row{"comments_at_full_speed",
+                   {0, 0, true, 4'096},
+                   milliseconds(1),
+                   response_limit::bytes_without_event},
+        stream_row{"event_byte_by_byte",
+                   {100, 128, false, 0},
+                   milliseconds(100),
+                   response_limit::event_time},
+        stream_row{"long_event",
+                   {300'000, 300'000, false, 0},
+                   milliseconds(1),
+                   response_limit::event_bytes},
+        stream_row{"no_memory_left",
+                   {200'000, 262'144, false, 0},
+                   milliseconds(1),
+                   response_limit::memory}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against limits that end sound streams with long pauses, and against streams without them.
+TEST_P(event_stream_limit, is_exceeded_only_by_streams_without_end) {
+    asio::io_context context;
+    response_guard& guard = response_guard::of(context.get_executor());
+    guard.configure({}, 100'000);
+    event_stream_limits limits({}, guard);
+    const time_point began{};
+    response_limit exceeded = response_limit::none;
+    for (time_point now = began;
+         exceeded == response_limit::none && now < began + std::chrono::hours(1);
+         now += GetParam().interval) {
+        exceeded = limits.check(GetParam().step, now);
+    }
+    EXPECT_EQ(exceeded, GetParam().exceeded) << to_string(exceeded);
+}
+
 } // namespace
 } // namespace bamboostream::test
