Take ends that are refuted out of the count of ended processes

Cause: an instance that suspects itself takes members back as live.

Change: a member that is taken back, answers or refutes its failure is no longer counted as ended.

--- a/bamboostream/src/Limits/instance_count.cpp
+++ b/bamboostream/src/Limits/instance_count.cpp
@@ -12,9 +12,9 @@
 void instance_count::update(std::size_t live, std::size_t ended, time_point now) {
     live_ = live;
     if (ended > ended_) {
-        ended_ = ended;
         last_end_ = now;
     }
+    ended_ = ended;
     const std::size_t begun = live_ + ended_;
     while (!recent_.empty() && now - recent_.front().at > retention) {
         recent_.pop_front();
--- a/bamboostream/src/Limits/instance_count.h
+++ b/bamboostream/src/Limits/instance_count.h
@@ -17,7 +17,7 @@
 class instance_count {
 public:
     /// Sets the number of live instances, this one included. `ended` counts the processes that are
-    /// known to have ended since the start; it never decreases.
+    /// known to have ended since the start. One that turns out to be live moves from it to `live`.
     void update(std::size_t live, std::size_t ended, time_point now);
     /// As above, without knowledge of those that have ended.
     void update(std::size_t live, time_point now) { update(live, ended_, now); }
--- a/bamboostream/src/Membership/member_table.cpp
+++ b/bamboostream/src/Membership/member_table.cpp
@@ -132,6 +132,8 @@
             const auto r = members_.find(accused);
             if (r != members_.end() && r->second.facts.state == liveness::suspect) {
                 r->second.facts.state = liveness::live;
+                r->second.facts.ended = false;
+                update_end_count(r->second);
                 r->second.retransmits_left = 0;
                 ++revision_;
             }
@@ -146,6 +148,8 @@
         // The member's own facts were in the answer and have just been merged, so a suspicion of an
         // older incarnation is refuted.
         found->second.facts.state = liveness::live;
+        found->second.facts.ended = false;
+        update_end_count(found->second);
         schedule_retransmits(found->second, change_retransmit_factor);
         ++revision_;
     }
@@ -174,13 +178,18 @@
     }
     record& r = found->second;
     r.facts.ended = true;
-    count_end(r);
+    update_end_count(r);
     schedule_retransmits(r, change_retransmit_factor);
 }
 
-void member_table::count_end(record& r) {
-    ended_processes_ += r.end_counted ? 0 : 1;
-    r.end_counted = true;
+void member_table::update_end_count(record& r) {
+    const bool ended = r.facts.leaving || r.facts.ended;
+    if (ended && !r.end_counted) {
+        ++ended_processes_;
+    } else if (!ended && r.end_counted) {
+        --ended_processes_;
+    }
+    r.end_counted = ended;
 }
 
 void member_table::schedule_retransmits(record& r, std::uint32_t factor) const {
@@ -216,11 +225,10 @@
         ++joined_;
         const bool is_new = found == members_.end();
         record& fresh = members_[received.id.address];
-        if (!is_new) {
-            count_end(fresh);
-        }
-        fresh.end_counted = received.leaving || received.ended;
+        ended_processes_ += is_new || fresh.end_counted ? 0 : 1;
+        fresh.end_counted = false;
         fresh.facts = received;
+        update_end_count(fresh);
         fresh.state_since = now;
         fresh.key = key_of(received.id);
         schedule_retransmits(fresh, is_new ? join_retransmit_factor : change_retransmit_factor);
@@ -257,9 +265,7 @@
         known.facts.ended = true;
         schedule_retransmits(known, change_retransmit_factor);
     }
-    if (known.facts.leaving || known.facts.ended) {
-        count_end(known);
-    }
+    update_end_count(known);
     if (left || before != known.facts.state) {
         record_change(known.facts, true, before, left);
     }
--- a/bamboostream/src/Membership/member_table.h
+++ b/bamboostream/src/Membership/member_table.h
@@ -32,7 +32,7 @@
     /// A graceful shutdown has begun. Never revoked for the same start stamp.
     bool leaving = false;
     /// The process is known to have ended: its machine refused a connection. Retracted if the
-    /// instance refutes that it has failed.
+    /// instance refutes that it has failed or answers, or if the observer suspects itself.
     bool ended = false;
     /// Load of the entry role in thousandths, 0 to 1000.
     std::uint16_t busy_permille = 0;
@@ -143,7 +143,8 @@
     std::vector<std::string> all_addresses() const;
     /// Processes of other instances that are known to have ended or to be leaving, or in whose
     /// place another one has started, counted since the start: they act for no others any more,
-    /// while an instance that is merely suspect or gone may be partitioned and go on.
+    /// while an instance that is merely suspect or gone may be partitioned and go on. One that
+    /// turns out to be live is taken out again.
     std::size_t ended_processes() const { return ended_processes_; }
     std::optional<member_facts> find(std::string_view address) const;
     /// True while probes of several members fail with no answer in between. The failure is then
@@ -160,14 +161,14 @@
         std::uint32_t retransmits_left = 0;
         /// Hash of this process of the member, sent in `member_gossip::keys`.
         std::uint32_t key = 0;
-        /// Included in `ended_processes`, or never usable.
+        /// Included in `ended_processes`.
         bool end_counted = false;
     };
 
     void schedule_retransmits(record& r, std::uint32_t factor) const;
     void record_change(const member_facts& now, bool was_known, liveness before, bool left);
     void refute(const member_facts& received);
-    void count_end(record& r);
+    void update_end_count(record& r);
     void record_probe_result(std::string_view address, bool answered, time_point now);
     void refill_probe_order();
     std::uint64_t summary() const;
--- a/test/platform/rate_limit_exchange_test.cpp
+++ b/test/platform/rate_limit_exchange_test.cpp
@@ -172,6 +172,8 @@
     const std::vector<std::string> now = issuers();
     ASSERT_NE(now[0], before[0]->address());
     ASSERT_NE(asker.address(), now[1]);
+    // Its machine refuses connections.
+    EXPECT_TRUE(asker.membership->members().find(before[0]->address())->ended);
     group_.kill(group_.at(now[0]));
     EXPECT_TRUE(acquire(asker));
 }
--- a/test/rate_permit_load_test.cpp
+++ b/test/rate_permit_load_test.cpp
@@ -450,6 +450,7 @@
                     count_row{"ended", {{75, 0}, {38, 37}}, 38},
                     count_row{"known_to_have_ended_later", {{75, 0}, {38, 0}, {38, 37}}, 38},
                     count_row{"replaced_then_lost", {{75, 0}, {74, 1}, {75, 1}, {38, 1}}, 75},
+                    count_row{"refuted_then_lost", {{75, 0}, {74, 1}, {75, 0}, {38, 0}}, 75},
                     count_row{"some_ended_some_lost", {{75, 0}, {60, 10}}, 65}),
     [](const auto& info) { return info.param.name; });
 
