Start the learning time anew when other instances are found; rename the key of shares

An instance that starts is alone at first and counted that as having heard all reports. The name of the key was also that of a struct in Configuration, so that sources including both didn't compile.

A test with a scripted engine covers holdings of a running generation, the refusal with Retry-After and its metric.

--- a/bamboostream/src/Forwarding/engine_choice.cpp
+++ b/bamboostream/src/Forwarding/engine_choice.cpp
@@ -74,7 +74,7 @@
         return {};
     }
     return state.shares.check(
-        {make_workspace_key(request.service, request.workspace), request.work.memory_tokens,
+        {make_share_key(request.service, request.workspace), request.work.memory_tokens,
          request.work.memory_tokens - request.work.unread_tokens, request.priority,
          static_cast<std::int64_t>(engines) * request.engine_memory_tokens},
         state.admission, now);
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -226,7 +226,7 @@
 void forwarded_call::register_work(const backend_id& id) {
     unregister_work();
     work_backend_ = id;
-    work_key_ = make_workspace_key(service_->id, workspace_);
+    work_key_ = make_share_key(service_->id, workspace_);
     update_work(expected_work());
 }
 
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -192,7 +192,7 @@
     backend_id work_backend_;
     backend_work registered_work_;
     /// The workspace and service to which that work counts.
-    workspace_key work_key_;
+    share_key work_key_;
     /// The server of the latest attempt, and whether it has sent a response head.
     registered_backend sent_to_;
     bool response_head_received_ = false;
--- a/bamboostream/src/Gateway/owner_scheduler.cpp
+++ b/bamboostream/src/Gateway/owner_scheduler.cpp
@@ -67,7 +67,7 @@
     }
     // Instances report holdings only of services whose servers report the load of their host.
     for (const service_rule& service : forwarding_.routes->configuration().services) {
-        const std::uint64_t hash = make_workspace_key(service.id, {}).service;
+        const std::uint64_t hash = make_share_key(service.id, {}).service;
         if (std::any_of(holdings.begin(), holdings.end(),
                         [hash](const auto& it) { return it.key.service == hash; })) {
             forwarding_.server_loads.set_reports_host_load(service.id);
@@ -178,8 +178,7 @@
         if (forwarding_.server_loads.reports_host_load(wanted.service)) {
             forwarding_.shares.add_expected(
                 sender,
-                {make_workspace_key(wanted.service, wanted.workspace), wanted.work.memory_tokens},
-                now);
+                {make_share_key(wanted.service, wanted.workspace), wanted.work.memory_tokens}, now);
         }
     }
     return make_reply(to_wire(choice));
--- a/bamboostream/src/Limits/workspace_shares.cpp
+++ b/bamboostream/src/Limits/workspace_shares.cpp
@@ -19,8 +19,7 @@
 
 } // namespace
 
-workspace_key make_workspace_key(const service_id& service,
-                                 const std::optional<workspace_id>& workspace) {
+share_key make_share_key(const service_id& service, const std::optional<workspace_id>& workspace) {
     return {stable_hash(service.text()), stable_hash(workspace ? workspace->text() : "")};
 }
 
@@ -96,7 +95,7 @@
     return {true, asker.overload.record_refusal(now)};
 }
 
-void workspace_shares::add(const workspace_key& key, std::int64_t memory_tokens) {
+void workspace_shares::add(const share_key& key, std::int64_t memory_tokens) {
     if (memory_tokens != 0) {
         service_state& service = services_[key.service];
         service.workspaces[key.workspace].own_tokens += memory_tokens;
@@ -161,12 +160,15 @@
 void workspace_shares::set_chooses(const service_id& service, bool chooses, bool alone,
                                    time_point now) {
     service_state& state = services_[stable_hash(service.text())];
-    if (!chooses) {
+    // An instance that has just started knows no others yet.
+    if (!chooses || (state.alone && !alone)) {
         state.heard_since.reset();
-    } else if (alone && !state.heard_since) {
+    }
+    if (chooses && alone && !state.heard_since) {
         state.heard_since = now;
     }
     state.chooses = chooses;
+    state.alone = alone;
     std::erase_if(state.workspaces, [now](const auto& item) {
         const workspace_state& it = item.second;
         return it.own_tokens == 0 && it.peer_tokens == 0 && !it.asks(now);
@@ -186,7 +188,7 @@
     }
 }
 
-std::int64_t workspace_shares::held(const workspace_key& key, time_point now) {
+std::int64_t workspace_shares::held(const share_key& key, time_point now) {
     expire(now);
     const auto service = services_.find(key.service);
     if (service == services_.end()) {
--- a/bamboostream/src/Limits/workspace_shares.h
+++ b/bamboostream/src/Limits/workspace_shares.h
@@ -18,20 +18,19 @@
 
 /// Identifies a workspace's work at the engines of a service by hashes of both ids, which are the
 /// same on every instance.
-struct workspace_key {
+struct share_key {
     std::uint64_t service = 0;
     /// Requests without a workspace have the hash of the empty id, and count as one workspace.
     std::uint64_t workspace = 0;
 
-    bool operator==(const workspace_key&) const = default;
+    bool operator==(const share_key&) const = default;
 };
-workspace_key make_workspace_key(const service_id& service,
-                                 const std::optional<workspace_id>& workspace);
+share_key make_share_key(const service_id& service, const std::optional<workspace_id>& workspace);
 
 /// Cache memory that the generations of one workspace hold or are expected to hold, in tokens over
 /// all engines of a service.
 struct workspace_holding {
-    workspace_key key;
+    share_key key;
     std::int64_t memory_tokens = 0;
 };
 
@@ -64,7 +63,7 @@
 
 /// A generation that is to be checked against its workspace's share.
 struct share_request {
-    workspace_key key;
+    share_key key;
     std::int64_t memory_tokens = 0;
     /// How many of these tokens are expected output.
     std::int64_t output_tokens = 0;
@@ -108,7 +107,7 @@
     explicit workspace_shares(workspace_share_rules rules = {}) : rules_(rules) {}
 
     /// Changes the memory that this instance's own generations hold.
-    void add(const workspace_key& key, std::int64_t memory_tokens);
+    void add(const share_key& key, std::int64_t memory_tokens);
     /// Replaces the previous report of `peer`.
     void hear(const std::string& peer, std::span<const workspace_holding> report, time_point now);
     /// Adds a generation that `peer` is about to start; its next report replaces it.
@@ -122,7 +121,7 @@
     /// Appends what this instance's generations hold at the service, to be reported to others.
     void append_own(const service_id& service, std::vector<workspace_holding>& out) const;
     /// What a workspace holds at all instances, in tokens.
-    std::int64_t held(const workspace_key& key, time_point now);
+    std::int64_t held(const share_key& key, time_point now);
     /// Workspaces that hold more than their share, over all services in which shares are in force;
     /// as of the latest request of each service.
     std::size_t over_share(time_point now) const;
@@ -145,6 +144,7 @@
         /// Sum of what the workspaces hold.
         std::int64_t held = 0;
         bool chooses = false;
+        bool alone = false;
         /// The first report since this instance chooses for others.
         std::optional<time_point> heard_since;
         /// Memory that was divided at the latest request while shares were in force, and when.
--- a/test/platform/admission_load_test.cpp
+++ b/test/platform/admission_load_test.cpp
@@ -198,7 +198,7 @@
 
     void record_work(generation& g, const backend_work& work) {
         state_.loads.subtract(g.at, g.recorded_work);
-        state_.shares.add(make_workspace_key(service_id("s"), workspace_of(g)),
+        state_.shares.add(make_share_key(service_id("s"), workspace_of(g)),
                           work.memory_tokens - g.recorded_work.memory_tokens);
         g.recorded_work = work;
         state_.loads.add(g.at, work);
--- a/test/platform/owner_scheduler_test.cpp
+++ b/test/platform/owner_scheduler_test.cpp
@@ -216,8 +216,8 @@
         at.forwarding.loads.add(backend_id("i-0"), {1, 1'000, 0});
         at.forwarding.shares.add(key_of(workspace), tokens);
     }
-    static workspace_key key_of(const std::string& workspace) {
-        return make_workspace_key(service_id("s"), workspace_id(workspace));
+    static share_key key_of(const std::string& workspace) {
+        return make_share_key(service_id("s"), workspace_id(workspace));
     }
     static std::int64_t held(peer_instance& at, const std::string& workspace) {
         return at.forwarding.shares.held(key_of(workspace), monotonic_now());
--- a/test/platform/refusal_test.cpp
+++ b/test/platform/refusal_test.cpp
@@ -1,6 +1,7 @@
 // Requests that an instance rejects itself: the response to the caller, and that no backend server
 // receives them.
 
+#include "bamboostream/src/Gateway/gateway_metrics.h"
 #include "test/platform/forwarding_fixture.h"
 
 #include <gtest/gtest.h>
@@ -108,6 +109,40 @@
     EXPECT_LT(monotonic_now() - sent_at, milliseconds(500));
 }
 
+// Guards against memory that isn't counted for its workspace while a generation runs, or still is
+// after it has ended, and against a refusal that isn't counted or doesn't say when to retry.
+TEST(forwarding, a_workspace_above_its_share_is_told_to_return) {
+    forwarding_fixture f;
+    f.add(
+        "i-1",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            co_await c.wait_for_close();
+            c.close();
+        },
+        "engines");
+    const service_id engines("engines");
+    const share_key desk = make_share_key(engines, workspace_id("desk"));
+    const share_key other = make_share_key(engines, std::nullopt);
+    workspace_shares& shares = f.state().shares;
+    f.state().server_loads.set_reports_host_load(engines);
+    shares.set_chooses(engines, true, true, monotonic_now() - seconds(1));
+    const auto running = f.ask("long", "a1");
+    f.run_for(milliseconds(50));
+    EXPECT_EQ(shares.held(desk, monotonic_now()), 140);
+    shares.add(desk, 40'000);
+    shares.check({other, 1'000, 900, 0, 30'000}, {}, monotonic_now());
+    const auto refused = f.ask("long", "a2");
+    f.finish(refused);
+    EXPECT_EQ(refused->status(), 503);
+    EXPECT_FALSE(refused->field("Retry-After").empty());
+    EXPECT_NE(exposition(f.state(), {}, monotonic_now())
+                  .find("bamboostream_refused_total{cause=\"workspace_over_share\"} 1\n"),
+              std::string::npos);
+    f.leave(running);
+    f.run_for(milliseconds(100));
+    EXPECT_EQ(shares.held(desk, monotonic_now()), 40'000);
+}
+
 // All servers are down. Nothing was sent, so the instance answers 503 ("not run") at once.
 TEST(forwarding, servers_that_refuse_connections_leave_the_request_unrun) {
     forwarding_fixture f;
--- a/test/platform/workspace_shares_test.cpp
+++ b/test/platform/workspace_shares_test.cpp
@@ -13,8 +13,8 @@
 /// Of each request.
 constexpr std::int64_t size = 1'000;
 
-workspace_key key_of(const std::string& workspace) {
-    return make_workspace_key(service_id("s"), workspace_id(workspace));
+share_key key_of(const std::string& workspace) {
+    return make_share_key(service_id("s"), workspace_id(workspace));
 }
 
 /// What one or more workspaces hold, and how many requests they have just sent.
@@ -66,7 +66,7 @@
     int index = 0;
     for (const holder& it : GetParam().holders) {
         for (int i = 0; i < it.count; ++i, ++index) {
-            const workspace_key key = key_of(fmt::format("w-{}", index));
+            const share_key key = key_of(fmt::format("w-{}", index));
             shares.add(key, it.held);
             for (int asked = 0; asked < it.asked && index > 0; ++asked) {
                 shares.check({key, size, 500, 0, pool * 10}, {}, start);
@@ -111,6 +111,10 @@
     EXPECT_TRUE(is_over(1'910));
     shares_.set_chooses(service_id("s"), false, false, start + milliseconds(2'000));
     EXPECT_FALSE(is_over(2'000));
+    shares_.set_chooses(service_id("s"), true, true, start + milliseconds(2'000));
+    EXPECT_TRUE(is_over(2'500));
+    choose_since(milliseconds(2'500));
+    EXPECT_FALSE(is_over(2'900));
 }
 
 // Guards against memory that counts twice, or for ever, after an instance reports it or ends.
