--- a/bamboostream/src/Gateway/owner_scheduler.cpp
+++ b/bamboostream/src/Gateway/owner_scheduler.cpp
@@ -69,7 +69,7 @@
     }
     // Instances report holdings only of services whose memory is contended.
     for (const service_rule& service : forwarding_.routes->configuration().services) {
-        const std::uint64_t hash = make_workspace_key(service.id, {}).service;
+        const std::uint64_t hash = make_share_key(service.id, {}).service;
         if (std::any_of(holdings.begin(), holdings.end(),
                         [hash](const auto& it) { return it.key.service == hash; })) {
             forwarding_.contended_services.insert(service.id);
@@ -225,8 +225,7 @@
         if (forwarding_.is_contended(wanted.service)) {
             forwarding_.shares.add_expected(
                 sender,
-                {make_workspace_key(wanted.service, wanted.workspace), wanted.work.memory_tokens},
-                now);
+                {make_share_key(wanted.service, wanted.workspace), wanted.work.memory_tokens}, now);
         }
     }
     return make_reply(to_wire(choice));
