--- a/bamboostream/src/Limits/retry_delay.cpp
+++ b/bamboostream/src/Limits/retry_delay.cpp
@@ -51,7 +51,8 @@
         latest = std::min(latest, std::chrono::duration_cast<duration>(*request.caller_timeout *
                                                                        max_wait_fraction));
     }
-    duration earliest = std::min<duration>(request.hold, max_hold_delay - return_spread);
+    duration earliest =
+        std::clamp<duration>(request.hold, min_transient_delay, max_hold_delay - return_spread);
     if (earliest >= latest) {
         earliest = std::min(
             latest, fraction_of(objective, min_hold_fraction, min_transient_delay, max_hold_delay));
