--- a/bamboostream/src/Limits/permit_issuer.cpp
+++ b/bamboostream/src/Limits/permit_issuer.cpp
@@ -55,12 +55,9 @@
 void permit_issuer::update_instance_count(std::size_t live, std::size_t ended, time_point now) {
     instances_.update(live, ended, now);
     const double part = static_cast<double>(live) / static_cast<double>(instances_.max_recent());
-    if (part <= part_) {
-        part_ = part;
-        part_grown_at_.reset();
-    } else if (!part_grown_at_) {
+    if (part > part_ && !part_grown_at_) {
         part_grown_at_ = now;
-    } else if (now - *part_grown_at_ >= view_lag) {
+    } else if (part <= part_ || now - *part_grown_at_ >= view_lag) {
         part_ = part;
         part_grown_at_.reset();
     }
