Grant the owner's own request once the limit of its server has ended

Cause: an owner that asks itself issued from an empty account, while it grants requests of others to a server without a limit. rate_limit_exchange_test.a_limit_and_its_end_are_told_to_all failed when the asking instance happened to be the owner (one of eight): 1 of 12 repetitions, and once before.

--- a/bamboostream/src/Control/rate_limit_exchange.cpp
+++ b/bamboostream/src/Control/rate_limit_exchange.cpp
@@ -213,10 +213,12 @@
 asio::awaitable<bool> rate_limit_exchange::acquire(registered_backend server, int priority) {
     for (const std::string& issuer : issuers(server)) {
         if (issuer == membership_.own_address()) {
-            const permit_decision decision =
-                issuer_.issue(terms_for(server, priority), monotonic_now());
-            ++(decision.granted ? counts_.granted : counts_.denied);
-            co_return decision.granted;
+            // A server whose limit has ended needs no permit, as in `answer`.
+            const bool granted =
+                !limits_.find(server.id) ||
+                issuer_.issue(terms_for(server, priority), monotonic_now()).granted;
+            ++(granted ? counts_.granted : counts_.denied);
+            co_return granted;
         }
         if (is_unresponsive(issuer, monotonic_now())) {
             continue;
