Document unbounded responses; key records by server; test a tunnel

Cause: behind a carrier, the address of a tunneled connection is the carrier's, so two servers shared one log interval. Change: records go by the server's id.

--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -369,7 +369,7 @@
         co_return fail(to, attempt_end::failed, "server reported a failure");
     }
     if (!connection_->content_length() &&
-        connection_->guard().has_exceeded_lately(to.backend.address, monotonic_now())) {
+        connection_->guard().has_exceeded_lately(to.backend.id.text(), monotonic_now())) {
         connection_->exceed(response_limit::body_bytes);
         co_return fail(to, attempt_end::lost, failure_reason(""));
     }
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -34,8 +34,8 @@
 constexpr std::size_t max_reusable_request_bytes = 64 * 1024;
 
 /// Bytes that a connection may read without waiting for its turn: what a response or the events of
-/// an engine's step take, and the rate of a hundred streams. A hundred responses that arrive at once
-/// delay others by this much each.
+/// an engine's step take, and the rate of a hundred streams. A hundred responses that arrive at
+/// once delay others by this much each.
 constexpr std::size_t burst_bytes = 16 * 1024;
 constexpr std::size_t bytes_per_second = 256 * 1024;
 /// Whatever handles the bytes makes up to six copies of them, so a hundred responses that arrive
--- a/bamboostream/src/Http/response_guard.cpp
+++ b/bamboostream/src/Http/response_guard.cpp
@@ -79,7 +79,7 @@
             std::erase_if(logged_,
                           [now](const auto& it) { return now - it.second >= log_interval; });
         }
-        const auto [latest, is_new] = logged_.try_emplace(address, now);
+        const auto [latest, is_new] = logged_.try_emplace(server, now);
         if (!is_new && now - latest->second < log_interval) {
             return;
         }
@@ -89,9 +89,9 @@
               address, to_string(limit), bytes);
 }
 
-bool response_guard::has_exceeded_lately(const std::string& address, time_point now) const {
+bool response_guard::has_exceeded_lately(const std::string& server, time_point now) const {
     const std::lock_guard lock(mutex_);
-    const auto found = logged_.find(address);
+    const auto found = logged_.find(server);
     return found != logged_.end() && now - found->second < log_interval;
 }
 
--- a/bamboostream/src/Http/response_guard.h
+++ b/bamboostream/src/Http/response_guard.h
@@ -47,8 +47,8 @@
     /// its id, or its address if that isn't known.
     void record(const std::string& server, const std::string& address, response_limit limit,
                 std::size_t bytes, time_point now);
-    /// Whether the server at the address has exceeded a limit within the minute before `now`.
-    bool has_exceeded_lately(const std::string& address, time_point now) const;
+    /// Whether a line for the server was written within the minute before `now`.
+    bool has_exceeded_lately(const std::string& server, time_point now) const;
     std::array<std::uint64_t, static_cast<std::size_t>(response_limit::count_)> counts() const;
 
 private:
@@ -60,7 +60,7 @@
     std::size_t reserved_ = 0;
     time_point next_turn_;
     std::array<std::uint64_t, static_cast<std::size_t>(response_limit::count_)> counts_{};
-    /// When the latest line was written for the server at an address.
+    /// When the latest line was written for a server.
     std::unordered_map<std::string, time_point> logged_;
 };
 
--- a/test/platform/tunnel_test.cpp
+++ b/test/platform/tunnel_test.cpp
@@ -4,6 +4,7 @@
 #include "bamboostream/src/Forwarding/backend_connection.h"
 #include "bamboostream/src/Http/address.h"
 #include "bamboostream/src/Links/frame_codec.h"
+#include "test/platform/endless_script.h"
 #include "test/platform/peer_group.h"
 #include "test/platform/scripted_backend.h"
 #include "test/platform/unreachable_addresses.h"
@@ -152,6 +153,20 @@
     server.stop();
 }
 
+// Guards against a response without an end that two instances go on to pass and to read.
+TEST_F(tunnel_test, a_response_without_an_end_ends_at_a_limit) {
+    const auto record = std::make_shared<endless_record>();
+    scripted_backend server(group_.context,
+                            send_endlessly(endless_kind::chunk_extensions, 0, record));
+    add_server("i-0", server.address(), refusing_address());
+    const auto result = finish("i-0");
+    EXPECT_TRUE(result->done && !result->complete && !result->carrier.empty());
+    EXPECT_EQ(connection_->exceeded(), response_limit::framing_bytes);
+    group_.run_for(milliseconds(200));
+    EXPECT_EQ(record->closed, 1);
+    server.stop();
+}
+
 TEST_F(tunnel_test, a_connection_without_an_answer_goes_through_another_instance) {
     scripted_backend server(group_.context, answering_with(framed_response));
     add_server("i-0", server.address(), silent_address());
