--- a/test/platform/endless_script.cpp
+++ b/test/platform/endless_script.cpp
@@ -49,7 +49,7 @@
 }
 
 backend_script send_endlessly(endless_kind kind, int ms_per_byte,
-                              std::shared_ptr<endless_record> record) {
+                              const std::shared_ptr<endless_record>& record) {
     return [=](scripted_connection& c) -> boost::asio::awaitable<void> {
         constexpr std::size_t bytes_per_send = 64 * 1024;
         const endless_bytes bytes = endless_response(kind, c.field("Attempt-Id"));
--- a/test/platform/endless_script.h
+++ b/test/platform/endless_script.h
@@ -49,6 +49,6 @@
 /// Answers each request with an endless response: as fast as the peer reads, or a byte each
 /// `ms_per_byte`.
 backend_script send_endlessly(endless_kind kind, int ms_per_byte,
-                              std::shared_ptr<endless_record> record);
+                              const std::shared_ptr<endless_record>& record);
 
 } // namespace bamboostream::test
