Hold the new tests to the stated targets; list what they show

The row half_lost_at_twenty of permit_load had a target of 0.75 and two rows of workspace_surge one of 0.94, set after the figures, and the system test of responses without end had lost its check of other callers' times. The load test of workspace shares puts only the shares in force, so that the pace of engines doesn't count in it.

--- a/test/platform/admission_load_test.cpp
+++ b/test/platform/admission_load_test.cpp
@@ -72,7 +72,7 @@
           workspace_of_(pool.demands.begin(), pool.demands.end()),
           by_workspace_(pool.demands.size()) {
         if (pool.divides_memory) {
-            state_.server_loads.set_reports_host_load(service_id("s"));
+            state_.contended_services.insert(service_id("s"));
             state_.shares.set_chooses(service_id("s"), true, true, start - seconds(1));
         }
         for (int i = 0; i < engines_; ++i) {
@@ -356,13 +356,11 @@
 
 class workspace_surge : public testing::TestWithParam<common_surge> {};
 
-// If large workspaces ask for more than their shares, room is kept for the others, which costs some
-// of the value.
 INSTANTIATE_TEST_SUITE_P(table, workspace_surge,
                          testing::Values(common_surge{1.0, 1.0, 1.0}, common_surge{1.0, 4.0, 1.0},
                                          common_surge{1.5, 1.0, 0.98}, common_surge{2.2, 1.0, 0.98},
-                                         common_surge{1.5, 4.0, 0.94},
-                                         common_surge{2.2, 4.0, 0.94}));
+                                         common_surge{1.5, 4.0, 0.98},
+                                         common_surge{2.2, 4.0, 0.98}));
 
 // Guards against shares that leave memory idle when all workspaces ask for more.
 TEST_P(workspace_surge, shares_leave_no_memory_idle) {
--- a/test/platform/system/endless_response_test.cpp
+++ b/test/platform/system/endless_response_test.cpp
@@ -99,14 +99,11 @@
                                                 info.param.responses);
                          });
 
-// Guards against faulty servers that take an instance's memory. The times of other callers are
-// printed and not checked: on a machine with other work they show that work. That responses in bulk
-// leave time to others is checked by `endless_reading`.
-TEST_P(endless_load, costs_an_instance_little_memory) {
+// Guards against faulty servers that hold up the requests of other callers.
+TEST_P(endless_load, delays_other_callers_little) {
     const instance_under_test& it = add_instance(serving_store_);
     ASSERT_TRUE(serves(it, "key"));
     const double calm_ms = p99(it, 400);
-    const std::size_t before_kb = memory_kb(it.running->pid(), "VmRSS");
     std::vector<std::shared_ptr<call_result>> endless;
     for (int i = 0; i < GetParam().responses; ++i) {
         endless.push_back(send_request(it, "key", GetParam().path));
@@ -115,11 +112,26 @@
     wait_until([&] {
         return std::all_of(endless.begin(), endless.end(), [](const auto& c) { return c->done; });
     });
+    fmt::print("p99 {:.2f} ms before, {:.2f} ms under load\n", calm_ms, loaded_ms);
+    EXPECT_LE(loaded_ms, 1.5 * calm_ms);
+}
+
+// Guards against faulty servers that take an instance's memory.
+TEST_P(endless_load, costs_an_instance_little_memory) {
+    const instance_under_test& it = add_instance(serving_store_);
+    ASSERT_TRUE(serves(it, "key"));
+    const std::size_t before_kb = memory_kb(it.running->pid(), "VmRSS");
+    std::vector<std::shared_ptr<call_result>> endless;
+    for (int i = 0; i < GetParam().responses; ++i) {
+        endless.push_back(send_request(it, "key", GetParam().path));
+    }
+    wait_until([&] {
+        return std::all_of(endless.begin(), endless.end(), [](const auto& c) { return c->done; });
+    });
     const std::size_t peak_kb = memory_kb(it.running->pid(), "VmHWM");
     const auto complete = std::count_if(endless.begin(), endless.end(),
                                         [](const auto& c) { return c->status == 200; });
-    fmt::print("p99 {:.2f} ms before, {:.2f} ms under load; memory {} KB before, {} KB at most\n",
-               calm_ms, loaded_ms, before_kb, peak_kb);
+    fmt::print("memory {} KB before, {} KB at most\n", before_kb, peak_kb);
     EXPECT_EQ(complete, 0) << "an answer without an end looks complete";
     EXPECT_LE(
         peak_kb - before_kb,
--- a/test/rate_permit_load_test.cpp
+++ b/test/rate_permit_load_test.cpp
@@ -20,9 +20,6 @@
 constexpr double allowed_factor = 1.5;
 constexpr double allowed_slack = 5.0;
 constexpr double min_used = 0.8;
-/// Two halves that can't be told from a half that is left alone share the bound of 6 x the limit +
-/// 5 in 4 s, so that each issues 0.75 x the limit and 0.6 a second: less than 0.8 of 20 a second.
-constexpr double max_half_used = 0.75;
 constexpr seconds length{40};
 /// How long an instance goes on asking, or acting as, an owner that is no longer one.
 constexpr milliseconds view_lag{1'000};
@@ -58,8 +55,6 @@
     demand_kind demand = demand_kind::spread;
     /// Attempts at the server a second, as a multiple of the limit.
     double demand_factor = 6.0;
-    /// The part of the limit that must be used.
-    double least_used = min_used;
     /// Whether it is known of instances that are killed or lost that they have ended.
     bool ends_known = false;
     /// Whether each instance tells its issuer its role once a second, not only when it is asked.
@@ -321,7 +316,7 @@
         permit_scenario{"half_lost_of_two", 2, 2.4, half_lost},
         permit_scenario{"half_lost_of_most", 1'100, 2.4, half_lost},
         permit_scenario{"half_lost_at_one_in_five_s", 8, 0.2, half_lost},
-        permit_scenario{"half_lost_at_twenty", 75, 20.0, half_lost, spread, 6.0, max_half_used},
+        permit_scenario{"half_lost_at_twenty", 75, 20.0, half_lost},
         with_known_ends({"half_ended", 75, 2.4, half_lost}),
         with_known_ends({"half_ended_at_twenty", 75, 20.0, half_lost}),
         with_known_ends(owners_every(owners_replaced, "replaced_every_3_s", 8, 2.4, 3'000)),
@@ -343,7 +338,7 @@
     const double used = static_cast<double>(permit_simulation(row).run().size()) /
                         (row.per_second * to_milliseconds(length) / 1'000.0);
     fmt::print("used {:.2f}\n", used);
-    EXPECT_GE(used, row.least_used);
+    EXPECT_GE(used, min_used);
 }
 
 /// How instances may keep a common limit.
