--- a/bamboostream/src/Routing/server_pace.h
+++ b/bamboostream/src/Routing/server_pace.h
@@ -32,8 +32,10 @@
 /// for each server, and with a common function a new server of known pace is judged at once. The
 /// function never falls as the ratio rises.
 ///
-/// A server without samples counts as the mean of its service. All values are estimates from what
-/// instances report; one false sample has a bounded effect. Not thread-safe.
+/// A server without samples counts as the mean of its service, corrected by the load that it
+/// reports of its host. One of which nothing is known counts as one of the slowest quarter where
+/// the risk of a late pause is asked for. All values are estimates from what instances report; one
+/// false sample has a bounded effect. Not thread-safe.
 ///
 /// Example: `pace.observe(service, hash, {12, 840, 0, milliseconds(180)}, now);`
 class server_pace {
