--- a/test/platform/system/endless_response_test.cpp
+++ b/test/platform/system/endless_response_test.cpp
@@ -44,6 +44,8 @@
         servers_.stop();
         serving_.join();
     }
+    endless_load(const endless_load&) = delete;
+    endless_load& operator=(const endless_load&) = delete;
 
     void add_endless_backend(const std::string& id) {
         endless_.push_back(std::make_unique<scripted_backend>(
