--- a/bamboostream/src/Forwarding/active_streams.h
+++ b/bamboostream/src/Forwarding/active_streams.h
@@ -37,8 +37,8 @@
     /// The software version of the server that began it; empty if it comes from an instance of the
     /// previous version.
     software_version version{};
-    /// Rank; 0 is the most urgent. Known only for services whose servers report the load of their
-    /// host, like the next field.
+    /// Rank; 0 is the most urgent. Known only for services whose memory is contended, like the next
+    /// field.
     int priority = 0;
     std::int64_t output_tokens = 0;
 
@@ -57,7 +57,7 @@
     stream_origin origin;
     /// The generation must not run again, but its engine can move it to another one.
     bool movable = false;
-    /// Rank, if the servers of the service report the load of their host.
+    /// Rank, if the memory of the service's engines is contended.
     std::optional<int> priority;
     std::int64_t prompt_tokens = 0;
     /// The caller's estimate; zero if it gave none.
