--- a/review/2/play.cpp
+++ b/review/2/play.cpp
@@ -38,11 +38,12 @@
     const std::string id = request.field("Attempt-Id");
     const std::string last = request.field("Last-Event-Id");
     const int from = last.empty() ? 0 : std::stoi(last);
-    bool fails = false;
+    int number = 0;
     {
         const std::lock_guard lock(mutex);
-        fails = ++requests[r.id()] % 7 == 0;
+        number = ++requests[r.id()];
     }
+    const bool fails = number % 7 == 0;
     const bool is_dark = dark == index_of(r);
     record(r.id() + " runs " + id + (last.empty() ? "" : " after event " + last));
     if (is_dark) {
@@ -52,12 +53,17 @@
         c.ended = true;
         return;
     }
-    if (fails) {
+    if (fails && number % 2 == 0) {
         record(r.id() + " answers " + id + " with its own 409");
         c.send(sealed(409, id, "{\"error\":\"the letter is locked\"}",
                       "Content-Type: application/json\r\n"));
         return;
     }
+    if (fails) {
+        record(r.id() + " answers " + id + " with its own 500 and a long report");
+        c.send(sealed(500, id, std::string(300'000, 'r'), "Content-Type: text/plain\r\n"));
+        return;
+    }
     c.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Seal: seal." + id +
            "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     for (int i = from + 1; i <= events; ++i) {
@@ -113,6 +119,7 @@
     pause(1.0);
     record("requests begin");
     std::map<int, int> statuses;
+    std::map<std::string, int> by_status;
     int whole = 0;
     int broken_off = 0;
     int bad = 0;
@@ -133,6 +140,9 @@
                                     8.0);
                 const std::lock_guard lock(mutex);
                 ++statuses[r.status];
+                if (r.malformed) {
+                    ++by_status[r.malformed_bytes.substr(0, 12)];
+                }
                 whole += r.status == 200 && r.complete ? 1 : 0;
                 broken_off += r.status == 200 && !r.complete && !r.malformed ? 1 : 0;
                 if (r.malformed) {
@@ -162,6 +172,9 @@
     for (const auto& [status, count] : statuses) {
         record("status " + std::to_string(status) + ": " + std::to_string(count));
     }
+    for (const auto& [status, count] : by_status) {
+        record("in open streams, " + status + ": " + std::to_string(count));
+    }
     record("whole streams " + std::to_string(whole) + ", broken off " + std::to_string(broken_off));
     if (whole < 100) {
         finish(could_not_run, "too few streams were served");
