--- a/review/4/play.cpp
+++ b/review/4/play.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-constexpr int replicas = 6;
+constexpr int replicas = 12;
+/// A sixth of the replicas is emptied.
+constexpr std::size_t emptied = 2;
 constexpr int events = 24;
 
 constexpr int prompt_tokens = 3'000;
@@ -187,9 +189,9 @@
     std::vector<std::thread> consumers;
     std::atomic<double> hup_at{1e9};
     const double start = seconds();
-    for (int k = 0; k < 42; ++k) {
+    for (int k = 0; k < 84; ++k) {
         consumers.emplace_back([&, k] {
-            pause(0.04 * k);
+            pause(0.02 * k);
             for (int i = 0; seconds() < start + 14.0; ++i) {
                 const std::string id = "s" + std::to_string(k) + "-" + std::to_string(i);
                 const double sent = seconds();
@@ -225,8 +227,10 @@
     }
     pause(4.0);
     if (trouble()) {
-        record("replica i-0 is being emptied: it reports draining");
-        all[0]->announce("draining");
+        for (std::size_t i = 0; i < emptied; ++i) {
+            record("replica " + all[i]->id() + " is being emptied: it reports draining");
+            all[i]->announce("draining");
+        }
     }
     pause(0.2);
     record("SIGHUP to the first gateway, whose settings have changed");
@@ -235,8 +239,10 @@
     first.signal(SIGHUP);
     if (trouble()) {
         pause(2.5);
-        all[0]->forget();
-        record("the entry of i-0 is removed");
+        for (std::size_t i = 0; i < emptied; ++i) {
+            all[i]->forget();
+        }
+        record("the entries of the emptied replicas are removed");
     }
     for (std::thread& it : consumers) {
         it.join();
