--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -174,6 +174,10 @@
     /// Records the prefill time up to the first event, if the measurement is meaningful.
     void record_prefill();
 
+    /// A response of which nothing has arrived for this long isn't one without an end; and one that
+    /// has not taken as long may be just late.
+    static constexpr seconds receiving_span{1};
+
     forwarding_state& state_;
     http_exchange& exchange_;
     time_point arrival_;
