Ignore late copies of responses to other requests

Callers: a request that must run once ran twice, or was answered 503 ("not run") and had run.

Cause: the codec read "not run" and status 421 from any response, and both were acted on before it was checked which request the response names. A server's late second copy of a refusal was so taken for the refusal of the next request on the connection.

Why it works: a response that names another request yields no statement, so nothing can act on it. On a reused connection the copy is skipped (at most four, 256 KB each, counted and logged) and the response behind it is read. An unnamed refusal is believed unless an earlier refusal on the connection may be its original. A request that a server has had before, and HEAD, get a new connection. The pool reads from a connection before it hands it out, since a copy may wait there.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -40,6 +40,7 @@
         server_slow,
         server_recovered,
         response_without_end,
+        late_response,
         configuration_in_force,
         configuration_rejected,
         log_unavailable,
--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -51,6 +51,7 @@
 inline constexpr event_kind server_slow{236, event_level::info, "server_slow", "A backend server has become much slower than the others of its service; it still gets work that it does in time."};
 inline constexpr event_kind server_recovered{237, event_level::info, "server_recovered", "A backend server is no longer much slower than the others of its service."};
 inline constexpr event_kind response_without_end{238, event_level::warning, "response_without_end", "A backend server exceeded a limit on the bytes or the time of a response; the connection was closed."};
+inline constexpr event_kind late_response{239, event_level::warning, "late_response", "A response to an earlier request arrived where the response to another one was due; it is ignored."};
 inline constexpr event_kind configuration_in_force{300, event_level::info, "configuration_in_force", "A newer configuration version is in force here."};
 inline constexpr event_kind configuration_rejected{301, event_level::warning, "configuration_rejected", "A configuration record on the log conflicts with an earlier one or failed validation."};
 inline constexpr event_kind log_unavailable{310, event_level::warning, "log_unavailable", "The platform's log can't be read; the configuration in force stays."};
--- a/bamboostream/src/Forwarding/backend_contract.h
+++ b/bamboostream/src/Forwarding/backend_contract.h
@@ -23,9 +23,9 @@
     /// Serializes the request as it is sent to the backend server.
     virtual std::string serialize_request(const http_request& request,
                                           const attempt_parameters& send) const = 0;
-    /// Interprets the head of a backend server's response to `request`.
-    virtual response_info parse_response(const http_connection& response,
-                                         const forward_request& request) const = 0;
+    /// Interprets the head of a backend server's response where that to `request` is due.
+    virtual parsed_response parse_response(const http_connection& response,
+                                           const forward_request& request) const = 0;
     /// The response header fields that are forwarded to the caller.
     virtual std::vector<http_field> response_fields(const http_connection& response) const = 0;
 };
--- a/bamboostream/src/Forwarding/forward_request.h
+++ b/bamboostream/src/Forwarding/forward_request.h
@@ -57,18 +57,18 @@
     std::optional<generation_copy> copy;
 };
 
-/// What the forwarder learns from the head of a backend server's response.
+/// What the forwarder learns from the head of a backend server's response that is known to be the
+/// response to its request.
 struct response_info {
     int status = 0;
     /// The server reports that it has not executed the request and will not.
     bool not_run = false;
     /// The address now belongs to another server, or to a later start of the same one.
     bool wrong_server = false;
-    /// The response belongs to this request and comes from the server itself. A success without
-    /// this is a late response to another request, or garbage.
+    /// The response comes from the server itself. A success without this is garbage.
     bool authentic = false;
-    /// The response names this request, as all responses of backend servers do. A process that has
-    /// taken over the address of a crashed server doesn't know the request.
+    /// The response names the request. Servers may leave that out of a refusal, and a process that
+    /// has taken over the address of a crashed server doesn't know the request.
     bool names_request = false;
     /// The requests a second that the server takes from all instances together; nothing if the
     /// response names no limit.
@@ -81,4 +81,12 @@
     std::string malformed_load;
 };
 
+/// The head of a response on a connection on which the response to a request is due.
+struct parsed_response {
+    /// Nothing if it names another request: such a response says nothing about this one.
+    std::optional<response_info> info;
+    /// The request that it names, if that is another one; empty otherwise.
+    std::string other_request;
+};
+
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -8,8 +8,9 @@
 #include <limits>
 #include <utility>
 
-// One attempt of a forwarded request at a backend server: its connection, the sending of the request
-// and the check of a lost server. Routing, retries and the final response are in forwarded_call.cpp.
+// One attempt of a forwarded request at a backend server: its connection, the sending of the
+// request and the check of a lost server. Routing, retries and the final response are in
+// forwarded_call.cpp.
 
 namespace bamboostream {
 
@@ -97,8 +98,7 @@
                                                       http_failure& why) {
     connection_request wanted;
     wanted.request_id = request_.id;
-    wanted.max_idle = route_->repeats == repeat_policy::once ? duration(max_idle_non_repeatable)
-                                                             : duration(max_idle_repeatable);
+    wanted.max_idle = max_idle_time(backend.id);
     wanted.deadline = deadline_;
     connection_ = nullptr;
     backend_connection opened =
@@ -108,6 +108,19 @@
     co_return connection_ != nullptr;
 }
 
+/// On a connection that has carried this request before, a late copy of its first response couldn't
+/// be told from the response that is due. After the response to another request, the copy may have
+/// a body where the response to HEAD has none.
+duration forwarded_call::max_idle_time(const backend_id& server) const {
+    const bool was_sent_there =
+        std::find(sent_to_before_.begin(), sent_to_before_.end(), server) != sent_to_before_.end();
+    if (was_sent_there || exchange_.request().method == "HEAD") {
+        return {};
+    }
+    return route_->repeats == repeat_policy::once ? duration(max_idle_non_repeatable)
+                                                  : duration(max_idle_repeatable);
+}
+
 time_point forwarded_call::attempt_deadline() const {
     attempt_history after = history_;
     after.record(attempt_end::silent);
@@ -203,11 +216,13 @@
     }
     sent_at_ = now;
     sent_to_ = to.backend;
+    sent_to_before_.push_back(to.backend.id);
     response_head_received_ = false;
     attempt_first_event_.reset();
     work_before_send_ = to.work;
     connection_->expire_at(to.copy ? deadline_ : attempt_deadline());
-    if (!co_await connection_->read_head(why)) {
+    std::optional<response_info> facts;
+    if (!co_await read_response(facts, why)) {
         co_return fail(to, connection_->timed_out() ? attempt_end::silent : attempt_end::lost,
                        why.text);
     }
@@ -215,7 +230,7 @@
     if (state_.server_states != nullptr && connection_->carrier().empty()) {
         state_.server_states->note_reached(to.backend.id);
     }
-    co_return co_await handle_response(to);
+    co_return co_await handle_response(to, *facts);
 }
 
 void forwarded_call::give_back(const destination& to) {
@@ -281,5 +296,4 @@
     }
 }
 
-
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -104,14 +104,26 @@
     void log_send(const destination& to) const;
     boost::asio::awaitable<bool> open_connection(const registered_backend& backend,
                                                  http_failure& why);
+    /// How long a connection to the server may have been idle to be used for this request; zero if
+    /// it must be a new one.
+    duration max_idle_time(const backend_id& server) const;
     time_point attempt_deadline() const;
-    boost::asio::awaitable<std::optional<attempt_end>> handle_response(const destination& to);
+    /// Interprets the head of a response that has arrived, and sets `into` if it is known to be the
+    /// response to this request. Returns false if it names another request.
+    bool take_response(std::optional<response_info>& into);
+    /// Reads the head of the response to this request into `into` and skips late copies of
+    /// responses to earlier requests. Returns false, with a reason in `why`, if there is none that
+    /// is known to be the response to this request; the connection is closed then.
+    boost::asio::awaitable<bool> read_response(std::optional<response_info>& into,
+                                               http_failure& why);
+    boost::asio::awaitable<std::optional<attempt_end>> handle_response(const destination& to,
+                                                                       const response_info& facts);
     /// Records what the response says of the requests a second that its server takes.
     void record_rate_limit(const response_info& facts);
     /// Records what the response says of its server's load.
     void record_server_load(const response_info& facts);
     boost::asio::awaitable<std::optional<attempt_end>> forward_body(const destination& to,
-                                                                    response_info facts);
+                                                                    const response_info& facts);
     /// Forwards a response that is too large to be kept as it arrives, after `begin`.
     boost::asio::awaitable<std::optional<attempt_end>>
     relay_body(const destination& to, const response_info& facts, saved_response begin);
@@ -121,7 +133,7 @@
     /// Why the response of the latest attempt is of no use, for its log line.
     std::string failure_reason(std::string_view otherwise) const;
     boost::asio::awaitable<std::optional<attempt_end>> relay(const destination& to,
-                                                             response_info facts);
+                                                             const response_info& facts);
     boost::asio::awaitable<bool> forward_events(std::string_view events, int status);
     /// Records the time since the previous events of the same attempt, in which `count` events have
     /// arrived. A pause between two attempts says nothing about the pace of either server.
@@ -191,6 +203,8 @@
     int priority_ = 0;
     attempt_history history_;
     std::vector<backend_id> avoid_;
+    /// Servers that were sent this request.
+    std::vector<backend_id> sent_to_before_;
     std::shared_ptr<http_connection> connection_;
     event_splitter splitter_;
     std::shared_ptr<active_stream> stream_;
--- a/bamboostream/src/Forwarding/forwarded_response.cpp
+++ b/bamboostream/src/Forwarding/forwarded_response.cpp
@@ -16,11 +16,64 @@
 /// after a lost packet was sent again.
 constexpr std::size_t max_refusal_bytes = 16 * 1024;
 constexpr milliseconds max_refusal_time{400};
+/// Late copies that are skipped before one response, and the longest body of one.
+constexpr int max_late_responses = 4;
+constexpr std::size_t max_late_response_bytes = 256 * 1024;
 
 } // namespace
 
-asio::awaitable<std::optional<attempt_end>> forwarded_call::handle_response(const destination& to) {
-    const response_info facts = state_.codec.parse_response(*connection_, request_);
+/// A refusal without an id may be a copy of an earlier one on the same connection. A copy of any
+/// response without an id couldn't be told from the next response, so its connection isn't reused.
+bool forwarded_call::take_response(std::optional<response_info>& into) {
+    parsed_response response = state_.codec.parse_response(*connection_, request_);
+    if (!response.info) {
+        ++state_.counters.late_responses;
+        log_event(events::late_response, "request={} backend={} names={} status={} connection={}",
+                  request_.id, sent_to_.id.text(), response.other_request, connection_->status(),
+                  connection_reused_ ? "reused" : "new");
+        return false;
+    }
+    const bool refuses = response.info->not_run || response.info->wrong_server;
+    const bool is_named = response.info->names_request;
+    if (is_named || !refuses || !connection_->has_carried_refusal()) {
+        into = std::move(response.info);
+    }
+    if (refuses) {
+        connection_->note_refusal();
+    }
+    if (!is_named) {
+        connection_->forbid_reuse();
+    }
+    return true;
+}
+
+/// A server may respond twice to a request, the second time where the response to the next request
+/// on the connection is due. That response follows the copy, so the copy is skipped: to close the
+/// connection would end a request that runs. On a new connection there is nothing to copy.
+asio::awaitable<bool> forwarded_call::read_response(std::optional<response_info>& into,
+                                                    http_failure& why) {
+    int late = 0;
+    bool more = co_await connection_->read_head(why);
+    while (more && !take_response(into)) {
+        more = connection_reused_ && ++late <= max_late_responses;
+        if (more) {
+            more = co_await connection_->skip_response(max_late_response_bytes);
+        }
+        if (more) {
+            more = co_await connection_->read_head(why);
+        }
+    }
+    if (!into) {
+        if (why.code == http_error::none) {
+            why.set(http_error::malformed, "response isn't known to belong to this request");
+        }
+        connection_->close();
+    }
+    co_return into.has_value();
+}
+
+asio::awaitable<std::optional<attempt_end>>
+forwarded_call::handle_response(const destination& to, const response_info& facts) {
     record_rate_limit(facts);
     record_server_load(facts);
     if (facts.wrong_server) {
@@ -30,7 +83,8 @@
         }
     }
     if (facts.not_run || facts.wrong_server) {
-        if (!co_await discard_refusal()) {
+        const bool is_whole = co_await discard_refusal();
+        if (!is_whole) {
             co_return fail(to, attempt_end::lost, failure_reason("refusal incomplete"));
         }
         give_back(to);
@@ -39,7 +93,7 @@
     }
     if (!facts.authentic) {
         connection_->close();
-        co_return fail(to, attempt_end::lost, "response does not belong to this request");
+        co_return fail(to, attempt_end::lost, "response is not the server's");
     }
     if (route_->streaming && facts.status == 200) {
         co_return co_await relay(to, facts);
@@ -85,8 +139,8 @@
     }
 }
 
-asio::awaitable<std::optional<attempt_end>> forwarded_call::forward_body(const destination& to,
-                                                                         response_info facts) {
+asio::awaitable<std::optional<attempt_end>>
+forwarded_call::forward_body(const destination& to, const response_info& facts) {
     saved_response response{facts.status, state_.codec.response_fields(*connection_), {}};
     reserved_memory kept(connection_->guard());
     while (co_await connection_->read(response.body)) {
--- a/bamboostream/src/Forwarding/forwarded_stream.cpp
+++ b/bamboostream/src/Forwarding/forwarded_stream.cpp
@@ -81,7 +81,7 @@
 }
 
 asio::awaitable<std::optional<attempt_end>> forwarded_call::relay(const destination& to,
-                                                                  response_info facts) {
+                                                                  const response_info& facts) {
     if (!stream_) {
         stream_ = std::make_shared<active_stream>(exchange_.executor(), request_.id);
         stream_->movable = is_movable();
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -85,6 +85,8 @@
     std::uint64_t sends = 0;
     /// Sends to servers that name a limit on their requests a second.
     std::uint64_t sends_to_limited = 0;
+    /// Responses to earlier requests that arrived where the response to another one was due.
+    std::uint64_t late_responses = 0;
     std::uint64_t new_connections = 0;
     /// Connection attempts to backend servers that got no answer, and that were refused.
     std::uint64_t connects_timed_out = 0;
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -161,6 +161,7 @@
     append(out, "counter", "rate_permits_issued_total", state.issuer.issued());
     append(out, "gauge", "possible_instances", state.issuer.possible_instances());
     append_permits(out, stats.permits);
+    append(out, "counter", "late_responses_total", c.late_responses);
     append(out, "counter", "new_connections_total", c.new_connections);
     append(out, "counter", "connects_timed_out_total", c.connects_timed_out);
     append(out, "counter", "connects_refused_total", c.connects_refused);
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -148,7 +148,8 @@
     beast::error_code ec;
     do {
         if (parser_->is_header_done()) {
-            if (++interim_responses_ > limits_.interim_responses) {
+            const bool is_interim = status() < first_final_status;
+            if (is_interim && ++interim_responses_ > limits_.interim_responses) {
                 exceed(response_limit::interim_responses);
                 ec = http::error::header_limit;
                 break;
@@ -174,6 +175,23 @@
     co_return true;
 }
 
+asio::awaitable<bool> http_connection::skip_response(std::size_t max_bytes) {
+    std::size_t bytes = 0;
+    std::string ignored;
+    const bool is_framed = parser_->is_done() || !parser_->need_eof();
+    while (is_framed && bytes <= max_bytes && co_await read(ignored)) {
+        bytes += ignored.size();
+        ignored.clear();
+    }
+    if (!is_framed || bytes > max_bytes || !complete() || response_closes()) {
+        close();
+        co_return false;
+    }
+    body_bytes_ = 0;
+    framing_bytes_ = 0;
+    co_return true;
+}
+
 /// A tunnel whose carrier has ended must not look like the end of the server's connection, which
 /// completes a response without a length.
 asio::awaitable<std::size_t> http_connection::read_payload(beast::error_code& ec) {
@@ -385,7 +403,8 @@
 
 bool http_connection::reusable() const {
     const bool request_consumed = request_bytes_.size() <= max_reusable_request_bytes;
-    if (tunnel_ && (tunnel_->ended() || !tunnel_->at_boundary())) {
+    if (reuse_forbidden_ || head_only_ ||
+        (tunnel_ && (tunnel_->ended() || !tunnel_->at_boundary()))) {
         return false;
     }
     return socket_.is_open() && complete() && unparsed_bytes_ == 0 && !writing_ &&
@@ -420,4 +439,11 @@
     socket_.cancel(ec);
 }
 
+bool http_connection::has_input() {
+    beast::error_code ec;
+    char byte = 0;
+    socket_.read_some(asio::buffer(&byte, 1), ec);
+    return ec != asio::error::would_block && ec != asio::error::try_again;
+}
+
 } // namespace bamboostream
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -23,7 +23,8 @@
 ///
 /// A connection can be reused only when the last response was framed, complete and not followed by
 /// further bytes, the request was written completely, and neither side asked to close. Otherwise
-/// surplus bytes would be taken for the response to the next request.
+/// surplus bytes would be taken for the response to the next request. After a HEAD request it isn't
+/// reused either, since the length in the head of that response is not that of its body.
 ///
 /// Example:
 /// ```
@@ -71,8 +72,13 @@
     /// Starts an exchange: writes `bytes`, a complete serialized request, in the background. With
     /// `head_only` the response has no body whatever its head says (HEAD).
     void send(std::string bytes, bool head_only);
-    /// Reads the head of the response and skips interim responses (1xx).
+    /// Reads the head of the response and skips interim responses (1xx). After `skip_response`, the
+    /// head of the next response.
     boost::asio::awaitable<bool> read_head(http_failure& why);
+    /// Reads the rest of a response that belongs to an earlier request and discards it. False, with
+    /// the connection closed, if the next response can't be told from it: its body has no length,
+    /// is longer than `max_bytes` or ends with the connection.
+    boost::asio::awaitable<bool> skip_response(std::size_t max_bytes);
     /// Closes the connection at `when`; a read in progress fails.
     void expire_at(time_point when);
     void expire_never();
@@ -98,9 +104,17 @@
     bool reusable() const;
     /// How long the server keeps an idle connection, if its response says so ("Keep-Alive").
     std::optional<seconds> keep_alive_timeout() const;
+    /// Prevents that the connection carries another exchange.
+    void forbid_reuse() { reuse_forbidden_ = true; }
+    /// Notes that a response on this connection has refused its request.
+    void note_refusal() { has_carried_refusal_ = true; }
+    bool has_carried_refusal() const { return has_carried_refusal_; }
     /// For an idle connection: closes it when the server closes it or sends anything.
     void watch_idle();
     void stop_watching();
+    /// For an idle connection: whether the server has closed it or sent anything that `watch_idle`
+    /// may not have handled yet. Such bytes belong to no request.
+    bool has_input();
 
 private:
     boost::asio::awaitable<void> write_remaining(std::size_t written);
@@ -130,6 +144,8 @@
     bool timed_out_ = false;
     bool head_only_ = false;
     bool ended_by_close_ = false;
+    bool reuse_forbidden_ = false;
+    bool has_carried_refusal_ = false;
     response_guard& guard_;
     response_limits limits_;
     std::string address_;
--- a/bamboostream/src/Http/http_connection_pool.cpp
+++ b/bamboostream/src/Http/http_connection_pool.cpp
@@ -41,6 +41,10 @@
             return nullptr;
         }
         last.connection->stop_watching();
+        if (last.connection->has_input()) {
+            last.connection->close();
+            continue;
+        }
         return std::move(last.connection);
     }
     return nullptr;
--- a/bamboostream/src/Http/http_connection_pool.h
+++ b/bamboostream/src/Http/http_connection_pool.h
@@ -21,7 +21,8 @@
 class http_connection_pool {
 public:
     /// The most recently used idle connection to `address` that has been idle for less than
-    /// `max_idle`; null when there is none.
+    /// `max_idle`; null when there is none. One on which bytes have arrived since its last response
+    /// is closed.
     std::shared_ptr<http_connection> take(const std::string& address, duration max_idle,
                                           time_point now,
                                           connection_path path = connection_path::direct);
--- a/test/platform/forwarding_fixture.cpp
+++ b/test/platform/forwarding_fixture.cpp
@@ -176,14 +176,15 @@
 std::shared_ptr<caller_view> forwarding_fixture::ask(const std::string& route,
                                                      const std::string& id,
                                                      const std::string& more_fields,
-                                                     const std::string& body) {
+                                                     const std::string& body,
+                                                     const std::string& method) {
     const auto c = std::make_shared<caller>(context_);
     callers_.push_back(c);
     const std::string request =
-        fmt::format("POST /{}/x?y=1 HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: {}\r\n"
+        fmt::format("{} /{}/x?y=1 HTTP/1.1\r\nHost: host.example\r\nAttempt-Id: {}\r\n"
                     "Authorization: Bearer the-key\r\nToken-Count: 100,40\r\n{}"
                     "Content-Length: {}\r\n\r\n{}",
-                    route, id, more_fields, body.size(), body);
+                    method, route, id, more_fields, body.size(), body);
     asio::co_spawn(
         context_,
         [c, request, address = address_]() -> asio::awaitable<void> {
--- a/test/platform/forwarding_fixture.h
+++ b/test/platform/forwarding_fixture.h
@@ -52,7 +52,8 @@
     /// `more_fields` ends in CRLF.
     std::shared_ptr<caller_view> ask(const std::string& route, const std::string& id,
                                      const std::string& more_fields = "",
-                                     const std::string& body = "body");
+                                     const std::string& body = "body",
+                                     const std::string& method = "POST");
     /// The caller closes its connection.
     void leave(const std::shared_ptr<caller_view>& view);
     /// Runs until the response is complete, the connection is closed or `limit` has passed.
--- a/test/platform/platform_codec_test.cpp
+++ b/test/platform/platform_codec_test.cpp
@@ -260,8 +260,8 @@
                                       const attempt_parameters&) const override {
             return {};
         }
-        response_info parse_response(const http_connection&,
-                                     const forward_request&) const override {
+        parsed_response parse_response(const http_connection&,
+                                       const forward_request&) const override {
             return {};
         }
         std::vector<http_field> response_fields(const http_connection&) const override {
