Break off no whole stream because its generation might have been moved

Callers: unframed streams that ran to their end at a server that was being emptied were broken off, up to 1.6 s after their last event.

Cause: every stream that the coordinator of an evacuation listed was marked as about to move, and the mark was never taken back. The regular end of an unframed stream was then taken for the stop before the last step of a move.

Why it works: a last step is announced to the instance that forwards the stream before it is asked for. Only between announcement and outcome is the end of an unframed stream ambiguous, and the outcome (moved, or not stopped) decides. A stop that wasn't announced isn't asked for, so a stopped stream is never delivered as whole.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -41,6 +41,7 @@
         server_recovered,
         response_without_end,
         late_response,
+        stream_end_ambiguous,
         configuration_in_force,
         configuration_rejected,
         log_unavailable,
--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -27,6 +27,8 @@
 /// The final part takes milliseconds unless another copy is ahead of it. The stream is paused
 /// meanwhile, but it can't continue anywhere else, so a late end is better than none.
 constexpr milliseconds final_copy_timeout{1'500};
+/// From the announcement of the final part to its outcome at the instance that forwards the stream.
+constexpr milliseconds stop_timeout{1'600};
 
 /// Interval at which the generations of an engine that is evacuated before its end are listed. A
 /// new stream is known within less time than one copy takes.
@@ -126,7 +128,7 @@
 asio::awaitable<std::vector<move_candidate>>
 evacuation_service::collect_movable(const backend_id& backend) {
     std::vector<move_candidate> out = co_await peers_.collect_movable(backend);
-    for (const movable_generation& generation : state_.streams.claim_movable(backend)) {
+    for (const movable_generation& generation : state_.streams.list_movable(backend)) {
         out.push_back({generation, {}});
     }
     co_return order_moves(std::move(out));
@@ -440,6 +442,12 @@
                                                           const std::string& first_handle,
                                                           bool& moved) {
     const std::string& id = candidate.generation.id;
+    const bool announced = co_await announce_stop(source, candidate);
+    if (!announced) {
+        log_event(events::move_failed, "request={} source={} target={} part=last reason=ended", id,
+                  source.id.text(), target.id.text());
+        co_return move_error::not_running;
+    }
     move_failure why;
     const auto last =
         co_await mover_.move(source.address, id, target.address, true, final_copy_timeout, why);
@@ -464,9 +472,36 @@
             source, candidate,
             {destination.id, destination.address, {source.address, handle}, destination.version});
     }
+    // Another step that is in progress tells its outcome itself.
+    if (!source_gone && !(last && last->stopped) && why.code != move_error::busy) {
+        cancel_stop(candidate);
+    }
     co_return last ? move_error::none : why.code;
 }
 
+/// Without the announcement, the end of a stream without framing would be taken for that of its
+/// generation.
+asio::awaitable<bool> evacuation_service::announce_stop(const registered_backend& source,
+                                                        const move_candidate& candidate) {
+    bool announced = false;
+    if (candidate.instance.empty()) {
+        announced = state_.streams.expect_stop(candidate.generation.id, source.id,
+                                               monotonic_now() + stop_timeout);
+    } else {
+        announced = co_await peers_.expect_stop(candidate.instance, source.id,
+                                                candidate.generation.id, stop_timeout);
+    }
+    co_return announced;
+}
+
+void evacuation_service::cancel_stop(const move_candidate& candidate) {
+    if (candidate.instance.empty()) {
+        state_.streams.cancel_stop(candidate.generation.id);
+    } else {
+        peers_.cancel_stop(candidate.instance, candidate.generation.id);
+    }
+}
+
 void evacuation_service::finish_move(const registered_backend& source,
                                      const move_candidate& candidate, const move_notice& notice) {
     log_event(events::generation_moved,
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -26,6 +26,14 @@
     /// Returns the generations at the engine whose streams other instances forward.
     virtual boost::asio::awaitable<std::vector<move_candidate>>
     collect_movable(backend_id backend) = 0;
+    /// Announces to the instance that forwards the generation's stream that the engine is about to
+    /// be asked to stop it, by `within` from now. Returns false if the stream doesn't run there any
+    /// more or the instance doesn't answer.
+    virtual boost::asio::awaitable<bool> expect_stop(std::string instance, backend_id backend,
+                                                     std::string generation,
+                                                     milliseconds within) = 0;
+    /// Tells that instance that the engine has not stopped the stream.
+    virtual void cancel_stop(const std::string& instance, const std::string& generation) = 0;
     /// Tells the instance that forwards the generation's stream at which engine the generation
     /// continues.
     virtual void send_move_notice(const std::string& instance, const std::string& generation,
@@ -132,6 +140,11 @@
                                                  const registered_backend& target,
                                                  const move_candidate& candidate,
                                                  const std::string& first_handle, bool& moved);
+    /// Announces the last step of a move; false if the stream has ended.
+    boost::asio::awaitable<bool> announce_stop(const registered_backend& source,
+                                               const move_candidate& candidate);
+    /// Tells that the last step has not stopped the stream.
+    void cancel_stop(const move_candidate& candidate);
     void finish_move(const registered_backend& source, const move_candidate& candidate,
                      const move_notice& notice);
 
--- a/bamboostream/src/Forwarding/active_streams.cpp
+++ b/bamboostream/src/Forwarding/active_streams.cpp
@@ -28,21 +28,41 @@
     streams_.erase(id);
 }
 
-std::vector<movable_generation> active_streams::claim_movable(const backend_id& backend) {
+bool active_streams::is_movable_at(const active_stream& stream, const backend_id& backend) {
+    return stream.backend == backend && stream.movable && stream.output_tokens > 0 &&
+           !stream.moved && !stream.origin.version.empty();
+}
+
+std::vector<movable_generation> active_streams::list_movable(const backend_id& backend) const {
     std::vector<movable_generation> out;
     for (const auto& [id, stream] : streams_) {
-        if (stream->backend != backend || !stream->movable || stream->output_tokens == 0 ||
-            stream->moved || stream->origin.version.empty()) {
-            continue;
+        if (is_movable_at(*stream, backend)) {
+            out.push_back({id, stream->prompt_tokens + stream->output_tokens,
+                           estimate_remaining_tokens(*stream), stream->origin.version,
+                           stream->priority.value_or(0),
+                           stream->priority ? stream->output_tokens : 0});
         }
-        stream->move_expected = true;
-        out.push_back({id, stream->prompt_tokens + stream->output_tokens,
-                       estimate_remaining_tokens(*stream), stream->origin.version,
-                       stream->priority.value_or(0), stream->priority ? stream->output_tokens : 0});
     }
     return out;
 }
 
+bool active_streams::expect_stop(const std::string& id, const backend_id& backend,
+                                 time_point until) {
+    const auto found = streams_.find(id);
+    if (found == streams_.end() || !is_movable_at(*found->second, backend)) {
+        return false;
+    }
+    found->second->stop_expected_until = until;
+    return true;
+}
+
+void active_streams::cancel_stop(const std::string& id) {
+    if (const auto found = streams_.find(id); found != streams_.end()) {
+        found->second->stop_expected_until.reset();
+        found->second->move_signal.cancel();
+    }
+}
+
 bool active_streams::notify(const std::string& id, move_notice notice, time_point now) {
     const auto found = streams_.find(id);
     if (found == streams_.end()) {
--- a/bamboostream/src/Forwarding/active_streams.h
+++ b/bamboostream/src/Forwarding/active_streams.h
@@ -65,11 +65,13 @@
     /// Upper limit of the output; zero if unknown.
     std::int64_t max_output_tokens = 0;
     std::int64_t output_tokens = 0;
-    /// `claim_movable` has returned this stream, so a move may follow.
-    bool move_expected = false;
+    /// Until when the engine may stop the stream for the last step of a move; nothing if no such
+    /// step was announced, or it is known not to have stopped the stream.
+    std::optional<time_point> stop_expected_until;
     std::optional<move_notice> moved;
     time_point notified_at{};
-    /// Cancelled when `moved` is set, to wake a coroutine that waits for the move.
+    /// Cancelled when `moved` is set or no stop is expected any more, to wake a coroutine that
+    /// waits for the outcome of the move.
     boost::asio::steady_timer move_signal;
 };
 
@@ -89,14 +91,21 @@
 public:
     void add(std::shared_ptr<active_stream> stream);
     void remove(const std::string& id);
-    /// Returns the generations at one engine that have produced output and can be moved, and marks
-    /// them as about to move. One whose software version isn't known can't be moved.
-    std::vector<movable_generation> claim_movable(const backend_id& backend);
+    /// The generations at one engine that have produced output and can be moved. One whose software
+    /// version isn't known can't be moved.
+    std::vector<movable_generation> list_movable(const backend_id& backend) const;
+    /// Announces that the engine is about to be asked to stop the stream, and does so by `until`.
+    /// Returns false if the stream doesn't run there any more; the engine must not be asked then.
+    bool expect_stop(const std::string& id, const backend_id& backend, time_point until);
+    /// The engine has not stopped the stream: its end is that of the generation.
+    void cancel_stop(const std::string& id);
     /// Tells a stream where its generation continues. Returns false if the stream has ended.
     bool notify(const std::string& id, move_notice notice, time_point now);
     std::size_t size() const { return streams_.size(); }
 
 private:
+    static bool is_movable_at(const active_stream& stream, const backend_id& backend);
+
     std::map<std::string, std::shared_ptr<active_stream>> streams_;
 };
 
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -138,6 +138,9 @@
     /// Records the time since the previous events of the same attempt, in which `count` events have
     /// arrived. A pause between two attempts says nothing about the pace of either server.
     void record_pace(std::uint64_t count, time_point now);
+    /// Waits until it is known whether the engine has stopped the stream for a move, if that was
+    /// announced.
+    boost::asio::awaitable<void> await_stop_outcome();
     boost::asio::awaitable<bool> await_move();
     /// Whether the target named by a move notice may still be sent the request.
     bool may_follow_move(const move_notice& notice, time_point now) const;
--- a/bamboostream/src/Forwarding/forwarded_stream.cpp
+++ b/bamboostream/src/Forwarding/forwarded_stream.cpp
@@ -100,7 +100,7 @@
     }
     stream_->backend = to.backend.id;
     stream_->moved.reset();
-    stream_->move_expected = false;
+    stream_->stop_expected_until.reset();
     splitter_.restart();
     const bool is_resumable = route_->repeats == repeat_policy::resumable;
     const int tokens_per_event = service_->engine ? service_->engine->tokens_per_event : 1;
@@ -136,8 +136,11 @@
     const bool complete_stream = order == event_order::in_order && connection_->complete() &&
                                  splitter_.at_boundary() &&
                                  connection_->exceeded() == response_limit::none;
-    const bool ended_for_move = connection_->ended_by_close() && stream_->move_expected;
-    if (!complete_stream || ended_for_move) {
+    if (complete_stream && connection_->ended_by_close()) {
+        co_await await_stop_outcome();
+    }
+    const bool may_be_stopped = stream_->moved || stream_->stop_expected_until;
+    if (!complete_stream || (connection_->ended_by_close() && may_be_stopped)) {
         const bool silent = connection_->timed_out();
         connection_->close();
         co_return fail(to, silent ? attempt_end::silent : attempt_end::lost,
@@ -167,14 +170,37 @@
     co_return std::nullopt;
 }
 
+/// A stream without framing that its engine has stopped ends like one that is whole. Only the
+/// outcome of the move tells them apart.
+asio::awaitable<void> forwarded_call::await_stop_outcome() {
+    const time_point now = monotonic_now();
+    if (stream_->moved || !stream_->stop_expected_until) {
+        co_return;
+    }
+    if (now >= *stream_->stop_expected_until) {
+        stream_->stop_expected_until.reset();
+        co_return;
+    }
+    co_await wait_on(stream_->move_signal, *stream_->stop_expected_until);
+    log_event(events::stream_end_ambiguous,
+              "request={} backend={} events={} outcome={} after_ms={:.0f}", request_.id,
+              stream_->backend.text(), splitter_.events(),
+              stream_->moved                 ? "moved"
+              : stream_->stop_expected_until ? "unknown"
+                                             : "not_stopped",
+              to_milliseconds(monotonic_now() - now));
+}
+
 asio::awaitable<bool> forwarded_call::await_move() {
     if (!stream_ || !stream_->movable) {
         co_return false;
     }
     const registered_backend* source = state_.registry.find(stream_->backend);
     const bool source_leaving = source == nullptr || source->leaving;
-    if (!stream_->moved && (stream_->move_expected || source_leaving)) {
-        co_await wait_on(stream_->move_signal, monotonic_now() + move_timeout);
+    const time_point now = monotonic_now();
+    const bool stop_expected = stream_->stop_expected_until && now < *stream_->stop_expected_until;
+    if (!stream_->moved && (stop_expected || source_leaving)) {
+        co_await wait_on(stream_->move_signal, now + move_timeout);
     }
     co_return stream_->moved.has_value();
 }
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -116,8 +116,23 @@
     }
 }
 
-std::unique_ptr<wire::FrameT> peer_exchange::answer_movable(const backend_id& backend) {
-    return make_reply(to_wire(forwarding_.streams.claim_movable(backend)));
+std::unique_ptr<wire::FrameT> peer_exchange::answer_movable(const wire::FrameT& frame) {
+    const wire::MovableRequestT& request = *frame.message.AsMovableRequest();
+    const backend_id backend(request.backend);
+    const time_point now = monotonic_now();
+    std::vector<movable_generation> out = forwarding_.streams.list_movable(backend);
+    if (!request.stopping.empty()) {
+        std::erase_if(out, [&](const auto& it) { return it.id != request.stopping; });
+    }
+    for (const movable_generation& it : out) {
+        if (!request.stopping.empty()) {
+            forwarding_.streams.expect_stop(it.id, backend,
+                                            now + milliseconds(request.stops_within_ms));
+        } else if (!request.announces_stops) {
+            forwarding_.streams.expect_stop(it.id, backend, time_point::max());
+        }
+    }
+    return make_reply(to_wire(out));
 }
 
 asio::awaitable<std::unique_ptr<wire::FrameT>>
@@ -139,14 +154,18 @@
     case wire::Message::AdmitRequest:
         co_return owner_scheduler_.answer(*frame->message.AsAdmitRequest(), frame->sender);
     case wire::Message::MovableRequest:
-        co_return answer_movable(backend_id(frame->message.AsMovableRequest()->backend));
+        co_return answer_movable(*frame);
     case wire::Message::StoreNews:
         store_updates_.hear(frame->sender, frame->sender_start_stamp,
                             *frame->message.AsStoreNews());
         co_return nullptr;
     case wire::Message::MoveNotice: {
         const wire::MoveNoticeT& notice = *frame->message.AsMoveNotice();
-        forwarding_.streams.notify(notice.generation, from_wire(notice), monotonic_now());
+        if (notice.target.empty()) {
+            forwarding_.streams.cancel_stop(notice.generation);
+        } else {
+            forwarding_.streams.notify(notice.generation, from_wire(notice), monotonic_now());
+        }
         co_return nullptr;
     }
     case wire::Message::HarmReport:
@@ -188,6 +207,7 @@
     for (const std::string& peer : peers) {
         wire::MovableRequestT request;
         request.backend = backend.text();
+        request.announces_stops = true;
         asio::co_spawn(
             context_,
             [this, answers, peer, request]() -> asio::awaitable<void> {
@@ -211,6 +231,28 @@
     co_return answers->candidates;
 }
 
+asio::awaitable<bool> peer_exchange::expect_stop(std::string instance, backend_id backend,
+                                                 std::string generation, milliseconds within) {
+    wire::MovableRequestT request;
+    request.backend = backend.text();
+    request.announces_stops = true;
+    request.stopping = generation;
+    request.stops_within_ms = static_cast<std::uint32_t>(within.count());
+    link_failure why;
+    const auto reply = co_await links_.call(instance, make_frame(request), collect_timeout, why);
+    bool is_running = false;
+    if (reply && reply->message.type == wire::Message::MovableReply) {
+        const auto running = from_wire(*reply->message.AsMovableReply());
+        is_running = std::any_of(running.begin(), running.end(),
+                                 [&](const auto& it) { return it.id == generation; });
+    }
+    co_return is_running;
+}
+
+void peer_exchange::cancel_stop(const std::string& instance, const std::string& generation) {
+    links_.send(instance, make_frame(to_wire(generation, move_notice{})));
+}
+
 void peer_exchange::send_move_notice(const std::string& instance, const std::string& generation,
                                      const move_notice& notice) {
     links_.send(instance, make_frame(to_wire(generation, notice)));
--- a/bamboostream/src/Gateway/peer_exchange.h
+++ b/bamboostream/src/Gateway/peer_exchange.h
@@ -49,12 +49,15 @@
     bool coordinates(const service_id& service) const override;
     boost::asio::awaitable<std::vector<move_candidate>>
     collect_movable(backend_id backend) override;
+    boost::asio::awaitable<bool> expect_stop(std::string instance, backend_id backend,
+                                             std::string generation, milliseconds within) override;
+    void cancel_stop(const std::string& instance, const std::string& generation) override;
     void send_move_notice(const std::string& instance, const std::string& generation,
                           const move_notice& notice) override;
 
 private:
     boost::asio::awaitable<void> load_loop();
-    std::unique_ptr<wire::FrameT> answer_movable(const backend_id& backend);
+    std::unique_ptr<wire::FrameT> answer_movable(const wire::FrameT& frame);
 
     boost::asio::io_context& context_;
     peer_links& links_;
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -88,6 +88,15 @@
         }
         co_return out;
     }
+    asio::awaitable<bool> expect_stop(std::string, backend_id backend, std::string generation,
+                                      milliseconds) override {
+        announced_.push_back(generation);
+        const auto found = running_.find(generation);
+        co_return found != running_.end() && found->second == backend;
+    }
+    void cancel_stop(const std::string&, const std::string& generation) override {
+        cancelled_.push_back(generation);
+    }
     void send_move_notice(const std::string&, const std::string& generation,
                           const move_notice& notice) override {
         notices_.push_back({generation, notice});
@@ -97,6 +106,8 @@
     bool coordinates_ = true;
     std::map<std::string, backend_id> running_;
     std::vector<sent_notice> notices_;
+    std::vector<std::string> announced_;
+    std::vector<std::string> cancelled_;
 };
 
 class evacuation_test : public testing::Test {
@@ -255,6 +266,33 @@
     const std::string notified_handle =
         peers_.notices_.empty() ? "" : peers_.notices_[0].notice.copy.handle;
     EXPECT_EQ(notified_handle, GetParam().handle);
+    EXPECT_EQ(peers_.cancelled_.size(), GetParam().step == "g1/last" && notified_handle.empty());
+}
+
+// Guards against an engine that is asked to stop a stream without its forwarder's knowledge, which
+// would take the end of an unframed stream for that of the generation.
+TEST_F(evacuation_test, a_stop_is_announced_before_it_is_asked_for) {
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    bool announced = false;
+    mover_.on_copied_ = [&](const std::string&, bool last) {
+        EXPECT_EQ(peers_.announced_.size(), last ? 1U : 0U);
+        announced = announced || last;
+    };
+    leave("i-1");
+    run_for(milliseconds(60));
+    EXPECT_TRUE(announced);
+    EXPECT_TRUE(peers_.cancelled_.empty());
+}
+
+// Guards against a stop of a stream that has ended while its first copy was made.
+TEST_F(evacuation_test, a_stream_that_has_ended_is_not_stopped) {
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    mover_.on_copied_ = [&](const std::string&, bool) { peers_.running_.clear(); };
+    leave("i-1");
+    run_for(milliseconds(60));
+    ASSERT_EQ(mover_.calls_.size(), 1U);
+    EXPECT_FALSE(mover_.calls_.front().last);
+    EXPECT_TRUE(peers_.notices_.empty());
 }
 
 // The target refuses the final copy after the source has stopped the generation. The source still
--- a/test/platform/forwarding_test.cpp
+++ b/test/platform/forwarding_test.cpp
@@ -416,7 +416,8 @@
             co_await c.send(stream_events(5, 6) + stream_end);
         },
         "engines");
-    fixture.state().streams.claim_movable(backend_id("i-1"));
+    fixture.state().streams.expect_stop("a1", backend_id("i-1"),
+                                        monotonic_now() + milliseconds(1'600));
     fixture.state().streams.notify(
         "a1", {backend_id("i-2"), target.address(), {"10.0.0.1:80", "handle-7"}}, monotonic_now());
     source_stops = true;
@@ -453,10 +454,13 @@
 // response, and the request to the new engine carries the copy's handle and the last event id.
 TEST_P(moved_stream, goes_on_from_the_copy) {
     moving_stream moving;
-    const auto movable = moving.fixture.state().streams.claim_movable(backend_id("i-1"));
+    active_streams& streams = moving.fixture.state().streams;
+    const auto movable = streams.list_movable(backend_id("i-1"));
     ASSERT_EQ(movable.size(), 1u);
     EXPECT_EQ(movable.front(),
               (movable_generation{"a1", 100 + 16, 40 - 16, software_version("v1")}));
+    EXPECT_TRUE(
+        streams.expect_stop("a1", backend_id("i-1"), monotonic_now() + milliseconds(1'600)));
     moving.source_stops = !GetParam().notice_first;
     moving.fixture.run_for(milliseconds(60));
     moving.notify(monotonic_now());
--- a/test/platform/stream_decisions_test.cpp
+++ b/test/platform/stream_decisions_test.cpp
@@ -167,7 +167,7 @@
     };
     add("outlived", 600);
     add("young", 100);
-    for (const movable_generation& generation : streams.claim_movable(backend_id("i-1"))) {
+    for (const movable_generation& generation : streams.list_movable(backend_id("i-1"))) {
         EXPECT_EQ(generation.tokens_left, 300) << generation.id;
     }
 }
