Bound the memory of request bodies and keep each body once

Callers: a burst of ten requests with 4 MB each made the platform end the process; the 8 requests that servers were working on were lost.

Cause: the parser, the exchange and the connection to the server each kept the body until the response had come, and nothing bounded the sum.

Sends and receives of long bodies use small socket buffers.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -42,6 +42,7 @@
         response_without_end,
         late_response,
         stream_end_ambiguous,
+        request_body_refused,
         configuration_in_force,
         configuration_rejected,
         log_unavailable,
--- a/bamboostream/src/Forwarding/backend_contract.h
+++ b/bamboostream/src/Forwarding/backend_contract.h
@@ -20,9 +20,10 @@
     /// Parses a caller's request. Returns nothing and sets `why` if a field is malformed.
     virtual std::optional<forward_request> parse_request(const http_request& request,
                                                          std::string& why) const = 0;
-    /// Serializes the request as it is sent to the backend server.
-    virtual std::string serialize_request(const http_request& request,
-                                          const attempt_parameters& send) const = 0;
+    /// Serializes the head of the request as it is sent to the backend server. Its body follows
+    /// unchanged.
+    virtual std::string serialize_head(const http_request& request,
+                                       const attempt_parameters& send) const = 0;
     /// Interprets the head of a backend server's response where that to `request` is due.
     virtual parsed_response parse_response(const http_connection& response,
                                            const forward_request& request) const = 0;
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -201,8 +201,8 @@
     }
     connection_->set_limits(limits);
     connection_->set_server_name(to.backend.id.text());
-    connection_->send(state_.codec.serialize_request(exchange_.request(), send),
-                      exchange_.request().method == "HEAD");
+    connection_->send(state_.codec.serialize_head(exchange_.request(), send),
+                      exchange_.request().method == "HEAD", exchange_.shared_body());
     if (!connection_->any_sent()) {
         state_.connections.drop(to.backend.address);
         co_return fail(to, attempt_end::not_sent, "connection closed before the request was sent");
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -18,6 +18,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <malloc.h>
 
 namespace bamboostream {
 
@@ -29,6 +30,7 @@
 constexpr milliseconds drain_poll_period{20};
 /// The smallest instance of any deployment, for platforms that don't report the memory.
 constexpr double default_memory_mb = 88.0;
+constexpr int mmap_threshold_bytes = 256 * 1024;
 /// Interval at which the settings are checked for changes without a signal.
 constexpr milliseconds settings_period{5'000};
 /// Time left of the grace period when the process ends by itself, so that it isn't killed during a
@@ -266,9 +268,13 @@
     forwarding.admission = settings.admission;
     forwarding.memory_pressure = settings.memory_pressure;
     const double memory_mb = settings.memory_mb > 0.0 ? settings.memory_mb : default_memory_mb;
-    response_guard::of(context.get_executor())
-        .configure(settings.responses, static_cast<std::size_t>(memory_mb * 1024 * 1024 *
-                                                                settings.response_memory_share));
+    // A freed body goes back to the system at once; by default the allocator raises this threshold
+    // and keeps it.
+    mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
+    memory_budget::of(context.get_executor())
+        .configure(static_cast<std::size_t>(memory_mb * 1024 * 1024),
+                   settings.response_memory_share);
+    response_guard::of(context.get_executor()).configure(settings.responses);
     forwarding.outbound_address = settings.outbound_address;
     forwarding.server_checks.set_local_address(settings.outbound_address);
     forwarding.cold_starts.set_rules(settings.cold_starts);
@@ -378,7 +384,9 @@
                               store.calls(),
                               links.traffic(),
                               rate_limits->counts(),
-                              response_guard::of(context.get_executor()).counts()};
+                              response_guard::of(context.get_executor()).counts(),
+                              memory_budget::of(context.get_executor()).reserved(),
+                              memory_budget::of(context.get_executor()).refused_requests()};
     co_await exchange.respond(200, "text/plain; version=0.0.4",
                               exposition(forwarding, stats, monotonic_now()), {});
 }
--- a/bamboostream/src/Gateway/gateway_metrics.cpp
+++ b/bamboostream/src/Gateway/gateway_metrics.cpp
@@ -179,6 +179,8 @@
     append(out, "gauge", "quarantined_requests", state.quarantine.decisions().held());
     append(out, "gauge", "quarantined_parts", state.quarantine.decisions().all_held_parts().size());
     append(out, "gauge", "quarantine_evidence", state.quarantine.decisions().size());
+    append(out, "gauge", "memory_reserved_bytes", stats.memory_reserved_bytes);
+    append(out, "counter", "request_bodies_refused_total", stats.request_bodies_refused);
     append(out, "gauge", "open_requests", c.open);
     append(out, "gauge", "open_streams", state.streams.size());
     append(out, "gauge", "idle_connections", state.connections.idle());
--- a/bamboostream/src/Gateway/gateway_metrics.h
+++ b/bamboostream/src/Gateway/gateway_metrics.h
@@ -27,6 +27,9 @@
     permit_counts permits;
     /// Responses that exceeded a limit, by `response_limit`.
     std::array<std::uint64_t, static_cast<std::size_t>(response_limit::count_)> endless_responses{};
+    /// Memory reserved for bodies, and requests that were refused for lack of it.
+    std::size_t memory_reserved_bytes = 0;
+    std::uint64_t request_bodies_refused = 0;
 };
 
 /// Writes the metrics of a gateway in the Prometheus text format. Ages are relative to `now`.
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -32,6 +32,7 @@
 /// write doesn't show that the server has read the request, because the kernel buffers up to a
 /// megabyte. Requests up to this size fit into what servers read at once.
 constexpr std::size_t max_reusable_request_bytes = 64 * 1024;
+constexpr int send_buffer_bytes = 64 * 1024;
 
 /// Bytes that a connection may read without waiting for its turn: what a response or the events of
 /// an engine's step take, and the rate of a hundred streams. A hundred responses that arrive at
@@ -101,7 +102,15 @@
     parser_->skip(head_only_);
 }
 
-void http_connection::send(std::string bytes, bool head_only) {
+std::array<asio::const_buffer, 2> http_connection::unwritten(std::size_t skipped) const {
+    const std::string_view body = request_body_ ? *request_body_ : std::string_view{};
+    const std::size_t of_head = std::min(skipped, request_bytes_.size());
+    return {asio::buffer(request_bytes_) + of_head,
+            asio::buffer(body.data(), body.size()) + (skipped - of_head)};
+}
+
+void http_connection::send(std::string bytes, bool head_only,
+                           std::shared_ptr<const std::string> body) {
     head_only_ = head_only;
     ended_by_close_ = false;
     any_sent_ = false;
@@ -111,9 +120,15 @@
     framing_bytes_ = 0;
     interim_responses_ = 0;
     request_bytes_ = std::move(bytes);
+    request_body_ = std::move(body);
+    request_size_ = request_bytes_.size() + (request_body_ ? request_body_->size() : 0);
     start_parser();
     beast::error_code ec;
-    std::size_t written = socket_.write_some(asio::buffer(request_bytes_), ec);
+    if (request_size_ > max_reusable_request_bytes) {
+        // The kernel would keep megabytes of the body.
+        socket_.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ec);
+    }
+    std::size_t written = socket_.write_some(unwritten(0), ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again) {
         ec = {};
         written = 0;
@@ -123,7 +138,9 @@
         close();
         return;
     }
-    if (written < request_bytes_.size()) {
+    if (written == request_size_) {
+        request_body_ = nullptr;
+    } else {
         writing_ = true;
         any_sent_ = true;
         asio::co_spawn(
@@ -137,9 +154,8 @@
 
 asio::awaitable<void> http_connection::write_remaining(std::size_t written) {
     beast::error_code ec;
-    co_await asio::async_write(
-        socket_, asio::buffer(request_bytes_.data() + written, request_bytes_.size() - written),
-        token(ec));
+    co_await asio::async_write(socket_, unwritten(written), token(ec));
+    request_body_ = nullptr;
     // After an error the request is incomplete: `writing_` stays set, which prevents reuse.
     writing_ = ec.failed();
 }
@@ -402,7 +418,7 @@
 }
 
 bool http_connection::reusable() const {
-    const bool request_consumed = request_bytes_.size() <= max_reusable_request_bytes;
+    const bool request_consumed = request_size_ <= max_reusable_request_bytes;
     if (reuse_forbidden_ || head_only_ ||
         (tunnel_ && (tunnel_->ended() || !tunnel_->at_boundary()))) {
         return false;
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -69,9 +69,10 @@
     void record_surplus();
     /// The length that the head of the response names, if any.
     std::optional<std::uint64_t> content_length() const;
-    /// Starts an exchange: writes `bytes`, a complete serialized request, in the background. With
-    /// `head_only` the response has no body whatever its head says (HEAD).
-    void send(std::string bytes, bool head_only);
+    /// Starts an exchange: writes `bytes`, a serialized request, in the background, and after it
+    /// `body`, if that isn't part of `bytes`. With `head_only` the response has no body whatever
+    /// its head says (HEAD).
+    void send(std::string bytes, bool head_only, std::shared_ptr<const std::string> body = nullptr);
     /// Reads the head of the response and skips interim responses (1xx). After `skip_response`, the
     /// head of the next response.
     boost::asio::awaitable<bool> read_head(http_failure& why);
@@ -117,6 +118,8 @@
     bool has_input();
 
 private:
+    /// The request without its first `skipped` bytes.
+    std::array<boost::asio::const_buffer, 2> unwritten(std::size_t skipped) const;
     boost::asio::awaitable<void> write_remaining(std::size_t written);
     boost::asio::awaitable<void> read_once(boost::beast::error_code& ec);
     /// Waits for this connection's turn if it has had bytes ready all the time.
@@ -139,6 +142,9 @@
     std::unique_ptr<std::array<char, 16 * 1024>> buffer_;
     std::size_t unparsed_bytes_ = 0;
     std::string request_bytes_;
+    /// Null once it has been written.
+    std::shared_ptr<const std::string> request_body_;
+    std::size_t request_size_ = 0;
     bool writing_ = false;
     bool any_sent_ = false;
     bool timed_out_ = false;
--- a/bamboostream/src/Http/http_server.cpp
+++ b/bamboostream/src/Http/http_server.cpp
@@ -1,6 +1,8 @@
 #include "bamboostream/src/Http/http_server.h"
 
+#include "bamboostream/src/Core/event_log.h"
 #include "bamboostream/src/Http/address.h"
+#include "bamboostream/src/Http/memory_budget.h"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -54,6 +56,17 @@
 /// Cancelling has no effect on a read that has just completed, so it is repeated until the reading
 /// coroutine has ended.
 constexpr milliseconds cancel_retry_interval{2};
+/// A request waits so long for the memory of its body.
+constexpr milliseconds room_poll_interval{20};
+constexpr int max_room_polls = 5;
+/// Callers whose bodies were refused come back spread over this time. A body is held for as long as
+/// its request takes, typically a second.
+constexpr double min_retry_s = 0.5;
+constexpr double max_retry_s = 1.5;
+constexpr int retry_steps = 8;
+/// A caller's bytes that the kernel keeps while nothing reads them.
+constexpr int receive_buffer_bytes = 64 * 1024;
+constexpr std::string_view continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
 auto token(beast::error_code& ec) {
     return asio::redirect_error(asio::use_awaitable, ec);
@@ -64,7 +77,7 @@
     return {text.data(), text.size()};
 }
 
-http_request to_request(const http::request<http::string_body>& from) {
+http_request to_request(http::request<http::string_body> from) {
     http_request out;
     out.method = std::string(from.method_string());
     out.target = std::string(from.target());
@@ -75,7 +88,7 @@
     for (const auto& field : from) {
         out.fields.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    out.body = from.body();
+    out.body = std::move(from.body());
     return out;
 }
 
@@ -88,11 +101,15 @@
 public:
     connection_exchange(beast::tcp_stream& stream, beast::flat_buffer& read_ahead,
                         http_request request, bool keep_alive, const http_limits& limits)
-        : stream_(stream), read_ahead_(read_ahead), request_(std::move(request)),
+        : stream_(stream), read_ahead_(read_ahead),
+          request_(std::make_shared<const http_request>(std::move(request))),
           keep_alive_(keep_alive), limits_(limits), write_drained_(stream.get_executor()),
           watch_ended_(stream.get_executor()) {}
 
-    const http_request& request() const override { return request_; }
+    const http_request& request() const override { return *request_; }
+    std::shared_ptr<const std::string> shared_body() const override {
+        return {request_, &request_->body};
+    }
     asio::any_io_executor executor() override { return stream_.get_executor(); }
     bool caller_gone() const override { return gone_; }
     bool keep_alive() const { return keep_alive_ && !gone_ && complete_; }
@@ -125,7 +142,7 @@
                                   std::span<const http_field> fields) override {
         append_head(status, content_type, fields);
         fmt::format_to(std::back_inserter(out_), "Content-Length: {}\r\n\r\n", body.size());
-        if (request_.method != "HEAD") {
+        if (request_->method != "HEAD") {
             out_ += body;
         }
         complete_ = true;
@@ -245,7 +262,7 @@
 
     beast::tcp_stream& stream_;
     beast::flat_buffer& read_ahead_;
-    http_request request_;
+    std::shared_ptr<const http_request> request_;
     bool keep_alive_;
     const http_limits& limits_;
     asio::steady_timer write_drained_;
@@ -306,19 +323,27 @@
     }
 
 private:
+    using request_parser = http::request_parser<http::string_body>;
+
     asio::awaitable<bool> serve_one(bool first) {
         const http_limits& limits = server_->limits;
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
-        parser.body_limit(limits.body_bytes);
+        std::optional<request_parser> parser(std::in_place);
+        parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+        parser->body_limit(limits.body_bytes);
         beast::error_code ec;
         stream_.expires_after(first ? limits.head_timeout : limits.idle_timeout);
-        co_await http::async_read_header(stream_, buffer_, parser, token(ec));
+        co_await http::async_read_header(stream_, buffer_, *parser, token(ec));
+        body_reservation memory(memory_budget::of(stream_.get_executor()));
+        bool has_room = true;
         if (!ec) {
             stream_.expires_after(limits.head_timeout);
-            co_await http::async_read(stream_, buffer_, parser, token(ec));
+            has_room = co_await read_body(*parser, memory, ec);
         }
-        const bool no_bytes_received = buffer_.size() == 0 && !parser.got_some();
+        if (!has_room) {
+            co_await refuse_body(*parser);
+            co_return false;
+        }
+        const bool no_bytes_received = buffer_.size() == 0 && !parser->got_some();
         stream_.expires_never();
         if (ec && (is_normal_close(ec) || (ec == beast::error::timeout && no_bytes_received))) {
             co_return false;
@@ -327,9 +352,10 @@
             co_await respond_error(to_request_error(ec));
             co_return false;
         }
-        const bool keep_alive = parser.get().keep_alive();
-        connection_exchange exchange(stream_, buffer_, to_request(parser.get()), keep_alive,
+        const bool keep_alive = parser->get().keep_alive();
+        connection_exchange exchange(stream_, buffer_, to_request(parser->release()), keep_alive,
                                      limits);
+        parser.reset();
         ++server_->open_exchanges;
         co_await server_->handler(exchange);
         co_await exchange.stop_watching();
@@ -337,6 +363,58 @@
         co_return exchange.keep_alive();
     }
 
+    /// Reserves memory for the body, waiting for it a moment, and reads the body. Returns false if
+    /// there is no room.
+    asio::awaitable<bool> read_body(request_parser& parser, body_reservation& memory,
+                                    beast::error_code& ec) {
+        const std::size_t length = parser.content_length().value_or(0);
+        bool has_room = memory.raise(length);
+        asio::steady_timer pause(stream_.get_executor());
+        for (int tries = 0; !has_room && tries < max_room_polls; ++tries) {
+            pause.expires_after(room_poll_interval);
+            co_await pause.async_wait(token(ec));
+            has_room = memory.raise(length);
+        }
+        if (has_room && length > 0 && awaits_continue(parser)) {
+            co_await asio::async_write(stream_, asio::buffer(continue_response), token(ec));
+        }
+        while (has_room && !ec && !parser.is_done()) {
+            co_await http::async_read_some(stream_, buffer_, parser, token(ec));
+            // A body without a length takes twice its bytes while its buffer grows.
+            has_room = parser.content_length() || memory.raise(2 * parser.get().body().size());
+        }
+        co_return has_room;
+    }
+
+    static bool awaits_continue(const request_parser& parser) {
+        return beast::iequals(parser.get()[http::field::expect], "100-continue");
+    }
+
+    /// Responds "not run" and discards the body: closing the connection before it has arrived would
+    /// reset it, and the caller might not see the response.
+    asio::awaitable<void> refuse_body(request_parser& parser) {
+        memory_budget& budget = memory_budget::of(stream_.get_executor());
+        budget.count_refusal();
+        log_event(events::request_body_refused, "length={} reserved_bytes={}",
+                  parser.content_length().value_or(0), budget.reserved());
+        const auto step = static_cast<double>(budget.refused_requests() % retry_steps);
+        const http_field retry_after{
+            "Retry-After",
+            fmt::format("{:.2f}", min_retry_s + step * (max_retry_s - min_retry_s) / retry_steps)};
+        connection_exchange exchange(stream_, buffer_, {}, false, server_->limits);
+        co_await exchange.respond(503, "application/json", error_body("not_run", "no memory"),
+                                  {&retry_after, 1});
+        beast::error_code ec;
+        const bool sends_body = !awaits_continue(parser);
+        parser.get().body().clear();
+        stream_.expires_after(server_->limits.head_timeout);
+        while (sends_body && !ec && !parser.is_done()) {
+            co_await http::async_read_some(stream_, buffer_, parser, token(ec));
+            parser.get().body().clear();
+        }
+        stream_.expires_never();
+    }
+
     asio::awaitable<void> respond_error(request_error failure) {
         connection_exchange exchange(stream_, buffer_, {}, false, server_->limits);
         co_await exchange.respond(failure.status, "application/json",
@@ -398,6 +476,9 @@
         return std::nullopt;
     }
     std::string bound = to_text(acceptor->local_endpoint());
+    // Accepted connections inherit it.
+    beast::error_code ignored;
+    acceptor->set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
     state_->acceptor = std::move(acceptor);
     asio::co_spawn(*state_->contexts.front(), accept_loop(state_), asio::detached);
     return bound;
--- a/bamboostream/src/Http/http_server.h
+++ b/bamboostream/src/Http/http_server.h
@@ -22,6 +22,8 @@
     virtual ~http_exchange() = default;
 
     virtual const http_request& request() const = 0;
+    /// The body of the request, which may be used after the exchange has ended.
+    virtual std::shared_ptr<const std::string> shared_body() const = 0;
     virtual boost::asio::any_io_executor executor() = 0;
 
     /// Sends a complete response. When `content_type` is empty, `fields` may give it. False when
@@ -78,7 +80,8 @@
 
 /// Accepts connections on one address and assigns them to the given contexts in turn, one context
 /// per thread. A malformed or oversized request gets a 400, 413 or 431 response, and its connection
-/// is closed; other connections are not affected.
+/// is closed; other connections are not affected. A request for whose body the `memory_budget` of
+/// its context has no room gets a 503 response with Retry-After, and its body is read but not kept.
 class http_server {
 public:
     http_server(std::vector<boost::asio::io_context*> contexts, http_limits limits,
--- a/bamboostream/src/Http/response_guard.cpp
+++ b/bamboostream/src/Http/response_guard.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// A thirty-second of the smallest instance's memory.
-constexpr std::size_t default_memory_bytes = 2816 * 1024;
 /// What every response may keep without a reservation, so that events and ordinary bodies never
 /// fail because others are large.
 constexpr std::size_t unreserved_bytes = 16 * 1024;
@@ -26,17 +24,17 @@
 boost::asio::execution_context::id response_guard::id;
 
 response_guard::response_guard(boost::asio::execution_context& context)
-    : boost::asio::execution_context::service(context), memory_bytes_(default_memory_bytes) {}
+    : boost::asio::execution_context::service(context),
+      memory_(boost::asio::use_service<memory_budget>(context)) {}
 
 response_guard& response_guard::of(const boost::asio::any_io_executor& executor) {
     return boost::asio::use_service<response_guard>(
         boost::asio::query(executor, boost::asio::execution::context));
 }
 
-void response_guard::configure(const response_limits& limits, std::size_t memory_bytes) {
+void response_guard::configure(const response_limits& limits) {
     const std::lock_guard lock(mutex_);
     limits_ = limits;
-    memory_bytes_ = memory_bytes;
 }
 
 response_limits response_guard::limits() const {
@@ -44,25 +42,6 @@
     return limits_;
 }
 
-bool response_guard::try_reserve(std::size_t bytes) {
-    const std::lock_guard lock(mutex_);
-    if (reserved_ + bytes > memory_bytes_) {
-        return false;
-    }
-    reserved_ += bytes;
-    return true;
-}
-
-void response_guard::release(std::size_t bytes) {
-    const std::lock_guard lock(mutex_);
-    reserved_ -= std::min(bytes, reserved_);
-}
-
-std::size_t response_guard::reserved() const {
-    const std::lock_guard lock(mutex_);
-    return reserved_;
-}
-
 time_point response_guard::claim_turn(time_point now) {
     const std::lock_guard lock(mutex_);
     const time_point turn = std::max(now, next_turn_);
@@ -103,11 +82,11 @@
 
 bool reserved_memory::resize(std::size_t bytes) {
     const std::size_t wanted = bytes > unreserved_bytes ? bytes - unreserved_bytes : 0;
-    if (wanted > bytes_ && !guard_.try_reserve(wanted - bytes_)) {
+    if (wanted > bytes_ && !guard_.memory().try_reserve(memory_use::response, wanted - bytes_)) {
         return false;
     }
     if (wanted < bytes_) {
-        guard_.release(bytes_ - wanted);
+        guard_.memory().release(memory_use::response, bytes_ - wanted);
     }
     bytes_ = wanted;
     return true;
--- a/bamboostream/src/Http/response_guard.h
+++ b/bamboostream/src/Http/response_guard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostream/src/Core/clock.h"
+#include "bamboostream/src/Http/memory_budget.h"
 #include "bamboostream/src/Http/response_limits.h"
 
 #include <array>
@@ -14,11 +15,10 @@
 
 namespace bamboostream {
 
-/// What all client connections of one execution context share: the limits of responses, the memory
-/// for responses that are kept, the rate at which responses are read in bulk, and the record of
-/// servers that exceeded a limit. Thread-safe.
+/// What all client connections of one execution context share: the limits of responses, the rate at
+/// which responses are read in bulk, and the record of servers that exceeded a limit. Thread-safe.
 ///
-/// Example: `response_guard::of(executor).try_reserve(bytes)`
+/// Example: `response_guard::of(executor).claim_turn(now)`
 class response_guard final : public boost::asio::execution_context::service {
 public:
     // Asio identifies services by this member.
@@ -29,15 +29,12 @@
     /// The guard of the context that runs `executor`.
     static response_guard& of(const boost::asio::any_io_executor& executor);
 
-    /// Sets the limits for connections that are made from now on, and the memory in bytes for
-    /// responses that are kept.
-    void configure(const response_limits& limits, std::size_t memory_bytes);
+    /// Sets the limits for connections that are made from now on.
+    void configure(const response_limits& limits);
     response_limits limits() const;
 
-    /// Reserves memory for a response that is kept; false if there isn't as much left.
-    bool try_reserve(std::size_t bytes);
-    void release(std::size_t bytes);
-    std::size_t reserved() const;
+    /// The memory for responses that are kept, with all other memory of the context.
+    memory_budget& memory() { return memory_; }
 
     /// The time at which a connection that has bytes ready all the time may read them. Each call
     /// claims the next turn.
@@ -56,8 +53,7 @@
 
     mutable std::mutex mutex_;
     response_limits limits_;
-    std::size_t memory_bytes_;
-    std::size_t reserved_ = 0;
+    memory_budget& memory_;
     time_point next_turn_;
     std::array<std::uint64_t, static_cast<std::size_t>(response_limit::count_)> counts_{};
     /// When the latest line was written for a server.
@@ -68,7 +64,7 @@
 class reserved_memory {
 public:
     explicit reserved_memory(response_guard& guard) : guard_(guard) {}
-    ~reserved_memory() { guard_.release(bytes_); }
+    ~reserved_memory() { guard_.memory().release(memory_use::response, bytes_); }
     reserved_memory(const reserved_memory&) = delete;
     reserved_memory& operator=(const reserved_memory&) = delete;
 
--- a/test/platform/endless_response_test.cpp
+++ b/test/platform/endless_response_test.cpp
@@ -297,7 +297,7 @@
     asio::io_context context{1};
     response_limits limits;
     limits.framing_bytes = std::size_t{1} << 30U;
-    response_guard::of(context.get_executor()).configure(limits, 1024 * 1024);
+    response_guard::of(context.get_executor()).configure(limits);
     scripted_backend server(
         context, send_endlessly(endless_kind::comments, 0, std::make_shared<endless_record>()));
     std::size_t read = 0;
@@ -367,7 +367,7 @@
 TEST_P(event_stream_limit, is_exceeded_only_by_streams_without_end) {
     asio::io_context context;
     response_guard& guard = response_guard::of(context.get_executor());
-    guard.configure({}, 100'000);
+    guard.memory().set_limit(memory_use::response, 100'000);
     event_stream_limits limits({}, guard);
     const time_point began{};
     response_limit exceeded = response_limit::none;
--- a/test/platform/platform_codec_test.cpp
+++ b/test/platform/platform_codec_test.cpp
@@ -256,8 +256,7 @@
                                                      std::string&) const override {
             return std::nullopt;
         }
-        std::string serialize_request(const http_request&,
-                                      const attempt_parameters&) const override {
+        std::string serialize_head(const http_request&, const attempt_parameters&) const override {
             return {};
         }
         parsed_response parse_response(const http_connection&,
