Let nothing but events of its stream into an open response

Callers: bytes of another response (409, 500 and others) stood where the next chunk of a stream was due, and the connection was kept afterwards.

Cause: the response of the server at which a stream is resumed was answered without a look at whether the caller had events already, unless it was a short failure. The exchange let a response begin at any time.

Why it works: after the first event only a sealed 200 that may be an event stream continues the response; anything else ends the attempt. The exchange closes the connection when a second response is begun, so no path can write one.

--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -118,6 +118,8 @@
                                                http_failure& why);
     boost::asio::awaitable<std::optional<attempt_end>> handle_response(const destination& to,
                                                                        const response_info& facts);
+    /// Whether the response names no other type of its body.
+    bool may_be_event_stream() const;
     /// Records what the response says of the requests a second that its server takes.
     void record_rate_limit(const response_info& facts);
     /// Records what the response says of its server's load.
--- a/bamboostream/src/Forwarding/forwarded_response.cpp
+++ b/bamboostream/src/Forwarding/forwarded_response.cpp
@@ -95,12 +95,22 @@
         connection_->close();
         co_return fail(to, attempt_end::lost, "response is not the server's");
     }
-    if (route_->streaming && facts.status == 200) {
+    const bool is_stream = route_->streaming && facts.status == 200;
+    if (stream_started_ && !(is_stream && may_be_event_stream())) {
+        connection_->close();
+        co_return fail(to, attempt_end::failed, "response does not continue the stream");
+    }
+    if (is_stream) {
         co_return co_await relay(to, facts);
     }
     co_return co_await forward_body(to, facts);
 }
 
+bool forwarded_call::may_be_event_stream() const {
+    const std::string_view type = connection_->field("Content-Type");
+    return type.empty() || type.starts_with("text/event-stream");
+}
+
 /// A failure response without a limit says nothing about it: it may come from a part of the server
 /// that doesn't know the limit.
 void forwarded_call::record_rate_limit(const response_info& facts) {
--- a/bamboostream/src/Http/http_server.cpp
+++ b/bamboostream/src/Http/http_server.cpp
@@ -140,7 +140,9 @@
 
     asio::awaitable<bool> respond(int status, std::string_view content_type, std::string body,
                                   std::span<const http_field> fields) override {
-        append_head(status, content_type, fields);
+        if (!begin_head(status, content_type, fields)) {
+            co_return false;
+        }
         fmt::format_to(std::back_inserter(out_), "Content-Length: {}\r\n\r\n", body.size());
         if (request_->method != "HEAD") {
             out_ += body;
@@ -151,14 +153,18 @@
 
     asio::awaitable<bool> begin_stream(int status, std::string_view content_type,
                                        std::span<const http_field> fields) override {
-        append_head(status, content_type, fields);
+        if (!begin_head(status, content_type, fields)) {
+            co_return false;
+        }
         out_ += "Cache-Control: no-store\r\nTransfer-Encoding: chunked\r\n\r\n";
         co_return co_await flush();
     }
 
     asio::awaitable<bool> begin_body(int status, std::optional<std::uint64_t> length,
                                      std::span<const http_field> fields) override {
-        append_head(status, {}, fields);
+        if (!begin_head(status, {}, fields)) {
+            co_return false;
+        }
         chunked_ = !length;
         out_ += length ? fmt::format("Content-Length: {}\r\n\r\n", *length)
                        : "Transfer-Encoding: chunked\r\n\r\n";
@@ -207,8 +213,14 @@
         }
     }
 
-    void append_head(int status, std::string_view content_type,
-                     std::span<const http_field> fields) {
+    /// Appends the head of the response. After another one has begun, the caller would take the head
+    /// for a part of that response's body: then the connection is closed instead.
+    bool begin_head(int status, std::string_view content_type,
+                    std::span<const http_field> fields) {
+        if (std::exchange(begun_, true)) {
+            abort();
+            return false;
+        }
         fmt::format_to(std::back_inserter(out_), "HTTP/1.1 {} {}\r\n", status,
                        reason_phrase(status));
         if (!content_type.empty()) {
@@ -218,6 +230,7 @@
             fmt::format_to(std::back_inserter(out_), "{}: {}\r\n", field.name, field.value);
         }
         out_ += keep_alive_ ? "Connection: keep-alive\r\n" : "Connection: close\r\n";
+        return true;
     }
 
     /// Writes the queued bytes. While another coroutine is writing, this one leaves its bytes in
@@ -273,6 +286,7 @@
     std::string writing_;
     bool flushing_ = false;
     bool gone_ = false;
+    bool begun_ = false;
     bool complete_ = false;
     bool chunked_ = true;
 };
--- a/bamboostream/src/Http/http_server.h
+++ b/bamboostream/src/Http/http_server.h
@@ -16,7 +16,8 @@
 namespace bamboostream {
 
 /// One request on a connection and the means to respond to it. All functions must be called on the
-/// traffic thread of the connection.
+/// traffic thread of the connection. Once a response has been begun, each function that begins
+/// another one closes the connection abruptly and returns false.
 class http_exchange {
 public:
     virtual ~http_exchange() = default;
