Test that streams join no versions after the kill of all instances

Report: in another system, callers took streams up right after all instances had been killed, and the rest came from another software version.

Not shown here: after the kill nobody knows the origin of a stream, and the take-up gets 503 ("not run"). The test kills three instances while two versions serve, while the old one leaves and after it has left; callers take up as soon as an instance answers.

--- a/test/platform/system/stream_version_test.cpp
+++ b/test/platform/system/stream_version_test.cpp
@@ -1,9 +1,12 @@
 // Tests with real gateway processes and servers of several software versions in one service, whose
 // events of one stream don't fit together.
 
+#include "bamboostream/src/Control/async_wait.h"
 #include "test/platform/system/gateway_fixture.h"
 
+#include <array>
 #include <csignal>
+#include <functional>
 #include <set>
 
 namespace bamboostream::test {
@@ -221,5 +224,112 @@
     EXPECT_EQ(continued, stream_count);
 }
 
+/// What the servers of the old software version do when all instances are killed.
+enum class old_version : std::uint8_t { serves, leaves, has_left };
+
+class killed_instances : public stream_version_system,
+                         public testing::WithParamInterface<old_version> {
+protected:
+    /// Takes a stream up at one instance after the other until one accepts it, at most `max_tries`
+    /// times, each try after the latest event. Appends what arrives to `body`.
+    asio::awaitable<void> take_up(std::string first_id, std::string& body, bool& done) {
+        for (int i = 0; i < max_tries; ++i) {
+            const std::string id = fmt::format("{}-{}", first_id, i);
+            const std::string after = std::to_string(last_event(body));
+            const std::vector<http_field> fields = {{"Resumes", first_id},
+                                                    {"Last-Event-Id", after}};
+            const auto rest = open(*instances_[static_cast<std::size_t>(i) % instances_.size()],
+                                   "/label/x", id, fields);
+            while (!rest->done) {
+                co_await pause_for(milliseconds(5));
+            }
+            answers_[id] = rest->status;
+            if (rest->body.starts_with("id: ")) {
+                body += rest->body;
+            }
+            if (rest->status == 200) {
+                break;
+            }
+            co_await pause_for(milliseconds(30));
+        }
+        done = true;
+    }
+
+    static constexpr int max_tries = 40;
+    std::map<std::string, int> answers_;
+};
+
+std::string name_of(const testing::TestParamInfo<old_version>& info) {
+    constexpr std::array names = {"old_version_serves", "old_version_leaves",
+                                  "old_version_has_left"};
+    return names.at(static_cast<std::size_t>(info.param));
+}
+
+INSTANTIATE_TEST_SUITE_P(table, killed_instances,
+                         testing::Values(old_version::serves, old_version::leaves,
+                                         old_version::has_left),
+                         name_of);
+
+// Guards against streams that are taken up right after all instances were killed, when nobody knows
+// their origin, and go on at another software version than the one that began them.
+TEST_P(killed_instances, join_no_versions) {
+    start_instances(3);
+    for (const char* id : {"i-old-1", "i-old-2"}) {
+        add_version(id, "v1.10");
+        wait_until_all_know("backend_joined", id);
+    }
+    std::vector<std::shared_ptr<call_result>> streams;
+    for (std::size_t i = 0; i < stream_count; ++i) {
+        streams.push_back(open_and_await_event(*instances_[i % instances_.size()], "/label/x",
+                                               fmt::format("a{}", i)));
+    }
+    for (const char* id : {"i-new-1", "i-new-2"}) {
+        add_version(id, "blue");
+        wait_until_all_know("backend_joined", id);
+    }
+    if (GetParam() != old_version::serves) {
+        for (const char* id : {"i-old-1", "i-old-2"}) {
+            write_entry(id, "draining");
+            wait_until_all_know("backend_leaving", id);
+        }
+    }
+    for (const auto& it : instances_) {
+        it->running->signal(SIGKILL);
+    }
+    if (GetParam() == old_version::has_left) {
+        broken_.insert("v1.10");
+        store_.write("keyed.servers", "i-old-1", "");
+        store_.write("keyed.servers", "i-old-2", "");
+    }
+    std::vector<std::string> bodies;
+    for (const auto& it : streams) {
+        wait_until_done(it);
+        bodies.push_back(it->body);
+    }
+    const std::size_t runs_before = runs_.size();
+    for (const auto& it : instances_) {
+        start(*it);
+    }
+    std::array<bool, stream_count> done{};
+    for (std::size_t i = 0; i < bodies.size(); ++i) {
+        asio::co_spawn(context_, take_up(fmt::format("a{}", i), bodies[i], done.at(i)),
+                       asio::detached);
+    }
+    const auto all_done = [&] { return std::all_of(done.begin(), done.end(), std::identity{}); };
+    EXPECT_TRUE(wait_until(all_done, seconds(20)));
+    for (const std::string& body : bodies) {
+        EXPECT_EQ(versions_in(body), std::set<std::string>{"v1.10"});
+    }
+    int refused = 0;
+    for (const auto& [id, status] : answers_) {
+        refused += status == 503 ? 1 : 0;
+        EXPECT_TRUE(status != 503 ||
+                    std::none_of(runs_.begin() + static_cast<std::ptrdiff_t>(runs_before),
+                                 runs_.end(), [&id = id](const run& r) { return r.id == id; }))
+            << id << " was refused and ran";
+    }
+    EXPECT_GT(refused, 0);
+}
+
 } // namespace
 } // namespace bamboostream::test
