--- a/bamboostream/src/Http/http_server.cpp
+++ b/bamboostream/src/Http/http_server.cpp
@@ -213,10 +213,9 @@
         }
     }
 
-    /// Appends the head of the response. After another one has begun, the caller would take the head
-    /// for a part of that response's body: then the connection is closed instead.
-    bool begin_head(int status, std::string_view content_type,
-                    std::span<const http_field> fields) {
+    /// Appends the head of the response. After another one has begun, the caller would take the
+    /// head for a part of that response's body: then the connection is closed instead.
+    bool begin_head(int status, std::string_view content_type, std::span<const http_field> fields) {
         if (std::exchange(begun_, true)) {
             abort();
             return false;
