Take back the announcement of a stop whose answer is lost; bound the wait for its outcome

The announcement is taken back now. - An announcement by an instance of the previous version has no limit, and the end of an unframed stream waited for its outcome without one: outcome_unknown_without_limit failed before (the caller's connection was open after 3 s).

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -446,6 +446,8 @@
     if (!announced) {
         log_event(events::move_failed, "request={} source={} target={} part=last reason=ended", id,
                   source.id.text(), target.id.text());
+        // The announcement may have arrived although its answer hasn't.
+        cancel_stop(candidate);
         co_return move_error::not_running;
     }
     move_failure why;
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -247,6 +247,8 @@
     /// Events that had arrived by `latest_event_`.
     std::uint64_t events_before_ = 0;
     bool stream_started_ = false;
+    /// The end of the latest attempt has waited for the outcome of a move already.
+    bool stop_outcome_awaited_ = false;
     /// The caller has received a part of a response that was not kept.
     bool body_started_ = false;
     bool caller_left_ = false;
--- a/bamboostream/src/Forwarding/forwarded_stream.cpp
+++ b/bamboostream/src/Forwarding/forwarded_stream.cpp
@@ -101,6 +101,7 @@
     stream_->backend = to.backend.id;
     stream_->moved.reset();
     stream_->stop_expected_until.reset();
+    stop_outcome_awaited_ = false;
     splitter_.restart();
     const bool is_resumable = route_->repeats == repeat_policy::resumable;
     const int tokens_per_event = service_->engine ? service_->engine->tokens_per_event : 1;
@@ -181,7 +182,10 @@
         stream_->stop_expected_until.reset();
         co_return;
     }
-    co_await wait_on(stream_->move_signal, *stream_->stop_expected_until);
+    // Instances of the previous version announce no limit.
+    stop_outcome_awaited_ = true;
+    co_await wait_on(stream_->move_signal,
+                     std::min(*stream_->stop_expected_until, now + move_timeout));
     log_event(events::stream_end_ambiguous,
               "request={} backend={} events={} outcome={} after_ms={:.0f}", request_.id,
               stream_->backend.text(), splitter_.events(),
@@ -199,7 +203,7 @@
     const bool source_leaving = source == nullptr || source->leaving;
     const time_point now = monotonic_now();
     const bool stop_expected = stream_->stop_expected_until && now < *stream_->stop_expected_until;
-    if (!stream_->moved && (stop_expected || source_leaving)) {
+    if (!stream_->moved && !stop_outcome_awaited_ && (stop_expected || source_leaving)) {
         co_await wait_on(stream_->move_signal, now + move_timeout);
     }
     co_return stream_->moved.has_value();
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -292,6 +292,8 @@
     run_for(milliseconds(60));
     ASSERT_EQ(mover_.calls_.size(), 1U);
     EXPECT_FALSE(mover_.calls_.front().last);
+    // The instance may have heard the announcement without its answer having arrived.
+    EXPECT_EQ(peers_.cancelled_.size(), 1U);
     EXPECT_TRUE(peers_.notices_.empty());
 }
 
--- a/test/platform/unframed_stop_test.cpp
+++ b/test/platform/unframed_stop_test.cpp
@@ -11,7 +11,14 @@
 namespace asio = boost::asio;
 
 /// What is known of the last step of a move when the stream ends.
-enum class stop : std::uint8_t { not_asked_for, announced_long_ago, not_stopped, moved, unknown };
+enum class stop : std::uint8_t {
+    not_asked_for,
+    announced_long_ago,
+    not_stopped,
+    moved,
+    unknown,
+    unknown_without_limit
+};
 
 struct stop_row {
     std::string name;
@@ -29,7 +36,9 @@
                     stop_row{"announced_long_ago", stop::announced_long_ago, false, true},
                     stop_row{"not_stopped", stop::not_stopped, false, true},
                     stop_row{"moved", stop::moved, true, true},
-                    stop_row{"outcome_unknown", stop::unknown, false, false}),
+                    stop_row{"outcome_unknown", stop::unknown, false, false},
+                    stop_row{"outcome_unknown_without_limit", stop::unknown_without_limit, false,
+                             false}),
     [](const auto& info) { return info.param.name; });
 
 // Guards against a whole stream that is broken off because its generation might have been moved,
@@ -66,7 +75,9 @@
     const stop what = GetParam().what;
     if (what != stop::not_asked_for) {
         const milliseconds within(what == stop::announced_long_ago ? 1 : 300);
-        EXPECT_TRUE(streams.expect_stop("a1", backend_id("i-1"), monotonic_now() + within));
+        const time_point until =
+            what == stop::unknown_without_limit ? time_point::max() : monotonic_now() + within;
+        EXPECT_TRUE(streams.expect_stop("a1", backend_id("i-1"), until));
         f.run_for(milliseconds(5));
     }
     ends = true;
@@ -79,6 +90,7 @@
                        monotonic_now());
     }
     f.finish(view);
+    EXPECT_TRUE(view->done || view->closed);
     EXPECT_EQ(view->complete(), GetParam().expected_complete) << view->bytes;
     EXPECT_EQ(view->body(), events_text(0, GetParam().is_resumed_elsewhere ? 6 : 3));
     EXPECT_EQ(target.requests().size(), GetParam().is_resumed_elsewhere ? 1U : 0U);
