--- a/bamboostream/src/Forwarding/forwarded_response.cpp
+++ b/bamboostream/src/Forwarding/forwarded_response.cpp
@@ -89,7 +89,9 @@
         }
         give_back(to);
         co_return fail(to, attempt_end::not_run,
-                       facts.wrong_server ? "address belongs to another server" : "refused");
+                       facts.wrong_server    ? "address belongs to another server"
+                       : facts.names_request ? "refused"
+                                             : "refused without an id");
     }
     if (!facts.authentic) {
         connection_->close();
