Believe a response only if it is known to be about the request

What callers saw: calls that must run once were answered 503 ("not run") and had run, or ran twice. A server that sent a refusal without an id, or with an empty one, behind another response on a kept connection had it taken for the response to the next request; a 421 of that kind took a sound server out of service, and a failure was forwarded as the response.

Cause: whose response it is was decided by each reader. The codec treated a response that names nobody as the request's own, and take_response believed its refusal unless the connection had carried one before. The class: "not run" that is stated without proof.

Refusals of nobody: the request was also sent to the second server, while the first one ran it; a 421 of nobody: the same, and the server was marked as leaving; a 500 of nobody: the caller got it for a call that had succeeded.

Why this works: what a response says can only be read through parsed_response::about_request, which yields nothing unless the response names the request or is the first one on its connection. An attempt counts as executed from before its first byte leaves until a not_run_proof ends it, and proofs come from such a response, or from a connection on which nothing was written. A 503 needs a not_run_promise, which only attempt_history issues. A response of nobody is skipped like a late copy, so that the response behind it is delivered.

--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -51,7 +51,7 @@
 inline constexpr event_kind server_slow{236, event_level::info, "server_slow", "A backend server has become much slower than the others of its service; it still gets work that it does in time."};
 inline constexpr event_kind server_recovered{237, event_level::info, "server_recovered", "A backend server is no longer much slower than the others of its service."};
 inline constexpr event_kind response_without_end{238, event_level::warning, "response_without_end", "A backend server exceeded a limit on the bytes or the time of a response; the connection was closed."};
-inline constexpr event_kind late_response{239, event_level::warning, "late_response", "A response to an earlier request arrived where the response to another one was due; it is ignored."};
+inline constexpr event_kind late_response{239, event_level::warning, "late_response", "A response that isn't known to be about the request arrived where the response to it was due; it is ignored."};
 inline constexpr event_kind stream_end_ambiguous{240, event_level::info, "stream_end_ambiguous", "A stream without framing ended while its engine was asked to stop it for a move; the outcome of the move decides whether it is whole."};
 inline constexpr event_kind request_body_refused{241, event_level::warning, "request_body_refused", "There was no memory for the body of a request; the caller was told that it has not run."};
 inline constexpr event_kind configuration_in_force{300, event_level::info, "configuration_in_force", "A newer configuration version is in force here."};
--- a/bamboostream/src/Forwarding/attempt_policy.cpp
+++ b/bamboostream/src/Forwarding/attempt_policy.cpp
@@ -10,29 +10,58 @@
     return names[static_cast<std::size_t>(end)];
 }
 
-void attempt_history::record(attempt_end end) {
-    if (end == attempt_end::not_sent) {
-        ++failed_connects;
-        return;
+std::optional<not_run_proof> not_run_proof::of_response(const response_info& response) {
+    if (!response.not_run && !response.wrong_server) {
+        return std::nullopt;
     }
-    ++sends;
-    may_have_run = may_have_run || end != attempt_end::not_run;
+    return not_run_proof(attempt_end::not_run,
+                         response.names_request ? "names_request" : "first_on_connection");
 }
 
-bool may_retry(repeat_policy repeats, int max_attempts, const attempt_history& history,
-               attempt_end last) {
-    if (history.sends >= max_attempts || history.failed_connects >= max_failed_connects) {
+std::optional<not_run_proof> not_run_proof::of_connection(const http_connection& connection) {
+    return connection.any_sent()
+               ? std::nullopt
+               : std::optional(not_run_proof(attempt_end::not_sent, "nothing_sent"));
+}
+
+attempt_end attempt_history::end_not_run(const not_run_proof& proof) {
+    sending_ = false;
+    ++(proof.end() == attempt_end::not_sent ? failed_connects_ : sends_);
+    return proof.end();
+}
+
+attempt_end attempt_history::end_unsent() {
+    if (sending_) {
+        return end_sent(attempt_end::lost);
+    }
+    ++failed_connects_;
+    return attempt_end::not_sent;
+}
+
+attempt_end attempt_history::end_sent(attempt_end end) {
+    sending_ = false;
+    may_have_run_ = true;
+    ++sends_;
+    const bool needs_proof = end == attempt_end::not_sent || end == attempt_end::not_run;
+    return needs_proof ? attempt_end::lost : end;
+}
+
+std::optional<not_run_promise> attempt_history::promise_not_run() const {
+    return may_have_run() ? std::nullopt : std::optional(not_run_promise());
+}
+
+bool may_retry(repeat_policy repeats, int max_attempts, const attempt_history& history) {
+    if (history.sends() >= max_attempts || history.failed_connects() >= max_failed_connects) {
         return false;
     }
-    const bool not_executed = last == attempt_end::not_sent || last == attempt_end::not_run;
-    return repeats != repeat_policy::once || (not_executed && !history.may_have_run);
+    return repeats != repeat_policy::once || !history.may_have_run();
 }
 
 final_response choose_final_response(const attempt_history& history, attempt_end last) {
     if (last == attempt_end::failed) {
         return final_response::backend_failure;
     }
-    if (!history.may_have_run) {
+    if (!history.may_have_run()) {
         return final_response::not_run;
     }
     return last == attempt_end::silent ? final_response::timed_out : final_response::unknown;
--- a/bamboostream/src/Forwarding/forward_request.h
+++ b/bamboostream/src/Forwarding/forward_request.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bamboostream {
@@ -81,12 +82,38 @@
     std::string malformed_load;
 };
 
-/// The head of a response on a connection on which the response to a request is due.
-struct parsed_response {
-    /// Nothing if it names another request: such a response says nothing about this one.
-    std::optional<response_info> info;
-    /// The request that it names, if that is another one; empty otherwise.
-    std::string other_request;
+/// Which request a response names.
+enum class response_subject : std::uint8_t {
+    this_request,
+    /// It names none.
+    unnamed,
+    another_request,
+};
+
+/// The head of a response on a connection on which the response to a request is due. What it says
+/// can only be read as a statement about that request, if it is known to be one.
+class parsed_response {
+public:
+    /// `named` is the id that the response names, if any. `is_first` tells that no other response
+    /// has arrived on its connection.
+    parsed_response(response_info info, response_subject subject, std::string named, bool is_first)
+        : info_(std::move(info)), named_(std::move(named)),
+          is_known_(subject == response_subject::this_request ||
+                    (subject == response_subject::unnamed && is_first)) {}
+
+    /// What the response says of the request; nothing if it may be about another one. A response
+    /// that names no request is about this one only if it is the first on its connection: behind
+    /// another response it may be a copy, or bytes that belong to no request.
+    std::optional<response_info> about_request() const {
+        return is_known_ ? std::optional(info_) : std::nullopt;
+    }
+    /// The id that the response names; empty if it names none.
+    const std::string& named() const { return named_; }
+
+private:
+    response_info info_;
+    std::string named_;
+    bool is_known_;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -205,11 +205,17 @@
     return admission_refused_ || known ? refusal_cause::overloaded : refusal_cause::state_unknown;
 }
 
+asio::awaitable<void> forwarded_call::respond_not_run(not_run_promise /*unused*/,
+                                                      std::string_view code, refusal_cause cause) {
+    const http_field retry_after = retry_after_field(retry_after_delay(cause));
+    co_await exchange_.respond_json(503, error_body(code), {&retry_after, 1});
+}
+
+asio::awaitable<void> forwarded_call::respond_unknown() {
+    co_await exchange_.respond_json(502, error_body("outcome_unknown"));
+}
+
 asio::awaitable<void> forwarded_call::reject(rejection why) {
-    std::vector<http_field> fields;
-    if (why.not_run) {
-        fields.push_back(retry_after_field(retry_after_delay(*why.not_run)));
-    }
     state_.counters.count(forward_result::rejected);
     log_event(events::request_refused, "request={} reason={} status={} configuration_version={}{}",
               request_.id, why.code, why.status, routes_ ? routes_->configuration().version : 0,
@@ -218,7 +224,13 @@
                   ? fmt::format(" digest={} held_for_parts={}", suspect_digest().text(),
                                 labels_of_held_parts())
                   : "");
-    co_await exchange_.respond_json(why.status, error_body(why.code), fields);
+    if (!why.not_run) {
+        co_await exchange_.respond_json(why.status, error_body(why.code));
+    } else if (const auto promise = history_.promise_not_run()) {
+        co_await respond_not_run(*promise, why.code, *why.not_run);
+    } else {
+        co_await respond_unknown();
+    }
 }
 
 backend_work forwarded_call::expected_work() const {
@@ -451,7 +463,7 @@
         if (!end) {
             co_return;
         }
-        if (!to || !try_acquire_retry(*end) || !co_await pass_quarantine()) {
+        if (!to || !try_acquire_retry() || !co_await pass_quarantine()) {
             co_await respond_failure(*end);
             co_return;
         }
@@ -539,7 +551,7 @@
 void forwarded_call::record_caller_left() {
     state_.counters.count(forward_result::caller_left);
     log_event(events::caller_left, "request={} route={} sends={}", request_.id, route_->name,
-              history_.sends);
+              history_.sends());
 }
 
 void forwarded_call::withdraw(const request_digest& request) {
@@ -567,7 +579,7 @@
     }
 }
 
-bool forwarded_call::try_acquire_retry(attempt_end end) {
+bool forwarded_call::try_acquire_retry() {
     const time_point now = monotonic_now();
     const bool confirmed_harmful =
         state_.quarantine.any() &&
@@ -575,10 +587,11 @@
     if (withdrawn_ || confirmed_harmful || body_started_) {
         return false;
     }
-    if (now >= deadline_ || !may_retry(route_->repeats, route_->max_attempts, history_, end)) {
+    if (now >= deadline_ || !may_retry(route_->repeats, route_->max_attempts, history_)) {
         return false;
     }
-    return history_.sends == 0 || state_.budget.try_spend(service_->id, state_.live_instances, now);
+    return history_.sends() == 0 ||
+           state_.budget.try_spend(service_->id, state_.live_instances, now);
 }
 
 asio::awaitable<void> forwarded_call::respond_failure(attempt_end end) {
@@ -590,23 +603,22 @@
         result = forward_result::backend_failed;
         co_await exchange_.respond(failure_->status, {}, std::move(failure_->body),
                                    failure_->fields);
-    } else if (response == final_response::not_run) {
+    } else if (const auto promise = history_.promise_not_run()) {
         result = forward_result::not_run;
-        const http_field retry_after_header = retry_after_field(retry_after_delay(not_run_cause()));
-        co_await exchange_.respond_json(503, error_body("not_run"), {&retry_after_header, 1});
+        co_await respond_not_run(*promise, "not_run", not_run_cause());
     } else if (response == final_response::timed_out) {
         result = forward_result::timed_out;
         co_await exchange_.respond_json(504, error_body("timed_out"));
     } else {
         result = forward_result::unknown;
-        co_await exchange_.respond_json(502, error_body("outcome_unknown"));
+        co_await respond_unknown();
     }
     state_.counters.count(result);
     log_event(events::request_failed,
               "request={} route={} service={} result={} last={} sends={} failed_connects={} "
               "events={} store_away={} after_ms={:.0f}",
               request_.id, route_->name, service_->id.text(), to_string(result), to_string(end),
-              history_.sends, history_.failed_connects, splitter_.events(),
+              history_.sends(), history_.failed_connects(), splitter_.events(),
               state_.registry.store_away(), to_milliseconds(monotonic_now() - arrival_));
 }
 
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -75,6 +75,11 @@
     /// Makes the origin known to other instances if the caller may take the stream up.
     void share_origin();
     boost::asio::awaitable<void> reject(rejection why);
+    /// Responds 503 with Retry-After, which promises that the request has not run and never will.
+    /// Nothing else in this class responds with such a status.
+    boost::asio::awaitable<void> respond_not_run(not_run_promise promise, std::string_view code,
+                                                 refusal_cause cause);
+    boost::asio::awaitable<void> respond_unknown();
     duration retry_after_delay(refusal_cause cause);
     /// The shortest time until a server of the service may take another request.
     duration min_permit_wait() const;
@@ -109,11 +114,12 @@
     duration max_idle_time(const backend_id& server) const;
     time_point attempt_deadline() const;
     /// Interprets the head of a response that has arrived, and sets `into` if it is known to be the
-    /// response to this request. Returns false if it names another request.
+    /// response to this request. Returns false if it isn't.
     bool take_response(std::optional<response_info>& into);
-    /// Reads the head of the response to this request into `into` and skips late copies of
-    /// responses to earlier requests. Returns false, with a reason in `why`, if there is none that
-    /// is known to be the response to this request; the connection is closed then.
+    /// Reads the head of the response to this request into `into` and skips responses that aren't
+    /// known to be, such as late copies of responses to earlier requests. Returns false, with a
+    /// reason in `why`, if there is none that is known to be the response to this request; the
+    /// connection is closed then.
     boost::asio::awaitable<bool> read_response(std::optional<response_info>& into,
                                                http_failure& why);
     boost::asio::awaitable<std::optional<attempt_end>> handle_response(const destination& to,
@@ -177,14 +183,23 @@
     /// failure responses, because a faulty server may fail a request before executing it.
     /// Only a success shows that it has run the prompt.
     void record_server_survived(int status);
+    /// Ends an attempt that may have been executed, as `lost`, `silent` or `failed`.
     attempt_end fail(const destination& to, attempt_end end, std::string_view reason);
+    /// Ends an attempt before its sending has begun.
+    attempt_end fail_unsent(const destination& to, std::string_view reason);
+    /// Ends an attempt that the proof shows not to have been executed.
+    attempt_end fail_not_run(const destination& to, const not_run_proof& proof,
+                             std::string_view reason);
+    /// Counts and logs an attempt that has ended, and returns `end`.
+    attempt_end record_failure(const destination& to, attempt_end end, std::string_view reason,
+                               std::string_view proof);
     /// Ends an attempt because the server accepts no more work; not counted as its failure.
     attempt_end skip_backend(const destination& to, std::string_view reason);
     /// Records for server selection whether the server served the request.
     void record_outcome(const backend_id& server, bool succeeded);
     /// Whether another attempt is allowed. Spends one unit of the service's retry budget if the
     /// request was sent before.
-    bool try_acquire_retry(attempt_end end);
+    bool try_acquire_retry();
     boost::asio::awaitable<void> respond_failure(attempt_end end);
     void give_back(const destination& to);
     bool is_movable() const;
--- a/bamboostream/src/Forwarding/forwarded_stream.cpp
+++ b/bamboostream/src/Forwarding/forwarded_stream.cpp
@@ -164,7 +164,7 @@
         events::request_ended,
         "request={} route={} backend={} events={} sends={} first_ms={:.0f} objective_ms={:.0f} "
         "longest_pause_ms={:.0f} pause_objective_ms={:.0f} after_ms={:.0f}",
-        request_.id, route_->name, to.backend.id.text(), splitter_.events(), history_.sends,
+        request_.id, route_->name, to.backend.id.text(), splitter_.events(), history_.sends(),
         to_milliseconds(first_event_ - arrival_), to_milliseconds(route_->objective),
         to_milliseconds(longest_pause_), to_milliseconds(route_->pause_objective),
         to_milliseconds(monotonic_now() - arrival_));
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -188,6 +188,7 @@
         close();
         co_return false;
     }
+    ++responses_;
     co_return true;
 }
 
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -107,9 +107,9 @@
     std::optional<seconds> keep_alive_timeout() const;
     /// Prevents that the connection carries another exchange.
     void forbid_reuse() { reuse_forbidden_ = true; }
-    /// Notes that a response on this connection has refused its request.
-    void note_refusal() { has_carried_refusal_ = true; }
-    bool has_carried_refusal() const { return has_carried_refusal_; }
+    /// Whether the response whose head was read last is the first one on this connection, not
+    /// counting interim responses.
+    bool is_first_response() const { return responses_ == 1; }
     /// For an idle connection: closes it when the server closes it or sends anything.
     void watch_idle();
     void stop_watching();
@@ -151,7 +151,8 @@
     bool head_only_ = false;
     bool ended_by_close_ = false;
     bool reuse_forbidden_ = false;
-    bool has_carried_refusal_ = false;
+    /// Final responses whose heads were read.
+    std::size_t responses_ = 0;
     response_guard& guard_;
     response_limits limits_;
     std::string address_;
