--- a/bamboostream/src/Limits/workspace_shares.cpp
+++ b/bamboostream/src/Limits/workspace_shares.cpp
@@ -109,52 +109,31 @@
     service.held += sign * change.memory_tokens;
 }
 
-void workspace_shares::remove_report(peer_report_list::iterator old) {
-    for (const workspace_holding& entry : old->entries) {
-        adjust_peers(entry, -1);
-    }
-    report_by_peer_.erase(old->peer);
-    peer_reports_.erase(old);
-}
-
 void workspace_shares::expire(time_point now) {
-    while (!peer_reports_.empty() &&
-           now - peer_reports_.front().at > load_table::peer_report_lifetime) {
-        remove_report(peer_reports_.begin());
-    }
+    peer_reports_.expire(now, [this](const auto& change, int sign) { adjust_peers(change, sign); });
 }
 
 void workspace_shares::hear(const std::string& peer, std::span<const workspace_holding> report,
                             time_point now) {
     expire(now);
-    if (const auto known = report_by_peer_.find(peer); known != report_by_peer_.end()) {
-        remove_report(known->second);
-    }
     for (auto& [key, service] : services_) {
         if (service.chooses && !service.heard_since) {
             service.heard_since = now;
         }
     }
+    const auto adjust = [this](const auto& change, int sign) { adjust_peers(change, sign); };
     if (report.empty()) {
-        return;
+        peer_reports_.remove(peer, adjust);
+    } else {
+        peer_reports_.replace(peer, report, now, adjust);
     }
-    for (const workspace_holding& entry : report) {
-        adjust_peers(entry, 1);
-    }
-    peer_reports_.push_back({peer, now, {report.begin(), report.end()}});
-    report_by_peer_.emplace(peer, std::prev(peer_reports_.end()));
 }
 
 void workspace_shares::add_expected(const std::string& peer, const workspace_holding& holding,
                                     time_point now) {
     expire(now);
-    const auto [known, is_new] = report_by_peer_.try_emplace(peer);
-    if (is_new) {
-        peer_reports_.push_back({peer, now, {}});
-        known->second = std::prev(peer_reports_.end());
-    }
-    known->second->entries.push_back(holding);
-    adjust_peers(holding, 1);
+    peer_reports_.append(peer, holding, now,
+                         [this](const auto& change, int sign) { adjust_peers(change, sign); });
 }
 
 void workspace_shares::set_chooses(const service_id& service, bool chooses, bool alone,
--- a/bamboostream/src/Limits/workspace_shares.h
+++ b/bamboostream/src/Limits/workspace_shares.h
@@ -4,10 +4,10 @@
 #include "bamboostream/src/Core/identities.h"
 #include "bamboostream/src/Limits/engine_admission.h"
 #include "bamboostream/src/Limits/overload_tracker.h"
+#include "bamboostream/src/Routing/load_table.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <list>
 #include <optional>
 #include <span>
 #include <string>
@@ -151,25 +151,16 @@
         double divided_tokens = 0.0;
         time_point in_force_at{};
     };
-    struct peer_report {
-        std::string peer;
-        time_point at;
-        std::vector<workspace_holding> entries;
-    };
-    using peer_report_list = std::list<peer_report>;
 
     double demand(const workspace_state& workspace) const;
     /// The share of a workspace whose demand exceeds it; infinite if `tokens` suffice for all.
     double share_level(const service_state& service, double tokens, time_point now) const;
     void adjust_peers(const workspace_holding& change, int sign);
-    void remove_report(peer_report_list::iterator old);
     void expire(time_point now);
 
     workspace_share_rules rules_;
     std::unordered_map<std::uint64_t, service_state> services_;
-    /// Reports of the other instances, oldest first.
-    peer_report_list peer_reports_;
-    std::unordered_map<std::string, peer_report_list::iterator> report_by_peer_;
+    peer_reports<workspace_holding> peer_reports_{load_table::peer_report_lifetime};
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Routing/load_table.cpp
+++ b/bamboostream/src/Routing/load_table.cpp
@@ -49,43 +49,26 @@
     adjust(local_work_, backend_hash(id), negated(work));
 }
 
-void load_table::remove_report(peer_report_list::iterator old) {
-    for (const backend_work_entry& entry : old->entries) {
-        adjust(peer_totals_, entry.backend, negated(entry.work));
-    }
-    report_by_peer_.erase(old->peer);
-    peer_reports_.erase(old);
+void load_table::adjust_peers(const backend_work_entry& change, int sign) {
+    adjust(peer_totals_, change.backend, sign > 0 ? change.work : negated(change.work));
 }
 
 void load_table::expire(time_point now) {
-    while (!peer_reports_.empty() && now - peer_reports_.front().at > peer_report_lifetime) {
-        remove_report(peer_reports_.begin());
-    }
+    peer_reports_.expire(now, [this](const auto& change, int sign) { adjust_peers(change, sign); });
 }
 
 void load_table::hear(const std::string& peer, std::span<const backend_work_entry> entries,
                       time_point now) {
     expire(now);
-    if (const auto known = report_by_peer_.find(peer); known != report_by_peer_.end()) {
-        remove_report(known->second);
-    }
-    for (const backend_work_entry& entry : entries) {
-        adjust(peer_totals_, entry.backend, entry.work);
-    }
-    peer_reports_.push_back({peer, now, {entries.begin(), entries.end()}});
-    report_by_peer_.emplace(peer, std::prev(peer_reports_.end()));
+    peer_reports_.replace(peer, entries, now,
+                          [this](const auto& change, int sign) { adjust_peers(change, sign); });
 }
 
 void load_table::add_expected(const std::string& peer, const backend_work_entry& entry,
                               time_point now) {
     expire(now);
-    const auto [known, is_new] = report_by_peer_.try_emplace(peer);
-    if (is_new) {
-        peer_reports_.push_back({peer, now, {}});
-        known->second = std::prev(peer_reports_.end());
-    }
-    known->second->entries.push_back(entry);
-    adjust(peer_totals_, entry.backend, entry.work);
+    peer_reports_.append(peer, entry, now,
+                         [this](const auto& change, int sign) { adjust_peers(change, sign); });
 }
 
 backend_work load_table::total(std::uint64_t server_hash, time_point now) {
@@ -99,7 +82,7 @@
     expire(now);
     const std::uint64_t key = backend_hash(id);
     std::vector<std::string> out;
-    for (const peer_report& from : peer_reports_) {
+    for (const auto& from : peer_reports_.all()) {
         if (std::any_of(from.entries.begin(), from.entries.end(),
                         [key](const backend_work_entry& e) { return e.backend == key; })) {
             out.push_back(from.peer);
--- a/bamboostream/src/Routing/load_table.h
+++ b/bamboostream/src/Routing/load_table.h
@@ -2,9 +2,9 @@
 
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Core/identities.h"
+#include "bamboostream/src/Routing/peer_reports.h"
 
 #include <cstdint>
-#include <list>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -67,20 +67,11 @@
     std::vector<backend_work_entry> own() const;
 
 private:
-    struct peer_report {
-        std::string peer;
-        time_point at;
-        std::vector<backend_work_entry> entries;
-    };
-    using peer_report_list = std::list<peer_report>;
-
-    void remove_report(peer_report_list::iterator old);
     void expire(time_point now);
+    void adjust_peers(const backend_work_entry& change, int sign);
 
     std::unordered_map<std::uint64_t, backend_work> local_work_;
-    /// Reports of the other instances, oldest first.
-    peer_report_list peer_reports_;
-    std::unordered_map<std::string, peer_report_list::iterator> report_by_peer_;
+    peer_reports<backend_work_entry> peer_reports_{peer_report_lifetime};
     /// Sum of the reports of all other instances, by server.
     std::unordered_map<std::uint64_t, backend_work> peer_totals_;
 };
