Read numbers from outside the process without overflow

What was seen: an entry of another writer among those of the servers, with 2^32 slots or a warm-up of 1e300 ms, was taken for a server of the service. Requests went to its address, and under the id of a sound server it took that server out of use: callers got 503 while the server was alive. No process ended in the build for arm64; the conversions are undefined and give other values on x86-64.

Cause: each place that reads a number converted it on its own, with static_cast or by multiplication to nanoseconds: 2^32 became 0 slots, 0 connections and a head limit of 0 bytes, 1e300 ms a time in the past or none.

The class: numbers of entries, of the operator's configuration, of evidence in the store, of callers' headers, of settings, and of what goes between instances.

Why this works: in these readers clamped_cast, bounded_milliseconds and bounded_number_at are the only conversions, and they can't overflow; durations stay within a range that can be added to the present time. An entry with a number out of range is rejected with its field named; the server whose id it has stays in use, and the entries after it are applied. A number of the operator beyond its range becomes the bound, since refusing the document would lose its other changes.

Not changed: the readers of the other contracts (engine.cpp, caller.cpp, claim_table.cpp) still narrow what number_at returns, which wraps.

--- a/bamboostream/src/Contracts/json_reader.cpp
+++ b/bamboostream/src/Contracts/json_reader.cpp
@@ -1,7 +1,9 @@
 #include "bamboostream/src/Contracts/json_reader.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
+#include <limits>
 
 namespace bamboostream {
 
@@ -29,6 +31,21 @@
     return value.to_number<double>();
 }
 
+/// Returns nothing for a fraction and for a number that doesn't fit.
+std::optional<std::int64_t> as_whole(const boost::json::value& value) {
+    if (const std::int64_t* whole = value.if_int64()) {
+        return *whole;
+    }
+    const double* real = value.if_double();
+    if (real == nullptr || std::trunc(*real) != *real) {
+        return std::nullopt;
+    }
+    // The largest value of the type isn't a double; the next one is.
+    constexpr auto bound = -static_cast<double>(std::numeric_limits<std::int64_t>::min());
+    const bool fits = *real >= -bound && *real < bound;
+    return fits ? std::optional(static_cast<std::int64_t>(*real)) : std::nullopt;
+}
+
 } // namespace
 
 std::string to_string(const validation_error& error) {
@@ -103,14 +120,13 @@
         }
         return min_value;
     }
-    boost::json::error_code ec;
-    const auto parsed = value->is_number() ? value->to_number<std::int64_t>(ec) : min_value - 1;
-    if (ec || !value->is_number() || parsed < min_value || parsed > max_value) {
+    const std::optional<std::int64_t> parsed = as_whole(*value);
+    if (!parsed || *parsed < min_value || *parsed > max_value) {
         error(name, quote(*value),
               fmt::format("a whole number from {} to {}", min_value, max_value));
         return min_value;
     }
-    return parsed;
+    return *parsed;
 }
 
 std::int64_t json_reader::number_or(std::string_view name, std::int64_t default_value,
@@ -129,7 +145,7 @@
         return default_value;
     }
     const std::optional<double> parsed = as_real(*value);
-    if (!parsed || *parsed < min_value || *parsed > max_value) {
+    if (!parsed || !(*parsed >= min_value && *parsed <= max_value)) {
         error(name, quote(*value), fmt::format("a number from {} to {}", min_value, max_value));
         return default_value;
     }
@@ -185,12 +201,7 @@
 std::int64_t number_at(const boost::json::value& value, std::string_view name,
                        std::int64_t default_value) {
     const boost::json::value* found = find_member(value, name);
-    if (found == nullptr || !found->is_number()) {
-        return default_value;
-    }
-    boost::json::error_code ec;
-    const auto parsed = found->to_number<std::int64_t>(ec);
-    return ec ? default_value : parsed;
+    return found == nullptr ? default_value : as_whole(*found).value_or(default_value);
 }
 
 double real_at(const boost::json::value& value, std::string_view name, double default_value) {
--- a/bamboostream/src/Control/frames.cpp
+++ b/bamboostream/src/Control/frames.cpp
@@ -1,5 +1,7 @@
 #include "bamboostream/src/Control/frames.h"
 
+#include "bamboostream/src/Core/clamped_cast.h"
+
 #include <algorithm>
 
 namespace bamboostream {
@@ -83,7 +85,7 @@
 
 std::uint32_t age_to_wire(duration age) {
     constexpr milliseconds longest{std::numeric_limits<std::uint32_t>::max()};
-    return static_cast<std::uint32_t>(to_milliseconds(std::min(age, duration(longest))));
+    return clamped_cast<std::uint32_t>(to_milliseconds(std::min(age, duration(longest))));
 }
 
 wire::HarmReportT to_wire(std::span<const crash_evidence> evidence, time_point now) {
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Control/server_state_exchange.h"
+#include "bamboostream/src/Core/clamped_cast.h"
 #include "bamboostream/src/Core/event_log.h"
 #include "bamboostream/src/Core/settings.h"
 #include "bamboostream/src/Forwarding/forwarded_call.h"
@@ -272,7 +273,7 @@
     // and keeps it.
     mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
     memory_budget::of(context.get_executor())
-        .configure(static_cast<std::size_t>(memory_mb * 1024 * 1024),
+        .configure(clamped_cast<std::size_t>(memory_mb * 1024 * 1024),
                    settings.response_memory_share);
     response_guard::of(context.get_executor()).configure(settings.responses);
     forwarding.outbound_address = settings.outbound_address;
--- a/bamboostream/src/Gateway/peer_frames.cpp
+++ b/bamboostream/src/Gateway/peer_frames.cpp
@@ -1,5 +1,7 @@
 #include "bamboostream/src/Gateway/peer_frames.h"
 
+#include "bamboostream/src/Core/clamped_cast.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -9,13 +11,12 @@
 namespace {
 
 std::uint32_t tokens_on_wire(std::int64_t tokens) {
-    constexpr std::int64_t most = std::numeric_limits<std::int32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(tokens, 0, most));
+    constexpr std::uint32_t most = std::numeric_limits<std::int32_t>::max();
+    return clamped_cast<std::uint32_t>(tokens, 0, most);
 }
 
 std::uint16_t short_on_wire(double value) {
-    constexpr double most = std::numeric_limits<std::uint16_t>::max();
-    return static_cast<std::uint16_t>(std::clamp(value, 0.0, most));
+    return clamped_cast<std::uint16_t>(value);
 }
 
 } // namespace
@@ -31,7 +32,7 @@
     out->software_version = backend.version.text();
     out->leaving = backend.leaving;
     const duration slow_for = std::max(duration{}, backend.slow_until - now);
-    out->slow_for_ms = static_cast<std::int32_t>(to_milliseconds(slow_for));
+    out->slow_for_ms = clamped_cast<std::int32_t>(to_milliseconds(slow_for));
     return out;
 }
 
@@ -41,11 +42,11 @@
     out.address = fact.address;
     out.service = service_id(fact.service);
     out.failure_domain = failure_domain_id(fact.failure_domain);
-    out.slots = fact.slots;
+    out.slots = std::max(fact.slots, 1);
     out.started_ms = fact.started_ms;
     out.version = software_version(fact.software_version);
     out.leaving = fact.leaving;
-    out.slow_until = now + milliseconds(fact.slow_for_ms);
+    out.slow_until = now + milliseconds(std::max(fact.slow_for_ms, 0));
     return out;
 }
 
@@ -128,8 +129,8 @@
     wire::LoadReportT report;
     for (const backend_work_entry& entry : own) {
         report.entries.emplace_back(entry.backend, entry.work.requests,
-                                    static_cast<std::int32_t>(entry.work.memory_tokens),
-                                    static_cast<std::int32_t>(entry.work.unread_tokens));
+                                    clamped_cast<std::int32_t>(entry.work.memory_tokens),
+                                    clamped_cast<std::int32_t>(entry.work.unread_tokens));
     }
     for (const backend_outcomes& entry : outcomes) {
         if (entry.succeeded > 0 || entry.failed > 0) {
@@ -140,8 +141,9 @@
         }
     }
     for (const backend_pace& entry : paces) {
-        report.paces.emplace_back(entry.backend, static_cast<std::uint32_t>(entry.sample.intervals),
-                                  static_cast<std::uint32_t>(std::lround(entry.sample.total_ms)),
+        report.paces.emplace_back(entry.backend,
+                                  clamped_cast<std::uint32_t>(entry.sample.intervals),
+                                  clamped_cast<std::uint32_t>(std::round(entry.sample.total_ms)),
                                   short_on_wire(entry.sample.late),
                                   short_on_wire(to_milliseconds(entry.sample.pause_objective)),
                                   short_on_wire(entry.host_percent));
--- a/bamboostream/src/Gateway/quarantine_persister.cpp
+++ b/bamboostream/src/Gateway/quarantine_persister.cpp
@@ -1,5 +1,6 @@
 #include "bamboostream/src/Gateway/quarantine_persister.h"
 
+#include "bamboostream/src/Contracts/bounded_number.h"
 #include "bamboostream/src/Contracts/json_reader.h"
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Core/event_log.h"
@@ -90,17 +91,18 @@
     };
     std::vector<crash_evidence> out;
     for (const json::value& entry : entries->get_array()) {
-        const std::int64_t age = std::max<std::int64_t>(wall_now_ms - number_at(entry, "at_ms"), 0);
+        const auto at_ms = bounded_number_at<std::int64_t>(entry, "at_ms", 0, {0, wall_now_ms});
         // The record of held parts has the evidence of several requests.
         const auto request = request_digest::parse(text_at(entry, "request"));
-        out.push_back(
-            {request.value_or(*key), parse_hexadecimal(text_at(entry, "server")).value_or(0),
-             parse_hexadecimal(text_at(entry, "caller")).value_or(0), now - milliseconds(age),
-             is_true(entry, "answering"), is_true(entry, "cleared"),
-             is_true(entry, "answered_before"), is_true(entry, "on_trial"),
-             is_true(entry, "shared"), static_cast<std::uint16_t>(number_at(entry, "attempts"))});
+        out.push_back({request.value_or(*key),
+                       parse_hexadecimal(text_at(entry, "server")).value_or(0),
+                       parse_hexadecimal(text_at(entry, "caller")).value_or(0),
+                       now - bounded_milliseconds(wall_now_ms - at_ms), is_true(entry, "answering"),
+                       is_true(entry, "cleared"), is_true(entry, "answered_before"),
+                       is_true(entry, "on_trial"), is_true(entry, "shared"),
+                       bounded_number_at<std::uint16_t>(entry, "attempts", 0)});
         out.back().parts = read_parts(entry);
-        out.back().streamed_for = milliseconds(number_at(entry, "streamed_ms"));
+        out.back().streamed_for = duration_at(entry, "streamed_ms");
     }
     return out;
 }
--- a/test/platform/platform_codec_test.cpp
+++ b/test/platform/platform_codec_test.cpp
@@ -91,10 +91,21 @@
 
 class foreign_entry : public testing::TestWithParam<foreign_entry_row> {};
 
+std::string replace_part(std::string entry, const foreign_entry_row& row) {
+    const std::size_t at = entry.find(row.from);
+    return at == std::string::npos ? entry : entry.replace(at, row.from.size(), row.to);
+}
+
 const std::string valid_entry =
     R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v1",)"
     R"("slots":32,"state":"ready","cold_left_ms":0,"sequence":4,"born":7})";
 
+const std::string nines(40, '9');
+
+std::string nested(std::size_t depth) {
+    return std::string(depth, '[') + std::string(depth, ']');
+}
+
 INSTANTIATE_TEST_SUITE_P(
     table, foreign_entry,
     testing::Values(foreign_entry_row{"no_service", R"("service":"s",)", ""},
@@ -118,7 +129,31 @@
                     foreign_entry_row{"no_sequence", R"("sequence":4,)", ""},
                     foreign_entry_row{"sequence_is_text", R"("sequence":4)", R"("sequence":"4")"},
                     foreign_entry_row{"start_is_text", R"("born":7)", R"("born":"7")"},
-                    foreign_entry_row{"start_is_a_fraction", R"("born":7)", R"("born":7.5)"}),
+                    foreign_entry_row{"start_is_a_fraction", R"("born":7)", R"("born":7.5)"},
+                    foreign_entry_row{"deeply_nested", R"("born":7)", "\"x\":" + nested(100'000)},
+                    foreign_entry_row{"endlessly_nested", R"("s")", std::string(100'000, '[')},
+                    foreign_entry_row{"port_of_five_digits", "4:5", "4:65536"},
+                    foreign_entry_row{"port_of_forty_digits", "4:5", "4:" + nines},
+                    foreign_entry_row{"negative_port", "4:5", "4:-1"},
+                    foreign_entry_row{"port_zero", "4:5", "4:0"},
+                    foreign_entry_row{"long_address", "4:5", std::string(300'000, '4') + ":5"},
+                    foreign_entry_row{"slots_of_33_bits", "32", "4294967296"},
+                    foreign_entry_row{"slots_of_32_bits", "32", "2147483648"},
+                    foreign_entry_row{"slots_of_64_bits", "32", "18446744073709551615"},
+                    foreign_entry_row{"slots_of_forty_digits", "32", nines},
+                    foreign_entry_row{"negative_slots", "32", "-9223372036854775808"},
+                    foreign_entry_row{"infinite_slots", "32", "1e400"},
+                    foreign_entry_row{"endless_warm_up", R"(ms":0)", R"(ms":1e300)"},
+                    foreign_entry_row{"infinite_warm_up", R"(ms":0)", R"(ms":1e400)"},
+                    foreign_entry_row{"warm_up_of_64_bits", R"(ms":0)",
+                                      R"(ms":9223372036854775807)"},
+                    foreign_entry_row{"warm_up_of_32_bits", R"(ms":0)", R"(ms":2147483648)"},
+                    foreign_entry_row{"negative_warm_up", R"(ms":0)", R"(ms":-1)"},
+                    foreign_entry_row{"sequence_of_64_bits", R"(sequence":4)",
+                                      R"(sequence":18446744073709551615)"},
+                    foreign_entry_row{"negative_sequence", R"(sequence":4)", R"(sequence":-4)"},
+                    foreign_entry_row{"start_in_a_million_years", R"(born":7)",
+                                      R"(born":9223372036854775807)"}),
     [](const auto& info) { return info.param.name; });
 
 // Another writer adds an entry among those of the engines. It must be rejected as a whole, because
@@ -126,14 +161,32 @@
 TEST_P(foreign_entry, is_rejected) {
     std::string why;
     ASSERT_TRUE(platform_record_codec().read_backend("i-1", valid_entry, time_point{}, why)) << why;
-    std::string entry = valid_entry;
-    const std::size_t at = entry.find(GetParam().from);
-    ASSERT_NE(at, std::string::npos);
-    entry.replace(at, GetParam().from.size(), GetParam().to);
+    const std::string entry = replace_part(valid_entry, GetParam());
+    ASSERT_NE(entry, valid_entry);
     EXPECT_FALSE(platform_record_codec().read_backend("i-1", entry, time_point{}, why));
     EXPECT_FALSE(why.empty());
 }
 
+// Guards against an entry of another writer that takes a server out of use or hides the entries
+// after it, in the first read and later.
+TEST_P(foreign_entry, leaves_the_servers_in_use) {
+    const std::string entry = replace_part(valid_entry, GetParam());
+    for (const bool all : {false, true}) {
+        platform_request_codec requests;
+        platform_record_codec records;
+        forwarding_state forwarding(requests, failure_domain_id("z"), {}, 1);
+        deployment_state state(forwarding, records);
+        const std::vector<keyed_record> known = {{"i-1", valid_entry}};
+        state.apply_records(record_topic::backend_entries, known, true, time_point{});
+        std::vector<keyed_record> page(all ? 1 : 5'000, {"i-1", entry});
+        page.push_back({"i-0", entry});
+        page.push_back({"i-2", valid_entry});
+        state.apply_records(record_topic::backend_entries, page, all, time_point{});
+        EXPECT_EQ(forwarding.registry.usable(service_id("s")).size(), 2u) << all;
+        EXPECT_EQ(forwarding.registry.find(backend_id("i-0")), nullptr) << all;
+    }
+}
+
 const std::vector<keyed_record> mixed_entries = {
     {"i-0", "\xff\xfe{"}, {"i-1", valid_entry}, {"i-2", "[]"}, {"", valid_entry}};
 
