--- a/test/platform/platform_codec_test.cpp
+++ b/test/platform/platform_codec_test.cpp
@@ -187,6 +187,19 @@
     }
 }
 
+class foreign_id : public testing::TestWithParam<std::string> {};
+
+INSTANTIATE_TEST_SUITE_P(table, foreign_id,
+                         testing::Values("", " ", "i 1", "i-1\r\nTenant: t", "i\t1",
+                                         std::string("i\0", 2), "\xff\xfe", "i\x7f"));
+
+// Guards against an entry whose key adds fields to the requests that are sent to its address.
+TEST_P(foreign_id, is_rejected) {
+    std::string why;
+    EXPECT_FALSE(platform_record_codec().read_backend(GetParam(), valid_entry, time_point{}, why));
+    EXPECT_FALSE(why.empty());
+}
+
 const std::vector<keyed_record> mixed_entries = {
     {"i-0", "\xff\xfe{"}, {"i-1", valid_entry}, {"i-2", "[]"}, {"", valid_entry}};
 
--- a/test/platform/system/odd_entry_test.cpp
+++ b/test/platform/system/odd_entry_test.cpp
@@ -75,5 +75,16 @@
     EXPECT_GE(second.requests().size(), 2u);
 }
 
+// Guards against a key of another writer that makes the list of all entries unreadable for an
+// instance that starts.
+TEST_F(gateway_test, a_key_that_is_no_text_hides_no_entry) {
+    configure(1, "k");
+    add_valid_backend("\xff\xfe");
+    scripted_backend& sound = add_valid_backend("i-1");
+    auto& it = add_instance(serving_store_);
+    EXPECT_TRUE(serves(it, "k"));
+    EXPECT_FALSE(sound.requests().empty());
+}
+
 } // namespace
 } // namespace bamboostream::test
