--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -7,7 +7,8 @@
 work=${BUILD_DIR:-build}/fuzz
 mkdir -p "$work/corpus"
 sources=(test/fuzz/input_fuzz.cpp bamboostream/src/{Configuration,Ledger}/*.cpp
-  bamboostream/src/Core/{digest,assert}.cpp bamboostream/src/Contracts/{json_reader,engine_event}.cpp
+  bamboostream/src/Core/{digest,assert}.cpp
+  bamboostream/src/Contracts/{json_reader,bounded_number,engine_event}.cpp platform/platform_record_codec.cpp
   bamboostream/src/Routing/objective.cpp bamboostream/src/Streams/resume_handle.cpp
   bamboostream/src/Links/frame_codec.cpp bamboostream/src/Http/server_sent_events.cpp)
 if [ ! -x "$work/input_fuzz" ] || [ -n "$(find "${sources[@]}" -newer "$work/input_fuzz")" ]; then
