Take a success that ends before its body for one that was cut off

What callers saw: a 200 with an empty body, framed as whole, if a server closed its connection after the head of a response that names neither a length nor chunks. A call that may be repeated wasn't repeated, and a resumable stream ended as complete, also when it had gone on at a second server that did so. The same response ended status checks, orders and calls of the product's own interface as a success without a body, directly and through a tunnel that ended in order.

Cause: the end of the connection completed every response without a length. The check whether the server's process still runs says nothing if only the response was stopped.

Why this works: the connection is where a response is found complete, so every reader is told that it isn't. The attempt counts as lost: it is repeated where that is safe, and answered 502 otherwise. A sound response without a body names its length (or has status 204 or 304, which have none). Failures are forwarded as before: their status counts, not their body.

A body without a length of which at least one byte has arrived can't be told from a whole one if the server closes in order and goes on running.

--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -237,8 +237,13 @@
     at_once_.use(count, last_read_);
     if (ec == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
         ec = {};
-        parser_->put_eof(ec);
         ended_by_close_ = true;
+        // A sound response without a body names its length. Without one, a success that ends before
+        // its body was cut off.
+        const bool is_cut = parser_->is_header_done() && status() / 100 == 2 && body_bytes_ == 0;
+        if (!is_cut) {
+            parser_->put_eof(ec);
+        }
         if (!ec && !parser_->is_done()) {
             ec = asio::error::eof;
         }
