Reject responses in a transfer coding that can't be decoded

What callers saw: a 200 with a body that isn't the server's, framed as whole, if the response named a transfer coding other than chunks: the coded bytes, the chunks themselves, or the bytes up to a length that doesn't apply.

Cause: the parser reads "gzip, chunked" as chunks and any other coding as no framing at all, and Transfer-Encoding isn't forwarded since it concerns one connection only.

Why this works: read_head accepts no such field or one that says "chunked", so that no reader gets a body that it can't decode.

--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Http/address.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -27,6 +28,16 @@
     return ec.category() == http::make_error_code(http::error::bad_method).category();
 }
 
+/// Whether the response has no transfer coding but chunks. The body would be passed on in any
+/// other one.
+bool has_known_coding(const http::response_header<>& head) {
+    const auto range = head.equal_range(http::field::transfer_encoding);
+    return std::all_of(
+               range.first, range.second,
+               [](const auto& field) { return beast::iequals(field.value(), "chunked"); }) &&
+           std::distance(range.first, range.second) <= 1;
+}
+
 /// A server may respond before it has read a long request, and then read no further; the next
 /// request on the connection would wait behind the unread rest until it timed out. A completed
 /// write doesn't show that the server has read the request, because the kernel buffers up to a
@@ -178,6 +189,9 @@
         while (!ec && !parser_->is_header_done()) {
             co_await read_once(ec);
         }
+        if (!ec && !has_known_coding(parser_->get())) {
+            ec = http::error::bad_value;
+        }
     } while (!ec && status() < first_final_status);
     if (ec) {
         why.set(is_parse_error(ec) ? http_error::malformed : http_error::broken,
--- a/test/platform/cut_response_test.cpp
+++ b/test/platform/cut_response_test.cpp
@@ -65,6 +65,12 @@
     {"length_and_chunks", "Content-Length: 15\r\n" + chunked + "f\r\nBODY\r\n0\r\n\r\n"},
     {"chunks_and_length",
      "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n\r\nf\r\nBODY\r\n0\r\n\r\n"},
+    {"unknown_coding", "Transfer-Encoding: xchunked\r\n\r\nBODY"},
+    {"unknown_coding_and_length", "Transfer-Encoding: gzip\r\nContent-Length: 15\r\n\r\nBODY"},
+    {"unknown_coding_in_chunks", "Transfer-Encoding: gzip, chunked\r\n\r\nf\r\nBODY\r\n0\r\n\r\n"},
+    {"unknown_coding_in_chunks_of_two_fields",
+     "Transfer-Encoding: gzip\r\n" + chunked + "f\r\nBODY\r\n0\r\n\r\n"},
+    {"chunks_that_are_coded", "Transfer-Encoding: chunked, gzip\r\n\r\nf\r\nBODY\r\n0\r\n\r\n"},
     {"bare_line_feeds", "HTTP/1.1 200 OK\nAttempt-Id: ID\nResponse-Seal: s\n\nBODY", false},
     {"bare_line_feed_before_the_body", "Content-Length: 15\r\n\nBODY"},
     {"bare_line_feeds_around_a_chunk", chunked + "f\nBODY\n0\n\n"}};
