Reject a head that is put together from two responses

What callers saw: a 200 for a call that had failed. The server had stopped within the head of a late copy and went on with its response to the next request, a 500, on the kept connection: the status came from the first head, the id and the body from the second one. Stopped within the id, the two were skipped together as a late copy, and the caller waited for its whole time.

Cause: the parser takes the rest of a line for its continuation. A status line may become part of a reason or of a field.

Why this works: a reason or a field that contains the version and code of a status line makes the head malformed, also that of an interim response. The attempt is lost, which promises nothing.

--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -28,6 +28,23 @@
     return ec.category() == http::make_error_code(http::error::bad_method).category();
 }
 
+/// Whether `text` contains the version and the code of a status line: "HTTP/1.1 200".
+bool contains_status_line(std::string_view text) {
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::string_view rest = "d ddd";
+    const auto is_rest = [rest](std::string_view found) {
+        return found.size() >= rest.size() &&
+               std::equal(rest.begin(), rest.end(), found.begin(), [](char kind, char c) {
+                   return kind == 'd' ? c >= '0' && c <= '9' : c == kind;
+               });
+    };
+    std::size_t at = text.find(version);
+    while (at != std::string_view::npos && !is_rest(text.substr(at + version.size()))) {
+        at = text.find(version, at + version.size());
+    }
+    return at != std::string_view::npos;
+}
+
 /// Whether the response has no transfer coding but chunks. The body would be passed on in any
 /// other one.
 bool has_known_coding(const http::response_header<>& head) {
@@ -38,6 +55,14 @@
            std::distance(range.first, range.second) <= 1;
 }
 
+/// If a server stops within the head of one response and goes on with the next one, the line that
+/// it stopped in goes on with the status line of the next response.
+bool is_single_head(const http::response_header<>& head) {
+    return !contains_status_line(head.reason()) &&
+           std::none_of(head.begin(), head.end(),
+                        [](const auto& field) { return contains_status_line(field.value()); });
+}
+
 /// A server may respond before it has read a long request, and then read no further; the next
 /// request on the connection would wait behind the unread rest until it timed out. A completed
 /// write doesn't show that the server has read the request, because the kernel buffers up to a
@@ -189,7 +214,7 @@
         while (!ec && !parser_->is_header_done()) {
             co_await read_once(ec);
         }
-        if (!ec && !has_known_coding(parser_->get())) {
+        if (!ec && !(has_known_coding(parser_->get()) && is_single_head(parser_->get()))) {
             ec = http::error::bad_value;
         }
     } while (!ec && status() < first_final_status);
--- a/test/platform/cut_response_test.cpp
+++ b/test/platform/cut_response_test.cpp
@@ -317,5 +317,35 @@
     EXPECT_FALSE(complete);
 }
 
+/// The length of the part of a late copy that arrives before the response that is due.
+class cut_late_copy : public testing::TestWithParam<int> {};
+
+const std::string late_copy_bytes =
+    "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: attempt-0\r\nContent-Length: 3\r\n\r\nold";
+
+INSTANTIATE_TEST_SUITE_P(lengths, cut_late_copy,
+                         testing::Range(1, static_cast<int>(late_copy_bytes.size())));
+
+// Guards against a failure that becomes a success because its head is read as the rest of another.
+TEST_P(cut_late_copy, makes_no_success_of_a_failure) {
+    forwarding_fixture f;
+    f.add("i-1", [](scripted_connection& c) -> asio::awaitable<void> {
+        if (c.field("Attempt-Id") != "attempt-0") {
+            const std::string part =
+                late_copy_bytes.substr(0, static_cast<std::size_t>(GetParam()));
+            co_await c.send(part);
+        }
+        const int status = c.field("Attempt-Id") == "attempt-0" ? 200 : 500;
+        const std::string own = sealed_answer(c, "own", status);
+        co_await c.send(own);
+    });
+    f.finish(f.ask("once", "attempt-0"));
+    const time_point began = monotonic_now();
+    const auto view = f.ask("once", "attempt-1");
+    f.finish(view);
+    EXPECT_GE(view->status(), 500) << view->bytes;
+    EXPECT_LT(monotonic_now() - began, milliseconds(600));
+}
+
 } // namespace
 } // namespace bamboostream::test
