Forward the fields of a stream without events

What callers saw: a 200 without the server's fields, among them its seal and the request's id, if the server had ended a stream in order before its first event.

Cause: the head of the response is forwarded with the first event, and relay began the response without fields if there was none.

Why this works: the fields are read before the connection is given back, and begin the response with or without events. A stream that names no length and has no body is not complete, and doesn't get here.

--- a/bamboostream/src/Forwarding/forwarded_stream.cpp
+++ b/bamboostream/src/Forwarding/forwarded_stream.cpp
@@ -152,9 +152,10 @@
         connection_->close();
         co_return fail(to, attempt_end::lost, "server crashed at the end of its response");
     }
+    const std::vector<http_field> fields = state_.codec.response_fields(*connection_);
     give_back(to);
     if (!stream_started_) {
-        co_await exchange_.begin_stream(facts.status, {}, {});
+        co_await exchange_.begin_stream(facts.status, {}, fields);
     }
     co_await exchange_.end_stream();
     record_server_survived(facts.status);
--- a/test/platform/cut_response_test.cpp
+++ b/test/platform/cut_response_test.cpp
@@ -317,6 +317,40 @@
     EXPECT_FALSE(complete);
 }
 
+/// How a stream without events is framed.
+struct empty_stream_row {
+    std::string name;
+    std::string tail;
+    friend void PrintTo(const empty_stream_row& row, std::ostream* out) { *out << row.name; }
+};
+
+class empty_stream : public testing::TestWithParam<empty_stream_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, empty_stream,
+                         testing::Values(empty_stream_row{"chunked", chunked + "0\r\n\r\n"},
+                                         empty_stream_row{"length", "Content-Length: 0\r\n\r\n"}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against a success without the fields of the server's response.
+TEST_P(empty_stream, reaches_the_caller_with_its_fields) {
+    forwarding_fixture f;
+    f.add(
+        "i-1",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            const std::string bytes =
+                fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n{}",
+                            c.field("Attempt-Id"), GetParam().tail);
+            co_await c.send(bytes);
+        },
+        "engines");
+    const auto view = f.ask("long", "attempt-1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 200);
+    EXPECT_TRUE(view->complete());
+    EXPECT_EQ(view->field("Response-Seal"), "s");
+    EXPECT_EQ(view->field("Attempt-Id"), "attempt-1");
+}
+
 /// The length of the part of a late copy that arrives before the response that is due.
 class cut_late_copy : public testing::TestWithParam<int> {};
 
