--- a/test/platform/cut_response_test.cpp
+++ b/test/platform/cut_response_test.cpp
@@ -1,6 +1,8 @@
 // Responses that stop before they are whole, or whose framing can't be relied on.
 
 #include "bamboostream/src/Http/http_connection.h"
+#include "platform/http_generation_mover.h"
+#include "platform/store_client.h"
 #include "test/platform/forwarding_fixture.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -381,5 +383,74 @@
     EXPECT_LT(monotonic_now() - began, milliseconds(600));
 }
 
+// Guards against a page of the store that is cut off and hides records, or parts of them.
+TEST(cut_page, has_whole_records_and_goes_on_after_them) {
+    const std::string record("\0\0\0\4\1kvv", 8);
+    const std::string page = std::string(16, '\0') + record + record;
+    for (std::size_t size = 0; size < page.size(); ++size) {
+        const auto parsed = platform::parse_records(std::string_view(page).substr(0, size), 5);
+        const bool at_boundary = size == 16 || size == 16 + record.size();
+        ASSERT_EQ(parsed.has_value(), at_boundary) << size;
+        if (parsed) {
+            EXPECT_EQ(parsed->records.size(), (size - 16) / record.size());
+            EXPECT_EQ(parsed->next, 5 + static_cast<std::int64_t>(parsed->records.size()));
+        }
+    }
+}
+
+/// A response to the order to move a generation.
+struct move_row {
+    std::string name;
+    std::string response;
+    bool last;
+    move_error expected;
+    friend void PrintTo(const move_row& row, std::ostream* out) { *out << row.name; }
+};
+
+class cut_move_response : public testing::TestWithParam<move_row> {};
+
+INSTANTIATE_TEST_SUITE_P(
+    table, cut_move_response,
+    testing::Values(
+        move_row{"copied", "200 OK\r\n\r\n{\"handle\":\"h", true, move_error::unreachable},
+        move_row{"first_copy", "200 OK\r\n\r\n{\"handle\":\"h", false, move_error::unreachable},
+        move_row{"without_handle", "200 OK\r\nContent-Length: 2\r\n\r\n{}", true,
+                 move_error::unreachable},
+        move_row{"stopped", "503 X\r\n\r\n{\"handle\":", true, move_error::unreachable},
+        move_row{"refused", "503 X\r\nContent-Length: 2\r\n\r\n{}", true, move_error::refused},
+        move_row{"refused_without_body", "503 X\r\nContent-Length: 0\r\n\r\n", true,
+                 move_error::refused},
+        move_row{"refused_in_words", "503 X\r\nContent-Length: 4\r\n\r\nfull", true,
+                 move_error::refused},
+        move_row{"not_running", "404 X\r\nContent-Length: 0\r\n\r\n", true,
+                 move_error::not_running}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a move whose outcome isn't known and that counts as copied or refused: a stream
+// that was stopped for it would look complete.
+TEST_P(cut_move_response, says_what_is_known_of_the_move) {
+    asio::io_context context{1};
+    scripted_backend engine(context, [](scripted_connection& c) -> asio::awaitable<void> {
+        const std::string bytes = "HTTP/1.1 " + GetParam().response;
+        co_await c.send(bytes);
+        c.close();
+    });
+    std::optional<move_result> result;
+    move_failure why;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            platform::http_generation_mover mover(context.get_executor());
+            result = co_await mover.move(engine.address(), "g", "10.0.0.1:1", GetParam().last,
+                                         milliseconds(300), why);
+        },
+        asio::detached);
+    context.run_for(milliseconds(150));
+    EXPECT_FALSE(result);
+    EXPECT_EQ(why.code, GetParam().expected) << why.text;
+    engine.stop();
+    context.run_for(milliseconds(10));
+}
+
 } // namespace
 } // namespace bamboostream::test
