--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "bamboostream/src/Http/address.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -27,6 +28,41 @@
     return ec.category() == http::make_error_code(http::error::bad_method).category();
 }
 
+/// Whether `text` contains the version and the code of a status line: "HTTP/1.1 200".
+bool contains_status_line(std::string_view text) {
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::string_view rest = "d ddd";
+    const auto is_rest = [rest](std::string_view found) {
+        return found.size() >= rest.size() &&
+               std::equal(rest.begin(), rest.end(), found.begin(), [](char kind, char c) {
+                   return kind == 'd' ? c >= '0' && c <= '9' : c == kind;
+               });
+    };
+    std::size_t at = text.find(version);
+    while (at != std::string_view::npos && !is_rest(text.substr(at + version.size()))) {
+        at = text.find(version, at + version.size());
+    }
+    return at != std::string_view::npos;
+}
+
+/// Whether the response has no transfer coding but chunks. The body would be passed on in any
+/// other one.
+bool has_known_coding(const http::response_header<>& head) {
+    const auto range = head.equal_range(http::field::transfer_encoding);
+    return std::all_of(
+               range.first, range.second,
+               [](const auto& field) { return beast::iequals(field.value(), "chunked"); }) &&
+           std::distance(range.first, range.second) <= 1;
+}
+
+/// If a server stops within the head of one response and goes on with the next one, the line that
+/// it stopped in goes on with the status line of the next response.
+bool is_single_head(const http::response_header<>& head) {
+    return !contains_status_line(head.reason()) &&
+           std::none_of(head.begin(), head.end(),
+                        [](const auto& field) { return contains_status_line(field.value()); });
+}
+
 /// A server may respond before it has read a long request, and then read no further; the next
 /// request on the connection would wait behind the unread rest until it timed out. A completed
 /// write doesn't show that the server has read the request, because the kernel buffers up to a
@@ -178,6 +214,9 @@
         while (!ec && !parser_->is_header_done()) {
             co_await read_once(ec);
         }
+        if (!ec && !(has_known_coding(parser_->get()) && is_single_head(parser_->get()))) {
+            ec = http::error::bad_value;
+        }
     } while (!ec && status() < first_final_status);
     if (ec) {
         why.set(is_parse_error(ec) ? http_error::malformed : http_error::broken,
@@ -237,8 +276,13 @@
     at_once_.use(count, last_read_);
     if (ec == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
         ec = {};
-        parser_->put_eof(ec);
         ended_by_close_ = true;
+        // A sound response without a body names its length. Without one, a success that ends before
+        // its body was cut off.
+        const bool is_cut = parser_->is_header_done() && status() / 100 == 2 && body_bytes_ == 0;
+        if (!is_cut) {
+            parser_->put_eof(ec);
+        }
         if (!ec && !parser_->is_done()) {
             ec = asio::error::eof;
         }
