Take an engine's failure for "not run" only if the engine says so

What callers could see: a completion was answered 503 with outcome "not_run", or run again at another engine, although the first engine had worked on it and then failed (500), or something in between had responded for it (502). Orders to engines were logged as not executed in the same way.

Cause: engine_client took every status other than 200 for "not run", and a failure with Backend-State "leaving" for a refusal; the contract said so. A status is no proof: a failure may come after the work.

Why this works: an engine states `Not-Run: true`, as plain services do; without it the outcome is unknown, the relay asks the engine for the generation, and the request counts as one that may have run. The stand-in engine says it in its refusals; engines that don't are asked for the generation instead.

--- a/bamboostream/src/Contracts/engine.cpp
+++ b/bamboostream/src/Contracts/engine.cpp
@@ -1,6 +1,7 @@
 #include "bamboostream/src/Contracts/engine.h"
 
 #include "bamboostream/src/Contracts/json_reader.h"
+#include "bamboostream/src/Contracts/plain_service.h"
 
 #include <fmt/format.h>
 
@@ -34,6 +35,16 @@
             reason.text);
 }
 
+/// What a response other than a success says of its request. Its status alone says nothing: an
+/// engine may fail after it has worked on a request, and others may respond for it.
+template <class Response> engine_error refusal_of(const Response& response) {
+    if (response.field(not_run_field) != "true") {
+        return engine_error::outcome_unknown;
+    }
+    return response.field(backend_state_field) == "leaving" ? engine_error::leaving
+                                                            : engine_error::not_run;
+}
+
 std::vector<std::string> string_array_at(const json::value& value, std::string_view name) {
     std::vector<std::string> out;
     const json::value* found = value.is_object() ? value.get_object().if_contains(name) : nullptr;
@@ -77,9 +88,7 @@
         co_return nullptr;
     }
     if (stream->status() != status_ok) {
-        const bool leaving = stream->field(backend_state_field) == "leaving";
-        why.set(leaving ? engine_error::leaving : engine_error::not_run,
-                fmt::format("status {}", stream->status()));
+        why.set(refusal_of(*stream), fmt::format("status {}", stream->status()));
         co_return nullptr;
     }
     co_return stream;
@@ -158,7 +167,7 @@
         co_return false;
     }
     if (response->status != status_ok) {
-        why.set(response->status == status_conflict ? engine_error::fenced : engine_error::not_run,
+        why.set(response->status == status_conflict ? engine_error::fenced : refusal_of(*response),
                 fmt::format("status {}", response->status));
         co_return false;
     }
--- a/bamboostream/src/Contracts/engine.h
+++ b/bamboostream/src/Contracts/engine.h
@@ -20,15 +20,15 @@
 /// Why a call to an engine failed.
 enum class engine_error : std::uint8_t {
     none,
-    /// The request did not run: nothing was sent, or the engine reported that it had not run it.
+    /// The engine reported that it had not run the request.
     not_run,
-    /// The engine is shutting down and did not run the request.
+    /// The engine is shutting down and reported that it had not run the request.
     leaving,
     /// The engine has no such generation.
     unknown_generation,
-    /// The engine can't be reached.
+    /// The engine can't be reached; nothing was sent.
     unreachable,
-    /// The response was lost or malformed; the generation may be running.
+    /// The response was lost, malformed or a failure; the request may have run, or may be running.
     outcome_unknown,
     /// The engine rejected the order because of its fencing number.
     fenced,
--- a/bamboostream/src/Contracts/plain_service.h
+++ b/bamboostream/src/Contracts/plain_service.h
@@ -44,7 +44,7 @@
 call_service(boost::asio::any_io_executor executor, backend_id backend, const service_call& call,
              milliseconds timeout, service_failure& why);
 
-/// Header field by which a service reports that it did not run a call.
+/// Header field ("true") by which a backend server reports that it did not run the request.
 inline constexpr std::string_view not_run_field = "Not-Run";
 
 } // namespace bamboostream
--- a/standins/standin_engine.cpp
+++ b/standins/standin_engine.cpp
@@ -121,8 +121,12 @@
                 {std::string(backend_start_field), std::to_string(start_stamp_)}};
     }
 
-    asio::awaitable<bool> respond(http_exchange& exchange, int status, std::string body) {
-        const std::vector<http_field> fields = state_fields();
+    asio::awaitable<bool> respond(http_exchange& exchange, int status, std::string body,
+                                  bool not_run = false) {
+        std::vector<http_field> fields = state_fields();
+        if (not_run) {
+            fields.push_back({std::string(not_run_field), "true"});
+        }
         co_return co_await exchange.respond_json(status, std::move(body), fields);
     }
 
@@ -231,13 +235,13 @@
         std::string why;
         const auto value = parse_json(exchange.request().body, why);
         if (!value || !value->is_object()) {
-            co_await respond(exchange, 400, R"({"error":{"code":"bad_request"}})");
+            co_await respond(exchange, 400, R"({"error":{"code":"bad_request"}})", true);
             co_return;
         }
         if (leaving_ || loading_ || text_at(*value, "model") != served_model_) {
             refused_while_leaving_ += leaving_ ? 1 : 0;
             co_await respond(exchange, leaving_ || loading_ ? 503 : 404,
-                             R"({"error":{"code":"not_served"}})");
+                             R"({"error":{"code":"not_served"}})", true);
             co_return;
         }
         const std::string id = text_at(*value, "generation_id");
