Count an instance's own claims before saying that a call was not run

What callers could see: a call that must run once was answered "not_run" while the same instance could still send it, or had sent it, for another request with the same key. Two cases: (1) the log doesn't answer an append, its tail can't be read, and the key comes back: the second request is told "not_run"; the log returns, shows the first claim, and the call is sent. (2) two requests with one key at one instance: the second claim loses and is abandoned, and from then on the instance reports the call as never sent to others that ask because they can't read the log.

Cause: confirm_not_run asked all other instances and not its own, and an instance remembered only its last claim for each call.

Why this works: an instance keeps all its claims for a call and confirms, to itself and to others, only if each of them is abandoned; its own part is looked at before and after the others were asked. A claim_result says "unknown" unless something else is decided.

--- a/bamboostream/src/Control/claim_service.cpp
+++ b/bamboostream/src/Control/claim_service.cpp
@@ -64,8 +64,10 @@
             wall_now() - (times_.window + 2 * times_.clock_tolerance).count();
         table_.prune_before(keep_from);
         std::erase_if(own_, [keep_from](const auto& item) { return item.second.at < keep_from; });
-        std::erase_if(last_claim_,
-                      [this](const auto& item) { return !own_.contains(item.second); });
+        std::erase_if(claims_of_call_, [this](const auto& item) {
+            return std::none_of(item.second.begin(), item.second.end(),
+                                [this](const auto& claim) { return own_.contains(claim); });
+        });
         notify_readers();
     }
 }
@@ -200,7 +202,7 @@
     entry.call_digest = std::move(call_digest);
     const std::string claim = entry.claim;
     own_[claim] = {claim_state::pending, 0, {}, wall_now()};
-    last_claim_[workspace + separator + key] = claim;
+    claims_of_call_[workspace + separator + key].push_back(claim);
     ++claims_;
     enqueue(std::move(entry));
     while (true) {
@@ -230,19 +232,23 @@
     }
 }
 
-/// This request sent nothing, but an earlier one with the same key may have, through an instance
-/// whose records can't be read now. Returns `not_run` only if every instance that could have sent
-/// the call is reachable and confirms that it did not, otherwise `unknown`.
+/// This request sent nothing, but another one with the same key may have, or may yet, through an
+/// instance whose records can't be read now or through this one. Returns `not_run` only if every
+/// instance that could have sent the call is reachable and confirms that it did not and will not
+/// under any claim it has made, otherwise `unknown`.
 asio::awaitable<claim_result> claim_service::confirm_not_run(std::string workspace, std::string key,
                                                              std::string reason) {
     claim_result result;
     result.decision = claim_result::kind::unknown;
-    result.reason = reason + "; an earlier request with this key may have run";
+    result.reason = reason + "; another request with this key may run or have run";
     const wall_time made = uuid_v7_time(key) - clock_skew.count();
     const member_table& members = membership_.members();
+    const auto is_confirmed_here = [&] {
+        return has_only_abandoned_claims(workspace, key) &&
+               table_.view(workspace, key).state == call_state::unclaimed;
+    };
     bool all_confirmed = members.self().id.start_stamp < made &&
-                         wall_now() - made < gone_member_retention.count() &&
-                         table_.view(workspace, key).state == call_state::unclaimed;
+                         wall_now() - made < gone_member_retention.count() && is_confirmed_here();
     for (const std::string& address : members.all_addresses()) {
         const auto peer = members.find(address);
         if (!all_confirmed || !peer || peer->id.start_stamp > made) {
@@ -258,13 +264,24 @@
         const bool answered = reply && reply->message.type == wire::Message::LedgerReply;
         all_confirmed = answered && reply->message.AsLedgerReply()->abandoned;
     }
-    if (all_confirmed) {
+    // Claims may have been made or read meanwhile.
+    if (all_confirmed && is_confirmed_here()) {
         result.decision = claim_result::kind::not_run;
         result.reason = reason;
     }
     co_return result;
 }
 
+bool claim_service::has_only_abandoned_claims(const std::string& workspace,
+                                              const std::string& key) const {
+    const auto claims = claims_of_call_.find(workspace + separator + key);
+    return claims == claims_of_call_.end() ||
+           std::all_of(claims->second.begin(), claims->second.end(), [this](const auto& claim) {
+               const auto found = own_.find(claim);
+               return found == own_.end() || found->second.state == claim_state::abandoned;
+           });
+}
+
 /// Finds the outcome of a claim that another request made, from the log or from the claimant, which
 /// may be ahead of the log. Returns nothing if that claim has been voided, so that a new one can be
 /// made.
@@ -340,18 +357,16 @@
     co_return report;
 }
 
-/// Reports the state of the given claim. If the query contains only a key, reports on this
-/// instance's last claim for it, or "abandoned" if this instance has sent nothing for it.
+/// Reports the state of the given claim. If the query contains only a key, reports "abandoned" if
+/// this instance has sent nothing for it and none of its claims may still be dispatched.
 asio::awaitable<std::unique_ptr<wire::FrameT>>
 claim_service::handle_query(const wire::LedgerQueryT& query) {
     wire::LedgerReplyT reply;
-    std::string claim = query.claim;
-    if (claim.empty()) {
-        const auto last = last_claim_.find(query.workspace + separator + query.key);
-        reply.abandoned = last == last_claim_.end();
-        claim = last == last_claim_.end() ? std::string{} : last->second;
+    if (query.claim.empty()) {
+        reply.abandoned = has_only_abandoned_claims(query.workspace, query.key);
+        co_return make_reply(std::move(reply));
     }
-    const auto found = own_.find(claim);
+    const auto found = own_.find(query.claim);
     if (found != own_.end()) {
         const own_claim& own = found->second;
         reply.running = own.state == claim_state::pending || own.state == claim_state::dispatched;
--- a/bamboostream/src/Control/claim_service.h
+++ b/bamboostream/src/Control/claim_service.h
@@ -36,7 +36,7 @@
         /// The key was used for a different call.
         key_reused,
     };
-    kind decision = kind::not_run;
+    kind decision = kind::unknown;
     std::string claim;
     int status = 0;
     std::string body;
@@ -115,6 +115,9 @@
                                                          call_view view);
     boost::asio::awaitable<claim_result> confirm_not_run(std::string workspace, std::string key,
                                                          std::string reason);
+    /// Whether this instance has sent the call under no claim of its own and will send it under
+    /// none that it has made so far.
+    bool has_only_abandoned_claims(const std::string& workspace, const std::string& key) const;
     std::optional<claim_result> reject_by_key_age(std::string_view key) const;
     void enqueue(ledger_entry entry);
     void notify_readers();
@@ -130,8 +133,8 @@
     /// Claims whose record the log rejected, so that they can never take effect.
     std::unordered_map<std::string, bool> rejected_claims_;
     std::unordered_map<std::string, own_claim> own_;
-    /// This instance's last claim for a call, by workspace and key.
-    std::unordered_map<std::string, std::string> last_claim_;
+    /// This instance's claims for a call, by workspace and key.
+    std::unordered_map<std::string, std::vector<std::string>> claims_of_call_;
     std::vector<std::shared_ptr<boost::asio::steady_timer>> readers_;
     boost::asio::steady_timer queue_filled_;
     bool replayed_ = false;
