Look a key of the future up before saying that its call was not run

What callers could see: an instance whose clock is more than the tolerance behind answered "not_run" to the retry of a call that had run through another instance, although its own ledger held the outcome.

Cause: the age of the key was judged before the ledger was asked. A key that lies in the future of one clock may have been accepted by another.

Why this works: a known claim is resolved as for any key. Without one, the call is still not sent, and "not_run" needs the confirmation of all instances.

--- a/bamboostream/src/Control/claim_service.cpp
+++ b/bamboostream/src/Control/claim_service.cpp
@@ -139,28 +139,18 @@
     }
 }
 
-std::optional<claim_result> claim_service::reject_by_key_age(std::string_view key) const {
+/// Whether the records that would show that a call has run may have been removed.
+bool claim_service::is_too_old(std::string_view key) const {
     const wall_time made = uuid_v7_time(key);
-    const wall_time now = wall_now();
-    claim_result result;
-    if (made > now + times_.clock_tolerance.count()) {
-        result.decision = claim_result::kind::not_run;
-        result.reason = "the key's time lies in the future";
-        return result;
-    }
-    if (made < now - times_.window.count() || made < table_.horizon()) {
-        // The records that would show it may have been removed, so "not run" could be wrong.
-        result.decision = claim_result::kind::unknown;
-        result.reason = "the key is too old to know whether its call has run";
-        return result;
-    }
-    return std::nullopt;
+    return made < wall_now() - times_.window.count() || made < table_.horizon();
 }
 
 asio::awaitable<claim_result> claim_service::claim(std::string workspace, std::string key,
                                                    std::string call_digest, time_point deadline) {
-    if (auto refused = reject_by_key_age(key)) {
-        co_return *refused;
+    if (is_too_old(key)) {
+        claim_result result;
+        result.reason = "the key is too old to know whether its call has run";
+        co_return result;
     }
     while (true) {
         const call_view known = table_.view(workspace, key);
@@ -172,6 +162,11 @@
             result.reason = "the key was used for another call";
             co_return result;
         }
+        // With a clock that is ahead of this one, another instance may have accepted the key.
+        const bool lies_in_future = uuid_v7_time(key) > wall_now() + times_.clock_tolerance.count();
+        if (lies_in_future && known.state == call_state::unclaimed) {
+            co_return co_await confirm_not_run(workspace, key, "the key's time lies in the future");
+        }
         std::optional<claim_result> settled;
         if (known.state == call_state::unclaimed) {
             settled = co_await place_claim(workspace, key, call_digest, deadline);
--- a/bamboostream/src/Control/claim_service.h
+++ b/bamboostream/src/Control/claim_service.h
@@ -118,7 +118,7 @@
     /// Whether this instance has sent the call under no claim of its own and will send it under
     /// none that it has made so far.
     bool has_only_abandoned_claims(const std::string& workspace, const std::string& key) const;
-    std::optional<claim_result> reject_by_key_age(std::string_view key) const;
+    bool is_too_old(std::string_view key) const;
     void enqueue(ledger_entry entry);
     void notify_readers();
     milliseconds append_period() const;
--- a/test/claim_service_test.cpp
+++ b/test/claim_service_test.cpp
@@ -152,5 +152,25 @@
     EXPECT_TRUE(report(key_).abandoned);
 }
 
+// Guards against "not run" for a call that has run, at an instance whose clock is behind.
+TEST_F(claim_service_test, key_of_the_future_whose_call_ran_is_answered) {
+    const std::string future = make_uuid_v7(wall_now() + 10'000);
+    ledger_entry claimed{ledger_kind::claim, "w", future, "c", {"127.0.0.1:2", 1}, "digest", 0, ""};
+    ledger_entry decided = claimed;
+    decided.kind = ledger_kind::outcome;
+    decided.status = 200;
+    decided.body = "done";
+    const std::vector<ledger_entry> entries = {claimed, decided};
+    log_.records.push_back({0, wall_now(), encode_ledger_record(entries)});
+    run_for(milliseconds(20));
+    const auto ran = claim(future);
+    const auto not_sent = claim(make_uuid_v7(wall_now() + 10'000));
+    run_for(milliseconds(50));
+    ASSERT_TRUE(*ran && *not_sent);
+    EXPECT_EQ((*ran)->decision, claim_result::kind::decided);
+    EXPECT_EQ((*ran)->body, "done");
+    EXPECT_EQ((*not_sent)->decision, claim_result::kind::not_run);
+}
+
 } // namespace
 } // namespace bamboostream
