Test that a refusal before the request is not believed

A server that sends a refusal without an id on a new connection before it has got a request: the refusal isn't believed, nothing is sent on the connection, and the attempt counts as not sent.

--- a/test/platform/late_response_test.cpp
+++ b/test/platform/late_response_test.cpp
@@ -279,5 +279,23 @@
     EXPECT_EQ(target.connections(), 2);
 }
 
+// Guards against a refusal that is believed although it arrived on a new connection before the
+// request was sent, and against a request that is sent on that connection.
+TEST(refusal_before_the_request, is_not_believed) {
+    forwarding_fixture f;
+    scripted_backend& early = f.add("i-1", answering("late"));
+    early.greet_with("HTTP/1.1 503 X\r\n" + refusal_tail);
+    const auto alone = f.ask("once", "a1");
+    f.finish(alone);
+    EXPECT_EQ(alone->status(), 503);
+    EXPECT_EQ(f.state().counters.sends, 0U);
+    scripted_backend& second = f.add("i-2", answering("elsewhere"));
+    const auto view = f.ask("once", "a2");
+    f.finish(view);
+    EXPECT_EQ(view->body(), "elsewhere") << view->bytes;
+    EXPECT_EQ(early.requests().size(), 0U);
+    EXPECT_EQ(second.requests().size(), 1U);
+}
+
 } // namespace
 } // namespace bamboostream::test
--- a/test/platform/scripted_backend.cpp
+++ b/test/platform/scripted_backend.cpp
@@ -118,6 +118,9 @@
             co_return;
         }
         ++connections_;
+        if (!greeting_.empty()) {
+            co_await asio::async_write(socket, asio::buffer(greeting_), token(ec));
+        }
         asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
     }
 }
--- a/test/platform/scripted_backend.h
+++ b/test/platform/scripted_backend.h
@@ -66,6 +66,8 @@
     /// for the body, and serves one request on each connection, which stays open until the peer
     /// closes it.
     void answer_before_the_body();
+    /// From now on, sends these bytes on each new connection as soon as it is accepted.
+    void greet_with(std::string bytes) { greeting_ = std::move(bytes); }
 
 private:
     boost::asio::awaitable<void> accept();
@@ -82,6 +84,7 @@
     int connections_ = 0;
     int closed_ = 0;
     bool reads_bodies_ = true;
+    std::string greeting_;
 };
 
 } // namespace bamboostream::test
