--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -44,8 +44,8 @@
 prove claim_before_dispatch $s/Ledger/claim_table.cpp 'return first_valid_claim(found->second) == &*own ? claim_status::won : claim_status::lost;' 'return claim_status::won;' 'interleaving|same_key_at_all'
 prove late_void $s/Ledger/claim_table.cpp 'added.is_void = entry.kind == ledger_kind::void_claim;' 'added.is_void = false;' 'interleaving|void_before'
 prove honest_not_run $s/Control/claim_service.cpp 'result.decision = claim_result::kind::unknown;
-    result.reason = reason + "; an earlier' 'result.decision = claim_result::kind::not_run;
-    result.reason = reason + "; an earlier' 'does_not_deny'
+    result.reason = reason + "; another' 'result.decision = claim_result::kind::not_run;
+    result.reason = reason + "; another' 'does_not_deny'
 prove sticky_leaving $s/Membership/backend_table.cpp 'const bool sticky = r.facts.state == backend_state::leaving;' 'const bool sticky = false;' 'backend_table_test'
 prove self_suspicion $s/Membership/member_table.cpp 'suspects_itself_ = many && now - failing_since_ < max_self_suspicion;' 'suspects_itself_ = false;' 'suspects_itself'
 prove base_version $s/Configuration/configuration_state.cpp 'if (changed > submission->base) {' 'if (false) {' 'racing|conflict|configuration_property|configuration_state_test'
