--- a/bamboostream/src/Forwarding/forwarded_response.cpp
+++ b/bamboostream/src/Forwarding/forwarded_response.cpp
@@ -82,6 +82,13 @@
         if (!is_whole) {
             co_return fail(to, attempt_end::lost, failure_reason("refusal incomplete"));
         }
+        // Of two responses, the one that names no request isn't known to be the one to this
+        // request.
+        if (!facts.names_request && connection_->has_surplus()) {
+            give_back(to);
+            co_return fail(to, attempt_end::lost,
+                           "another response follows a refusal without an id");
+        }
         give_back(to);
         co_return fail_not_run(
             to, *proof, facts.wrong_server ? "address belongs to another server" : "refused");
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -380,7 +380,7 @@
 }
 
 void http_connection::record_surplus() {
-    if (complete() && unparsed_bytes_ > 0 && !ended_by_close_) {
+    if (has_surplus()) {
         exceed(response_limit::surplus_bytes);
     }
 }
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -65,7 +65,9 @@
     bool has_received_within(duration span, time_point now) const {
         return response_bytes_ > 0 && now - last_read_ <= span;
     }
-    /// Records bytes that follow a complete response.
+    /// Whether bytes that belong to no response have arrived behind a complete one.
+    bool has_surplus() const { return complete() && unparsed_bytes_ > 0 && !ended_by_close_; }
+    /// Records such bytes, if there are any.
     void record_surplus();
     /// The length that the head of the response names, if any.
     std::optional<std::uint64_t> content_length() const;
--- a/test/fuzz/input_fuzz.cpp
+++ b/test/fuzz/input_fuzz.cpp
@@ -8,7 +8,7 @@
 #include "bamboostream/src/Contracts/engine_event.h"
 #include "bamboostream/src/Http/server_sent_events.h"
 #include "bamboostream/src/Streams/resume_handle.h"
-#include "platform/platform_record_codec.h"
+#include "test/platform/fuzz/record_inputs.h"
 
 #include <array>
 #include <cstdint>
@@ -60,42 +60,15 @@
     table.apply({0, 0, std::string(bytes)});
 }
 
-/// The present time of the entries; any time of a steady clock does.
-constexpr time_point entry_time = time_point{} + std::chrono::hours(24 * 365);
-
-void fuzz_entry(std::string_view bytes) {
-    std::string why;
-    const auto entry =
-        platform::platform_record_codec().read_backend("i-1", bytes, entry_time, why);
-    if (entry ? entry->slots < 1 || entry->slow_until < entry_time : why.empty()) {
-        std::abort(); // Neither a usable server nor a reason.
-    }
-}
-
-/// A sound entry or configuration in which some numbers are replaced by the input.
-void fuzz_numbers(std::string_view bytes) {
-    const std::string number(bytes);
-    fuzz_entry(R"({"service":"s","address":"1.2.3.4:5","zone":"z","version":"v","slots":)" +
-               number + R"(,"state":"ready","cold_left_ms":)" + number + R"(,"sequence":1})");
-    std::string why;
-    const auto read = platform::platform_record_codec().read_configuration(
-        R"({"version":1,"routes":[{"timeout_ms":)" + number + R"(,"max_attempts":)" + number +
-            R"(}],"services":[{"max_conns":)" + number + R"(}],"limits":{"idle_timeout_ms":)" +
-            number + "}}",
-        why);
-    if (read && entry_time + read->caller_limits.idle_timeout < entry_time) {
-        std::abort(); // A timeout in the past.
-    }
-}
-
-void fuzz_configuration(std::string_view bytes) {
-    std::string why;
-    platform::platform_record_codec().read_configuration(bytes, why);
-}
-
-constexpr std::array targets = {&fuzz_frame,        &fuzz_handle,   &fuzz_events,
-                                &fuzz_engine_event, &fuzz_document, &fuzz_records,
-                                &fuzz_entry,        &fuzz_numbers,  &fuzz_configuration};
+constexpr std::array targets = {&fuzz_frame,
+                                &fuzz_handle,
+                                &fuzz_events,
+                                &fuzz_engine_event,
+                                &fuzz_document,
+                                &fuzz_records,
+                                &test::fuzz_entry,
+                                &test::fuzz_entry_numbers,
+                                &test::fuzz_configuration};
 
 } // namespace
 
--- a/test/platform/late_response_test.cpp
+++ b/test/platform/late_response_test.cpp
@@ -205,6 +205,19 @@
     EXPECT_EQ(server.connections(), row.expected_connections);
 }
 
+// Guards against a refusal without an id that is believed although the response to the request
+// follows it.
+TEST(unnamed_refusal_on_a_new_connection, is_not_believed_before_another_response) {
+    forwarding_fixture f;
+    scripted_backend& server = f.add("i-1", [](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.send("HTTP/1.1 503 X\r\n" + refusal_tail + sealed_answer(c, "done"));
+    });
+    const auto view = f.ask("once", "a1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 502);
+    EXPECT_EQ(server.requests().size(), 1U);
+}
+
 // Guards against a refusal that is believed since neither it nor its request has an id.
 TEST(unnamed_request, is_sent_on_a_new_connection) {
     forwarding_fixture f;
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -6,7 +6,7 @@
 seconds=${1:-15}
 work=${BUILD_DIR:-build}/fuzz
 mkdir -p "$work/corpus"
-sources=(test/fuzz/input_fuzz.cpp bamboostream/src/{Configuration,Ledger}/*.cpp
+sources=(test/fuzz/input_fuzz.cpp test/platform/fuzz/record_inputs.cpp bamboostream/src/{Configuration,Ledger}/*.cpp
   bamboostream/src/Core/{digest,assert}.cpp
   bamboostream/src/Contracts/{json_reader,bounded_number,engine_event}.cpp platform/platform_record_codec.cpp
   bamboostream/src/Routing/objective.cpp bamboostream/src/Streams/resume_handle.cpp
