--- a/test/platform/cut_response_test.cpp
+++ b/test/platform/cut_response_test.cpp
@@ -135,7 +135,7 @@
     }
 
     std::shared_ptr<caller_view> ask(const std::string& route) {
-        const auto view = f_.ask(route, "attempt-1");
+        auto view = f_.ask(route, "attempt-1");
         f_.finish(view);
         return view;
     }
