Announce that a known backend server has become cold

Cause: an entry of a known server that hasn't restarted made no change of the registry, whatever its slow_until. The readers of the store announced the new position without the server, so the other instances took their view for complete and treated the server as warm.

A later end of the cold period is now a change, became_cold (event 242, backend_cold), which the readers announce like the others; a lost announcement is made up for as for the others. Ends that differ by at most 100 ms count as the same, so an entry that repeats what is known isn't announced, and a server that stays warm causes no announcement.

The two rows of tools/prove.sh were played by hand on the clone, not by the script. The binaries were built incrementally: files that only include the two changed headers weren't recompiled. Not run: all unit tests, system tests.

--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -43,6 +43,7 @@
         late_response,
         stream_end_ambiguous,
         request_body_refused,
+        backend_cold,
         configuration_in_force,
         configuration_rejected,
         log_unavailable,
--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -54,6 +54,7 @@
 inline constexpr event_kind late_response{239, event_level::warning, "late_response", "A response that isn't known to be about the request arrived where the response to it was due; it is ignored."};
 inline constexpr event_kind stream_end_ambiguous{240, event_level::info, "stream_end_ambiguous", "A stream without framing ended while its engine was asked to stop it for a move; the outcome of the move decides whether it is whole."};
 inline constexpr event_kind request_body_refused{241, event_level::warning, "request_body_refused", "There was no memory for the body of a request; the caller was told that it has not run."};
+inline constexpr event_kind backend_cold{242, event_level::info, "backend_cold", "A backend server has become cold, or is cold for longer than it said before; it gets few requests a second for that time."};
 inline constexpr event_kind configuration_in_force{300, event_level::info, "configuration_in_force", "A newer configuration version is in force here."};
 inline constexpr event_kind configuration_rejected{301, event_level::warning, "configuration_rejected", "A configuration record on the log conflicts with an earlier one or failed validation."};
 inline constexpr event_kind log_unavailable{310, event_level::warning, "log_unavailable", "The platform's log can't be read; the configuration in force stays."};
--- a/bamboostream/src/Gateway/deployment_state.cpp
+++ b/bamboostream/src/Gateway/deployment_state.cpp
@@ -25,6 +25,8 @@
         return events::backend_lapsed;
     case registry_event::kept:
         return events::backend_kept;
+    case registry_event::became_cold:
+        return events::backend_cold;
     case registry_event::restarted:
         break;
     }
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -5,7 +5,20 @@
 
 namespace bamboostream {
 
-void backend_registry::update(const registered_backend& backend, time_point) {
+namespace {
+
+/// Entries that state the same end of a cold period yield ends that differ by how long the entries
+/// took to arrive.
+constexpr milliseconds max_arrival_difference{100};
+
+bool has_become_cold(const registered_backend& known, const registered_backend& received,
+                     time_point now) {
+    return received.slow_until > std::max(now, known.slow_until + max_arrival_difference);
+}
+
+} // namespace
+
+void backend_registry::update(const registered_backend& backend, time_point now) {
     const auto found = backends_.find(backend.id);
     const bool known = found != backends_.end();
     if (known && backend.started_ms < found->second.backend.started_ms) {
@@ -24,9 +37,12 @@
         if (found->second.removal_due) {
             changes_.push_back({registry_event::kept, received});
         }
+        const bool became_cold = has_become_cold(found->second.backend, received, now);
         found->second = {received, std::nullopt};
         if (restarted) {
             changes_.push_back({registry_event::restarted, received});
+        } else if (became_cold) {
+            changes_.push_back({registry_event::became_cold, received});
         }
     }
     if (received.leaving) {
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -35,8 +35,16 @@
 /// Kind of change that callers of the registry may want to log or act on.
 /// `restarted`: the server has lost all state of its previous process. `lapsed`: its entry is
 /// missing, and the removal is deferred until it is confirmed. `kept`: the missing entry is present
-/// again.
-enum class registry_event : std::uint8_t { joined, leaving, gone, restarted, lapsed, kept };
+/// again. `became_cold`: the process has become cold, or is cold for longer than it said before.
+enum class registry_event : std::uint8_t {
+    joined,
+    leaving,
+    gone,
+    restarted,
+    lapsed,
+    kept,
+    became_cold
+};
 /// One change together with the server's record after it; for `gone`, the last known record.
 struct registry_change {
     registry_event event = registry_event::joined;
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -154,6 +154,8 @@
 prove cold_new_role $s/Limits/cold_start_limit.cpp 'now - held->second.since >= settling_time' 'true' 'cold_start_scenario'
 prove cold_lost_sight $s/Limits/cold_start_limit.cpp 'settled && 2 * instances_.live() > instances_.max_recent()' 'settled' 'cold_start_scenario|cold_start_limit_test'
 prove cold_new_instance $s/Limits/cold_start_limit.cpp 'if (!first_update_ || now - *first_update_ < settling_time) {' 'if (!first_update_) {' 'cold_start_scenario|cold_start_limit_test'
+prove cold_reported $s/Membership/backend_registry.cpp '} else if (became_cold) {' '} else if (false) {' 'cold_entry|cold_news'
+prove cold_reported_once $s/Membership/backend_registry.cpp 'known.slow_until + max_arrival_difference' 'known.slow_until' 'cold_entry'
 prove late_start_refused $s/Limits/engine_admission.cpp 'if (work.unread_tokens > 0 && request.objective > duration{} &&' 'if (false &&' 'admission'
 prove memory_claims $s/Limits/engine_admission.cpp 'if (work.requests > 0 &&' 'if (false &&' 'admission'
 prove shares $s/Forwarding/engine_choice.cpp 'if (share.over_share) {' 'if (false) {' 'workspace_load|shared_engines'
