Don't take the address in a Via field for a status line

Callers saw 502 ("outcome unknown") for sound responses with a field such as "Via: HTTP/1.1 192.168.0.1": the check for a head that is put together from two responses looked for "HTTP/1.1" and three digits and took the begin of an address for a status code. The call had run, so one that must run once was lost at every try.

The code of a status line ends its line or is followed by a space, which the check now asks for.

--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -28,13 +28,16 @@
     return ec.category() == http::make_error_code(http::error::bad_method).category();
 }
 
-/// Whether `text` contains the version and the code of a status line: "HTTP/1.1 200".
+/// Whether `text` contains the version and the code of a status line: "HTTP/1.1 200". The code ends
+/// the text or is followed by a space; more digits, or a dot, are the begin of an address, as in
+/// "Via: HTTP/1.1 192.0.2.1".
 bool contains_status_line(std::string_view text) {
     constexpr std::string_view version = "HTTP/1.";
     constexpr std::string_view rest = "d ddd";
     const auto is_rest = [rest](std::string_view found) {
-        return found.size() >= rest.size() &&
-               std::equal(rest.begin(), rest.end(), found.begin(), [](char kind, char c) {
+        const bool ends = found.size() == rest.size() ||
+                          (found.size() > rest.size() && found[rest.size()] == ' ');
+        return ends && std::equal(rest.begin(), rest.end(), found.begin(), [](char kind, char c) {
                    return kind == 'd' ? c >= '0' && c <= '9' : c == kind;
                });
     };
--- a/test/platform/cut_response_test.cpp
+++ b/test/platform/cut_response_test.cpp
@@ -383,6 +383,30 @@
     EXPECT_LT(monotonic_now() - began, milliseconds(600));
 }
 
+/// A field of a sound response whose value resembles a status line.
+class version_in_a_field : public testing::TestWithParam<std::string> {};
+
+INSTANTIATE_TEST_SUITE_P(table, version_in_a_field,
+                         testing::Values("Via: HTTP/1.1 192.168.0.1",
+                                         "Via: HTTP/1.1 203.0.113.7:80",
+                                         "Via: HTTP/1.1 127.0.0.1 (proxy), 1.1 b",
+                                         "Upgrade: HTTP/1.1 2000", "Server: HTTP/1.1 100x"));
+
+// Guards against the loss of a sound response because one of its fields names a version of HTTP.
+TEST_P(version_in_a_field, is_no_second_head) {
+    forwarding_fixture f;
+    f.add("i-1", [](scripted_connection& c) -> asio::awaitable<void> {
+        const std::string bytes =
+            fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n{}\r\n"
+                        "Content-Length: 3\r\n\r\nown",
+                        c.field("Attempt-Id"), GetParam());
+        co_await c.send(bytes);
+    });
+    const auto view = f.ask("once", "attempt-1");
+    f.finish(view);
+    EXPECT_EQ(view->body(), "own") << view->bytes;
+}
+
 // Guards against a page of the store that is cut off and hides records, or parts of them.
 TEST(cut_page, has_whole_records_and_goes_on_after_them) {
     const std::string record("\0\0\0\4\1kvv", 8);
