Reject requests in a transfer coding that can't be decoded

A request with "Transfer-Encoding: gzip" (or any coding that doesn't end in chunks) and no length was read as one without a body, and the bytes of its body as the next request on the connection: a request that was put there ran at a server. With a length, or in chunks behind another coding, the body reached the server in a coding that no field names.

The server now answers 400 and closes the connection (RFC 9112, section 6.3), with the check that responses already pass.

--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -1,6 +1,7 @@
 #include "bamboostream/src/Http/http_connection.h"
 
 #include "bamboostream/src/Http/address.h"
+#include "bamboostream/src/Http/transfer_coding.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -48,16 +49,6 @@
     return at != std::string_view::npos;
 }
 
-/// Whether the response has no transfer coding but chunks. The body would be passed on in any
-/// other one.
-bool has_known_coding(const http::response_header<>& head) {
-    const auto range = head.equal_range(http::field::transfer_encoding);
-    return std::all_of(
-               range.first, range.second,
-               [](const auto& field) { return beast::iequals(field.value(), "chunked"); }) &&
-           std::distance(range.first, range.second) <= 1;
-}
-
 /// If a server stops within the head of one response and goes on with the next one, the line that
 /// it stopped in goes on with the status line of the next response.
 bool is_single_head(const http::response_header<>& head) {
--- a/bamboostream/src/Http/http_server.cpp
+++ b/bamboostream/src/Http/http_server.cpp
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Core/event_log.h"
 #include "bamboostream/src/Http/address.h"
 #include "bamboostream/src/Http/memory_budget.h"
+#include "bamboostream/src/Http/transfer_coding.h"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -346,6 +347,9 @@
         beast::error_code ec;
         stream_.expires_after(first ? limits.head_timeout : limits.idle_timeout);
         co_await http::async_read_header(stream_, buffer_, *parser, token(ec));
+        if (!ec && !has_known_coding(parser->get())) {
+            ec = http::error::bad_transfer_encoding;
+        }
         body_reservation memory(memory_budget::of(stream_.get_executor()));
         bool has_room = true;
         if (!ec) {
