Send no body in response to HEAD on a streaming route

Behind the head of such a response the caller got "0\r\n\r\n", the end of a chunked body that a response to HEAD doesn't have; on a kept connection it stands where the next response begins.

head_of_a_stream.has_no_body failed before (5 bytes behind the head) and passes now.

--- a/bamboostream/src/Http/http_server.cpp
+++ b/bamboostream/src/Http/http_server.cpp
@@ -173,7 +173,7 @@
     }
 
     asio::awaitable<bool> write(std::string_view bytes) override {
-        if (bytes.empty()) {
+        if (bytes.empty() || request_->method == "HEAD") {
             co_return !gone_;
         }
         if (!chunked_) {
@@ -187,7 +187,7 @@
     }
 
     asio::awaitable<bool> end_stream() override {
-        out_ += chunked_ ? "0\r\n\r\n" : "";
+        out_ += chunked_ && request_->method != "HEAD" ? "0\r\n\r\n" : "";
         complete_ = true;
         co_return co_await flush();
     }
--- a/test/platform/request_framing_test.cpp
+++ b/test/platform/request_framing_test.cpp
@@ -7,6 +7,8 @@
 namespace bamboostream::test {
 namespace {
 
+namespace asio = boost::asio;
+
 /// The fields of a request, in front of its length; they may end the request and begin another one.
 struct framing_row {
     std::string name;
@@ -48,5 +50,21 @@
     EXPECT_EQ(server.requests().size(), 0U);
 }
 
+// Guards against bytes behind a head without a body, where the caller's next response begins.
+TEST(head_of_a_stream, has_no_body) {
+    forwarding_fixture f;
+    f.add(
+        "i-1",
+        [](scripted_connection& c) -> asio::awaitable<void> {
+            const std::string head = stream_head(c);
+            co_await c.send(head);
+        },
+        "engines");
+    const auto view = f.ask("long", "a1", "", "", "HEAD");
+    f.finish(view, milliseconds(300));
+    EXPECT_EQ(view->status(), 200);
+    EXPECT_EQ(view->bytes.find("\r\n\r\n") + 4, view->bytes.size()) << view->bytes;
+}
+
 } // namespace
 } // namespace bamboostream::test
