Take an empty success as whole if it announces the end of its connection

Why this works: only a success that announces neither a length, nor chunks, nor the end of its connection counts as cut. The rows of cut_response have such heads. empty_response guards the other side.

--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -271,9 +271,10 @@
     if (ec == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
         ec = {};
         ended_by_close_ = true;
-        // A sound response without a body names its length. Without one, a success that ends before
-        // its body was cut off.
-        const bool is_cut = parser_->is_header_done() && status() / 100 == 2 && body_bytes_ == 0;
+        // A server that ends a response with its connection announces that. Without it, a success
+        // that ends before its body was cut off.
+        const bool is_cut = parser_->is_header_done() && status() / 100 == 2 && body_bytes_ == 0 &&
+                            parser_->get().keep_alive();
         if (!is_cut) {
             parser_->put_eof(ec);
         }
--- a/test/platform/cut_response_test.cpp
+++ b/test/platform/cut_response_test.cpp
@@ -257,6 +257,22 @@
     EXPECT_EQ(view->status(), 502) << view->bytes;
 }
 
+// Guards against the loss of a sound response without a body that ends with its connection.
+TEST(empty_response, that_announces_the_end_of_its_connection_is_whole) {
+    forwarding_fixture f;
+    f.add("i-1", [](scripted_connection& c) -> asio::awaitable<void> {
+        const std::string bytes =
+            fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n"
+                        "Connection: close\r\n\r\n",
+                        c.field("Attempt-Id"));
+        co_await c.send(bytes);
+        c.close();
+    });
+    const auto view = f.ask("once", "attempt-1");
+    f.finish(view);
+    EXPECT_EQ(view->status(), 200) << view->bytes;
+}
+
 /// How the carrier of a tunnel ends it after the server's bytes.
 class tunneled_cut_response : public testing::TestWithParam<std::tuple<cut_row, bool>> {};
 
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -97,7 +97,7 @@
 prove late_copy platform/platform_request_codec.cpp 'if (id != request_id) {' 'if (false) {' 'late_response'
 prove unnamed_response $s/Forwarding/forward_request.h '(subject == response_subject::unnamed && is_first)' 'subject == response_subject::unnamed' 'unnamed_refusal'
 prove unproven_send $s/Forwarding/attempt_policy.h 'return sending_ || may_have_run_;' 'return may_have_run_;' 'attempt_decision'
-prove cut_success $s/Http/http_connection.cpp 'status() / 100 == 2 && body_bytes_ == 0;' 'false;' 'cut_response'
+prove cut_success $s/Http/http_connection.cpp 'status() / 100 == 2 && body_bytes_ == 0 &&' 'false &&' 'cut_response'
 prove head_of_two $s/Http/http_connection.cpp '(has_known_coding(parser_->get()) && is_single_head(parser_->get()))' 'has_known_coding(parser_->get())' 'cut_late_copy'
 prove engine_says_not_run $s/Contracts/engine.cpp 'if (response.field(not_run_field) != "true") {' 'if (false) {' 'not_run_statement'
 prove own_claims $s/Control/claim_service.cpp 'return has_only_abandoned_claims(workspace, key) &&' 'return' 'claim_service'
