--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -56,7 +56,10 @@
 /// Lines of record.txt, each with the seconds since the begin.
 class recorder {
 public:
-    void open(const std::string& path) { file_.open(path); }
+    void open(const std::string& path) {
+        std::ofstream(path, std::ios::trunc);
+        file_.open(path, std::ios::app);
+    }
     void line(const std::string& text) {
         const std::lock_guard lock(mutex_);
         char time[32];
