--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -289,6 +289,8 @@
         std::thread([this] { accept_loop(); }).detach();
         return true;
     }
+    /// While it returns true, new channels are reset.
+    std::function<bool()> refuses;
     /// Stops listening; open connections go on.
     void stop() {
         stopped_ = true;
@@ -303,6 +305,10 @@
             if (fd < 0) {
                 return;
             }
+            if (refuses && refuses()) {
+                close_with_reset(fd);
+                continue;
+            }
             const int one = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
             std::thread([this, fd] { serve(fd); }).detach();
