--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -1,5 +1,5 @@
-// Parts of the stand-ins of the second review: an HTTP server, an HTTP client, the platform's store,
-// entries of replicas, and the start and end of gateway processes. Plain POSIX and C++20.
+// Parts of the stand-ins of the second review: an HTTP server, an HTTP client, the platform's
+// store, entries of replicas, and the start and end of gateway processes. Plain POSIX and C++20.
 #pragma once
 
 #include <algorithm>
@@ -91,7 +91,8 @@
 
     std::string field(std::string_view name) const {
         for (const auto& [key, value] : fields) {
-            if (key.size() == name.size() && strncasecmp(key.data(), name.data(), name.size()) == 0) {
+            if (key.size() == name.size() &&
+                strncasecmp(key.data(), name.data(), name.size()) == 0) {
                 return value;
             }
         }
@@ -148,7 +149,8 @@
     bool fill() {
         const double left = until_s - now_s();
         pollfd wait{fd_, POLLIN, 0};
-        const int ready = ::poll(&wait, 1, left > 1e6 ? -1 : std::max(0, static_cast<int>(left * 1000)));
+        const int ready =
+            ::poll(&wait, 1, left > 1e6 ? -1 : std::max(0, static_cast<int>(left * 1000)));
         if (ready <= 0) {
             timed_out = true;
             return false;
@@ -247,7 +249,8 @@
     const int one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     const sockaddr_in to = to_sockaddr(address);
-    if (::bind(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 || ::listen(fd, 512) != 0) {
+    if (::bind(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0 ||
+        ::listen(fd, 512) != 0) {
         ::close(fd);
         return -1;
     }
@@ -331,7 +334,8 @@
     std::atomic<bool> stopped_ = false;
 };
 
-inline std::string answer_text(int status, const std::vector<std::pair<std::string, std::string>>& fields,
+inline std::string answer_text(int status,
+                               const std::vector<std::pair<std::string, std::string>>& fields,
                                const std::string& body) {
     std::string out = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
     for (const auto& [name, value] : fields) {
@@ -357,8 +361,8 @@
         if (!has_head) {
             return timed_out ? "no answer in time" : "channel closed without an answer";
         }
-        return "status " + std::to_string(status()) + (complete ? ", complete" : ", cut off") + ", " +
-               std::to_string(answer.body.size()) + " bytes";
+        return "status " + std::to_string(status()) + (complete ? ", complete" : ", cut off") +
+               ", " + std::to_string(answer.body.size()) + " bytes";
     }
 };
 
@@ -387,7 +391,8 @@
 // ---------------------------------------------------------------- the platform's store
 
 inline std::string to_base64(std::string_view bytes) {
-    static const char* alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    static const char* alphabet =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string out;
     for (std::size_t i = 0; i < bytes.size(); i += 3) {
         std::uint32_t group = 0;
@@ -414,7 +419,8 @@
 class store {
 public:
     explicit store(std::string address)
-        : server_(std::move(address), [this](const message& request, int fd) { return handle(request, fd); }) {}
+        : server_(std::move(address),
+                  [this](const message& request, int fd) { return handle(request, fd); }) {}
 
     bool start() { return server_.start(); }
     /// Writes a record, as the operator and the replicas do. Returns its offset.
@@ -462,12 +468,14 @@
         std::string items;
         for (const auto& [key, offset] : latest) {
             if (!records[offset].value.empty()) {
-                items += (items.empty() ? "" : ",") + std::string("{\"key\":\"") + key + "\",\"value\":\"" +
-                         to_base64(records[offset].value) + "\",\"offset\":" + std::to_string(offset) + "}";
+                items += (items.empty() ? "" : ",") + std::string("{\"key\":\"") + key +
+                         "\",\"value\":\"" + to_base64(records[offset].value) +
+                         "\",\"offset\":" + std::to_string(offset) + "}";
             }
         }
-        return reply(fd, 200, "{\"items\":[" + items + "],\"more_pages\":false,\"end\":" +
-                                  std::to_string(records.size()) + "}");
+        return reply(fd, 200,
+                     "{\"items\":[" + items +
+                         "],\"more_pages\":false,\"end\":" + std::to_string(records.size()) + "}");
     }
     bool read(const message& request, int fd) {
         std::unique_lock lock(mutex_);
@@ -483,7 +491,8 @@
         const std::vector<entry>& records = topics_[topic];
         std::string body = big_endian(records.size(), 8) + big_endian(0, 8);
         for (std::size_t i = from; i < records.size(); ++i) {
-            const std::string content = big_endian(records[i].key.size(), 1) + records[i].key + records[i].value;
+            const std::string content =
+                big_endian(records[i].key.size(), 1) + records[i].key + records[i].value;
             body += big_endian(content.size(), 4) + content;
         }
         lock.unlock();
@@ -497,16 +506,19 @@
         while (rest.size() >= 4) {
             std::size_t length = 0;
             for (int i = 0; i < 4; ++i) {
-                length = length << 8 | static_cast<unsigned char>(rest[static_cast<std::size_t>(i)]);
+                length =
+                    length << 8 | static_cast<unsigned char>(rest[static_cast<std::size_t>(i)]);
             }
             const std::string_view content = rest.substr(4, length);
             const std::size_t key = static_cast<unsigned char>(content.front());
-            records.push_back({std::string(content.substr(1, key)), std::string(content.substr(1 + key))});
+            records.push_back(
+                {std::string(content.substr(1, key)), std::string(content.substr(1 + key))});
             rest.remove_prefix(4 + length);
         }
         changed_.notify_all();
-        return reply(fd, 200, "{\"offset\":" + std::to_string(offset) + ",\"end\":" +
-                                  std::to_string(records.size()) + "}");
+        return reply(fd, 200,
+                     "{\"offset\":" + std::to_string(offset) +
+                         ",\"end\":" + std::to_string(records.size()) + "}");
     }
 
     std::mutex mutex_;
@@ -631,27 +643,33 @@
         return "node=edge-" + std::to_string(host) +
                "\nrole=gateway\nnode_class=edge\nserves=edge,control_plane,registry\nip=" + ip +
                "\nzone=" + zone(host) +
-               "\nregion=se-vattersund\nzones.hall-norra=se-vattersund\nzones.hall-hamnen=se-vattersund\n"
+               "\nregion=se-vattersund\nzones.hall-norra=se-vattersund\nzones.hall-hamnen=se-"
+               "vattersund\n"
                "zones.hall-verket=se-vattersund\nlisten.front=" +
                ip + ":8740\nlisten.ready=" + ip + ":8749\nlisten.control=" + ip +
                ":8748\nlisten.directory=" + ip + ":8746\nport_range=7200,7215\nseeds=" + seeds +
                "\nbootstrap=true\nin_fault_budget=false\nlimits.cpu_share=0.25\nlimits.cores=1\n"
                "limits.memory_mb=" +
                std::to_string(memory_mb) +
-               "\nlimits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=platform\n"
+               "\nlimits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery="
+               "platform\n"
                "entry=registry\nheartbeat_ms=1200\n"
                "contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,platform\n"
                "tolerate.machines=1\ntolerate.zones=0\ntolerate.regions=0\nbounds.seed_lag_s=3\n"
-               "bounds.addr_reuse_s=2\nbounds.contact_ms=3000\nbounds.ack_ms=4000\nbounds.sync_s=4\n"
+               "bounds.addr_reuse_s=2\nbounds.contact_ms=3000\nbounds.ack_ms=4000\nbounds.sync_s="
+               "4\n"
                "bounds.drain_ms=2000\nbounds.grace_s=8\nbounds.loss_slack_ms=200\n"
-               "bounds.config_apply_ms=2000\nbounds.rollback_slack_ms=250\nbounds.max_skew_ms=5000\n"
+               "bounds.config_apply_ms=2000\nbounds.rollback_slack_ms=250\nbounds.max_skew_ms="
+               "5000\n"
                "bounds.strict_revoke=false\nbounds.revoke_ms=5000\nbounds.retry_budget_ratio=0.2\n"
                "bounds.budget_window_s=10\nbounds.retry_budget_slack=56\nbounds.recovery_s=12\n"
-               "bounds.pass_ms=120\nbounds.retry_after_s=4.7\nbounds.ttl_max_s=5\nplatform.address=" +
+               "bounds.pass_ms=120\nbounds.retry_after_s=4.7\nbounds.ttl_max_s=5\nplatform."
+               "address=" +
                net.ip(200) +
                ":8742\nplatform.form=log\nplatform.writes_per_s=400\nplatform.reads_per_s=2000\n"
                "platform.parts=8\nplatform.append_ms=4.0\nplatform.part_mb_s=20.0\n"
-               "platform.read_mb_s=80.0\nplatform.record_bytes=262144\nplatform.call_bytes=2097152\n"
+               "platform.read_mb_s=80.0\nplatform.record_bytes=262144\nplatform.call_bytes="
+               "2097152\n"
                "platform.keep_s=300\nplatform.part_mb=200\nplatform.ttl_min_ms=1000\n" +
                extra_settings;
     }
@@ -669,7 +687,8 @@
         }
     }
     bool is_ready(int host) const {
-        return ask(net.ip(host) + ":8749", "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n", 1.0).status() == 200;
+        return ask(net.ip(host) + ":8749", "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n", 1.0)
+                   .status() == 200;
     }
     bool await_ready(int count, double within_s) const {
         const double until = now_s() + within_s;
@@ -684,11 +703,14 @@
         return true;
     }
     void put_replica(const std::string& id, const std::string& service, const std::string& address,
-                     const std::string& zone_name, int slots, const std::string& state, int sequence) {
+                     const std::string& zone_name, int slots, const std::string& state,
+                     int sequence) {
         platform.put("keyed.servers", id,
-                     "{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone_name +
-                         "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) + ",\"state\":\"" + state +
-                         "\",\"cold_left_ms\":0,\"stage\":\"unified\",\"models\":[{\"name\":\"m\",\"version\":1,"
+                     "{\"service\":\"" + service + "\",\"address\":\"" + address +
+                         "\",\"zone\":\"" + zone_name + "\",\"version\":\"v1\",\"slots\":" +
+                         std::to_string(slots) + ",\"state\":\"" + state +
+                         "\",\"cold_left_ms\":0,\"stage\":\"unified\",\"models\":[{\"name\":\"m\","
+                         "\"version\":1,"
                          "\"adapters\":[]}],\"sequence\":" +
                          std::to_string(sequence) + "}");
     }
