Keep only the bytes of a body that have arrived, and survive a handler that throws

Callers saw: one server of three spoiled 2 in 100 of its responses with "Content-Length:".

Cause: the parser's string body reserves the announced length and throws. The exception left the handler, so nothing stopped the coroutine that reads ahead on the caller's connection, and it went on with a destroyed exchange. asio::detached hid the exception.

Why this works: the body of a response grows with what arrives, so the limits apply before any memory is taken. The coroutine that reads ahead shares the ownership of the exchange and its connection, open exchanges are counted by an object, and a handler that throws is answered 500. Coroutines that nobody waits for log their exception (unexpected_exception), which told no hypothesis apart before.

--- a/bamboostream/src/Client/caller.cpp
+++ b/bamboostream/src/Client/caller.cpp
@@ -2,12 +2,12 @@
 
 #include "bamboostream/src/Contracts/json_reader.h"
 #include "bamboostream/src/Control/async_wait.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Http/server_sent_events.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 namespace bamboostream {
@@ -179,7 +179,7 @@
         co_return false;
     }
     auto guard = std::make_shared<silence_guard>();
-    asio::co_spawn(executor_, close_when_silent(guard, options_.silence_limit), asio::detached);
+    asio::co_spawn(executor_, close_when_silent(guard, options_.silence_limit), log_exception);
     std::string refusal;
     sse_parser reader;
     const bool streaming = stream->status() == 200;
--- a/bamboostream/src/Control/claim_service.cpp
+++ b/bamboostream/src/Control/claim_service.cpp
@@ -4,10 +4,10 @@
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/digest.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace bamboostream {
 
@@ -33,8 +33,8 @@
       queue_filled_(context) {}
 
 void claim_service::start() {
-    asio::co_spawn(context_, tail_loop(), asio::detached);
-    asio::co_spawn(context_, append_loop(), asio::detached);
+    asio::co_spawn(context_, tail_loop(), log_exception);
+    asio::co_spawn(context_, append_loop(), log_exception);
 }
 
 asio::awaitable<void> claim_service::tail_loop() {
--- a/bamboostream/src/Control/configuration_service.cpp
+++ b/bamboostream/src/Control/configuration_service.cpp
@@ -3,10 +3,10 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace bamboostream {
 
@@ -27,9 +27,9 @@
       document_(std::make_shared<const configuration_document>()) {}
 
 void configuration_service::start() {
-    asio::co_spawn(context_, tail_loop(), asio::detached);
-    asio::co_spawn(context_, peer_loop(), asio::detached);
-    asio::co_spawn(context_, snapshot_loop(), asio::detached);
+    asio::co_spawn(context_, tail_loop(), log_exception);
+    asio::co_spawn(context_, peer_loop(), log_exception);
+    asio::co_spawn(context_, snapshot_loop(), log_exception);
 }
 
 void configuration_service::publish() {
--- a/bamboostream/src/Control/membership_service.cpp
+++ b/bamboostream/src/Control/membership_service.cpp
@@ -3,10 +3,10 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 #include <iterator>
 
@@ -65,16 +65,16 @@
       members_(std::move(self), gossip_timing, seed), random_(seed + 1) {}
 
 void membership_service::start() {
-    asio::co_spawn(context_, list_loop(), asio::detached);
-    asio::co_spawn(context_, probe_loop(), asio::detached);
-    asio::co_spawn(context_, watch_loop(), asio::detached);
+    asio::co_spawn(context_, list_loop(), log_exception);
+    asio::co_spawn(context_, probe_loop(), log_exception);
+    asio::co_spawn(context_, watch_loop(), log_exception);
 }
 
 asio::awaitable<void> membership_service::probe_loop() {
     while (true) {
         const time_point now = monotonic_now();
         for (std::string& peer : members_.choose_probes(now)) {
-            asio::co_spawn(context_, probe_one(std::move(peer)), asio::detached);
+            asio::co_spawn(context_, probe_one(std::move(peer)), log_exception);
         }
         members_.expire(now);
         report_changes();
@@ -179,7 +179,7 @@
             const bool is_watcher = backend.kind == backend_kind::plain_service || !watches_pool_ ||
                                     watches_pool_(backend.group);
             if (is_watcher) {
-                asio::co_spawn(context_, watch_one(backend), asio::detached);
+                asio::co_spawn(context_, watch_one(backend), log_exception);
             }
         }
         co_await pause_for(times_.watch_period);
--- a/bamboostream/src/Control/placement_service.cpp
+++ b/bamboostream/src/Control/placement_service.cpp
@@ -2,10 +2,10 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace bamboostream {
 
@@ -22,8 +22,8 @@
       times_(times), leases_(times.lease) {}
 
 void placement_service::start() {
-    asio::co_spawn(context_, tail_loop(), asio::detached);
-    asio::co_spawn(context_, reconcile_loop(), asio::detached);
+    asio::co_spawn(context_, tail_loop(), log_exception);
+    asio::co_spawn(context_, reconcile_loop(), log_exception);
 }
 
 bool placement_service::may_act(std::string_view pool, time_point now) const {
--- a/bamboostream/src/Control/quarantine_exchange.cpp
+++ b/bamboostream/src/Control/quarantine_exchange.cpp
@@ -3,9 +3,9 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/digest.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <utility>
 
 namespace bamboostream {
@@ -33,8 +33,8 @@
       random_(stable_hash(random_id())) {}
 
 void quarantine_exchange::start() {
-    asio::co_spawn(context_, announce_loop(), asio::detached);
-    asio::co_spawn(context_, catch_up_loop(), asio::detached);
+    asio::co_spawn(context_, announce_loop(), log_exception);
+    asio::co_spawn(context_, catch_up_loop(), log_exception);
 }
 
 void quarantine_exchange::note(const crash_evidence& evidence) {
--- a/bamboostream/src/Control/quarantine_service.cpp
+++ b/bamboostream/src/Control/quarantine_service.cpp
@@ -4,10 +4,10 @@
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/digest.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace bamboostream {
 
@@ -62,7 +62,7 @@
 
 void quarantine_service::start() {
     exchange_.start();
-    asio::co_spawn(context_, expiry_loop(), asio::detached);
+    asio::co_spawn(context_, expiry_loop(), log_exception);
 }
 
 asio::awaitable<void> quarantine_service::expiry_loop() {
--- a/bamboostream/src/Control/rate_limit_exchange.cpp
+++ b/bamboostream/src/Control/rate_limit_exchange.cpp
@@ -3,10 +3,10 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/digest.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace bamboostream {
 
@@ -66,7 +66,7 @@
 }
 
 void rate_limit_exchange::start() {
-    asio::co_spawn(context_, repeat_loop(), asio::detached);
+    asio::co_spawn(context_, repeat_loop(), log_exception);
 }
 
 std::vector<std::string> rate_limit_exchange::issuers(const registered_backend& server) const {
--- a/bamboostream/src/Control/scheduling_service.cpp
+++ b/bamboostream/src/Control/scheduling_service.cpp
@@ -2,10 +2,10 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <set>
 
 namespace bamboostream {
@@ -71,8 +71,8 @@
         }
     });
     configuration_.on_change([this] { reconfigure(); });
-    asio::co_spawn(context_, dispatch_loop(), asio::detached);
-    asio::co_spawn(context_, progress_loop(), asio::detached);
+    asio::co_spawn(context_, dispatch_loop(), log_exception);
+    asio::co_spawn(context_, progress_loop(), log_exception);
 }
 
 void scheduling_service::configure(const std::string& name, pool_scheduler& scheduler) const {
--- a/bamboostream/src/Control/server_state_exchange.cpp
+++ b/bamboostream/src/Control/server_state_exchange.cpp
@@ -2,10 +2,10 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -46,7 +46,7 @@
 void server_state_exchange::record_refusal(const server_address& server) {
     refusing_.on_refused(server, view_.start_of(server.id).value_or(0), monotonic_now());
     if (!std::exchange(examining_, true)) {
-        asio::co_spawn(context_, examine_again(), asio::detached);
+        asio::co_spawn(context_, examine_again(), log_exception);
     }
 }
 
@@ -163,7 +163,7 @@
         co_await recheck(co_await reaches_another(open.front().server.id));
         for (const refusing_servers::open_question& it : open) {
             if (it.has_listeners && refusing_.may_ask_others(it.server.id, monotonic_now())) {
-                asio::co_spawn(context_, confirm(it.server.id), asio::detached);
+                asio::co_spawn(context_, confirm(it.server.id), log_exception);
             }
         }
     }
@@ -216,7 +216,7 @@
     const std::vector<std::string> witnesses = choose_witnesses();
     about->outstanding = witnesses.size();
     for (const std::string& peer : witnesses) {
-        asio::co_spawn(context_, ask(peer, server, about), asio::detached);
+        asio::co_spawn(context_, ask(peer, server, about), log_exception);
     }
     const auto running = [&about] {
         return std::find(about->answers.begin(), about->answers.end(), process_state::running) !=
--- a/bamboostream/src/Core/event_catalogue.cpp
+++ b/bamboostream/src/Core/event_catalogue.cpp
@@ -15,6 +15,7 @@
         reloaded,
         settings_bad,
         log_lines_lost,
+        unexpected_exception,
         member_joined,
         member_suspect,
         member_gone,
--- a/bamboostream/src/Core/event_catalogue.h
+++ b/bamboostream/src/Core/event_catalogue.h
@@ -26,6 +26,7 @@
 inline constexpr event_kind listen_failed{103, event_level::error, "listen_failed", "A listening address could not be bound."};
 inline constexpr event_kind ready{104, event_level::info, "ready", "A configuration is in force and the instance serves callers."};
 inline constexpr event_kind log_lines_lost{107, event_level::warning, "log_lines_lost", "Lines were dropped because nobody read standard output."};
+inline constexpr event_kind unexpected_exception{108, event_level::error, "unexpected_exception", "An exception that nothing handles has ended a task or a request, which shows a defect or a lack of memory; the program goes on."};
 inline constexpr event_kind member_joined{200, event_level::info, "member_joined", "Another instance became known."};
 inline constexpr event_kind member_suspect{201, event_level::warning, "member_suspect", "An instance responds neither to direct nor to indirect probes; it is removed from the directory."};
 inline constexpr event_kind member_gone{202, event_level::warning, "member_gone", "A suspect instance remained unresponsive; other instances take over its work."};
--- a/bamboostream/src/Entry/completion_handler.cpp
+++ b/bamboostream/src/Entry/completion_handler.cpp
@@ -2,10 +2,10 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Entry/authentication.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 #include <exception>
 #include <utility>
@@ -426,7 +426,7 @@
              id = engine_request.generation]() mutable -> asio::awaitable<void> {
                 co_await client.cancel(id, milliseconds(1'000));
             },
-            asio::detached);
+            log_exception);
     } else if (result.end == relay_end::caller_gone) {
         schedule_cancel_when_abandoned(*handle);
     }
@@ -519,7 +519,7 @@
             engine_client client(core.control.get_executor(), content.backend);
             co_await client.cancel(content.generation, milliseconds(1'000));
         },
-        asio::detached);
+        log_exception);
 }
 
 } // namespace bamboostream
--- a/bamboostream/src/Entry/instance.cpp
+++ b/bamboostream/src/Entry/instance.cpp
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Core/settings.h"
 #include "bamboostream/src/Entry/completion_handler.h"
 #include "bamboostream/src/Entry/operator_handler.h"
@@ -10,7 +11,6 @@
 #include "bamboostream/src/Http/http_server.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
@@ -212,7 +212,7 @@
     core.claims->start();
     core.placement->start();
     core.quarantine->start();
-    asio::co_spawn(core.control, update_self(), asio::detached);
+    asio::co_spawn(core.control, update_self(), log_exception);
     log_event(events::started, "callers={} operators={} peers={} failure_domain={}", caller,
               operator_address, peer, core.settings.failure_domain);
     announce(caller, operator_address, peer);
@@ -237,7 +237,7 @@
 
 void instance::parts::begin_drain() {
     if (!draining.exchange(true)) {
-        asio::co_spawn(core.control, drain(), asio::detached);
+        asio::co_spawn(core.control, drain(), log_exception);
     }
 }
 
--- a/bamboostream/src/Entry/sse_writer.cpp
+++ b/bamboostream/src/Entry/sse_writer.cpp
@@ -1,10 +1,10 @@
 #include "bamboostream/src/Entry/sse_writer.h"
 
 #include "bamboostream/src/Control/async_wait.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
@@ -67,7 +67,7 @@
 void sse_writer::start_heartbeats() {
     heartbeats_ = std::make_shared<heartbeat_state>(exchange_.executor());
     heartbeats_->running = true;
-    asio::co_spawn(exchange_.executor(), run_heartbeats(heartbeats_, this), asio::detached);
+    asio::co_spawn(exchange_.executor(), run_heartbeats(heartbeats_, this), log_exception);
 }
 
 asio::awaitable<void> sse_writer::run_heartbeats(std::shared_ptr<heartbeat_state> state,
--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -2,10 +2,10 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace bamboostream {
 
@@ -54,7 +54,7 @@
 } // namespace
 
 void evacuation_service::start() {
-    asio::co_spawn(context_, watch_loop(), asio::detached);
+    asio::co_spawn(context_, watch_loop(), log_exception);
 }
 
 asio::awaitable<void> evacuation_service::watch_loop() {
@@ -73,7 +73,7 @@
             continue;
         }
         for (const registered_backend* backend : state_.registry.usable(service.id)) {
-            asio::co_spawn(context_, poll_engine(*backend), asio::detached);
+            asio::co_spawn(context_, poll_engine(*backend), log_exception);
         }
     }
 }
@@ -120,7 +120,7 @@
     if (evacuated_.insert(backend.id).second) {
         const bool before_end = state_.is_contended(backend.service);
         asio::co_spawn(context_, before_end ? evacuate_before_end(backend) : evacuate(backend),
-                       asio::detached);
+                       log_exception);
     }
     return true;
 }
@@ -157,7 +157,7 @@
     const time_point until = monotonic_now() + max_evacuation_time;
     const auto work = std::make_shared<evacuation>(context_);
     work->source = std::move(source);
-    asio::co_spawn(context_, list_generations(work, until), asio::detached);
+    asio::co_spawn(context_, list_generations(work, until), log_exception);
     while (work->alive && monotonic_now() < until && work->empty_polls < max_empty_polls) {
         if (!co_await move_next(work)) {
             co_await wait_on(work->changed, monotonic_now() + target_retry_period);
@@ -229,7 +229,7 @@
         const auto handle = co_await copy_first(source, target, generation.id, timeout, error);
         if (handle) {
             forget_no_target(*work, generation.id);
-            asio::co_spawn(context_, finish_copy(work, candidate, target, *handle), asio::detached);
+            asio::co_spawn(context_, finish_copy(work, candidate, target, *handle), log_exception);
             co_await pause_for(last_part_lead);
             co_return true;
         }
--- a/bamboostream/src/Forwarding/backend_connection.cpp
+++ b/bamboostream/src/Forwarding/backend_connection.cpp
@@ -2,10 +2,10 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace bamboostream {
 
@@ -116,13 +116,13 @@
     asio::co_spawn(executor,
                    connect_directly(state, race, server,
                                     std::chrono::duration_cast<milliseconds>(limit - now)),
-                   asio::detached);
+                   log_exception);
     co_await wait_on(race->changed, std::min(limit, now + tunnel_delay));
     race->tunnel_failed = state.tunnels == nullptr;
     if (race->is_open() && !race->tunnel_failed) {
         asio::co_spawn(executor,
                        connect_through_peer(state, race, server, wanted.request_id, limit),
-                       asio::detached);
+                       log_exception);
     }
     while (race->is_open() && monotonic_now() < limit) {
         co_await wait_on(race->changed, limit);
--- a/bamboostream/src/Gateway/configuration_distributor.cpp
+++ b/bamboostream/src/Gateway/configuration_distributor.cpp
@@ -3,11 +3,11 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Gateway/document_frames.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace bamboostream {
 
@@ -31,7 +31,7 @@
       fetcher_(stable_hash(membership.own_address())), due_(context) {}
 
 void configuration_distributor::start() {
-    asio::co_spawn(context_, request_loop(), asio::detached);
+    asio::co_spawn(context_, request_loop(), log_exception);
 }
 
 void configuration_distributor::set_link_speed(double link_mbps) {
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "bamboostream/src/Control/server_state_exchange.h"
 #include "bamboostream/src/Core/clamped_cast.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Core/settings.h"
 #include "bamboostream/src/Forwarding/forwarded_call.h"
 #include "bamboostream/src/Gateway/gateway_metrics.h"
@@ -16,7 +17,6 @@
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <malloc.h>
@@ -311,7 +311,7 @@
     persister->start();
     rate_limits->start();
     evacuation->start();
-    asio::co_spawn(context, housekeeping(), asio::detached);
+    asio::co_spawn(context, housekeeping(), log_exception);
     log_event(events::started, "callers={} peers={} failure_domain={} seeds={}",
               settings.caller_listen, *peer_address, settings.failure_domain,
               settings.seeds.size());
@@ -421,7 +421,7 @@
 
 void gateway::parts::begin_drain() {
     if (!forwarding.leaving) {
-        asio::co_spawn(context, drain(), asio::detached);
+        asio::co_spawn(context, drain(), log_exception);
     }
 }
 
@@ -451,7 +451,7 @@
         return exit_code_unavailable;
     }
     parts_->reload = std::move(reload);
-    asio::co_spawn(parts_->context, parts_->watch_settings(), asio::detached);
+    asio::co_spawn(parts_->context, parts_->watch_settings(), log_exception);
     asio::io_context& context = parts_->context;
     asio::signal_set end(context, SIGTERM, SIGINT);
     end.async_wait([this](auto error, auto) {
--- a/bamboostream/src/Gateway/peer_exchange.cpp
+++ b/bamboostream/src/Gateway/peer_exchange.cpp
@@ -3,11 +3,11 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/digest.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Gateway/peer_frames.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <fmt/format.h>
 
 namespace bamboostream {
@@ -90,7 +90,7 @@
       rate_limits_(rate_limits), load_due_(context) {}
 
 void peer_exchange::start() {
-    asio::co_spawn(context_, load_loop(), asio::detached);
+    asio::co_spawn(context_, load_loop(), log_exception);
 }
 
 asio::awaitable<void> peer_exchange::load_loop() {
@@ -223,7 +223,7 @@
                     answers->complete.cancel();
                 }
             },
-            asio::detached);
+            log_exception);
     }
     if (answers->outstanding > 0) {
         co_await wait_on(answers->complete, monotonic_now() + collect_timeout);
--- a/bamboostream/src/Gateway/quarantine_persister.cpp
+++ b/bamboostream/src/Gateway/quarantine_persister.cpp
@@ -4,11 +4,11 @@
 #include "bamboostream/src/Contracts/json_reader.h"
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Gateway/store_read_policy.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
@@ -114,8 +114,8 @@
       due_(context) {}
 
 void quarantine_persister::start() {
-    asio::co_spawn(context_, restore(), asio::detached);
-    asio::co_spawn(context_, write_loop(), asio::detached);
+    asio::co_spawn(context_, restore(), log_exception);
+    asio::co_spawn(context_, write_loop(), log_exception);
 }
 
 std::size_t quarantine_persister::stored_evidence(const request_digest& request) const {
--- a/bamboostream/src/Gateway/store_follower.cpp
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -2,10 +2,10 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <numeric>
 #include <span>
 
@@ -33,8 +33,8 @@
 
 void store_follower::start(read_coordinator& coordinator) {
     coordinator_ = &coordinator;
-    asio::co_spawn(context_, follow(documents_), asio::detached);
-    asio::co_spawn(context_, follow(entries_), asio::detached);
+    asio::co_spawn(context_, follow(documents_), log_exception);
+    asio::co_spawn(context_, follow(entries_), log_exception);
 }
 
 std::optional<time_point> store_follower::failing_since() const {
--- a/bamboostream/src/Gateway/store_update_exchange.cpp
+++ b/bamboostream/src/Gateway/store_update_exchange.cpp
@@ -3,10 +3,10 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Gateway/peer_frames.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <limits>
 #include <map>
 
@@ -62,9 +62,9 @@
 
 void store_update_exchange::start() {
     started_at_ = monotonic_now();
-    asio::co_spawn(context_, announce_loop(), asio::detached);
-    asio::co_spawn(context_, catch_up_loop(), asio::detached);
-    asio::co_spawn(context_, view_age_loop(), asio::detached);
+    asio::co_spawn(context_, announce_loop(), log_exception);
+    asio::co_spawn(context_, catch_up_loop(), log_exception);
+    asio::co_spawn(context_, view_age_loop(), log_exception);
 }
 
 std::vector<std::string> store_update_exchange::reading_order() const {
@@ -328,7 +328,7 @@
         return;
     }
     if (store_.failing_since()) {
-        asio::co_spawn(context_, fetch_backends(announcer), asio::detached);
+        asio::co_spawn(context_, fetch_backends(announcer), log_exception);
     } else {
         store_.request_entries_reread();
     }
--- a/bamboostream/src/Gateway/stream_origin_exchange.cpp
+++ b/bamboostream/src/Gateway/stream_origin_exchange.cpp
@@ -2,11 +2,11 @@
 
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Gateway/peer_frames.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 
@@ -35,7 +35,7 @@
 } // namespace
 
 void stream_origin_exchange::start() {
-    asio::co_spawn(context_, report_loop(), asio::detached);
+    asio::co_spawn(context_, report_loop(), log_exception);
 }
 
 std::vector<std::string> stream_origin_exchange::candidates(const request_digest& stream) const {
@@ -139,7 +139,7 @@
                     answers->complete.cancel();
                 }
             },
-            asio::detached);
+            log_exception);
     }
     if (answers->outstanding > 0) {
         co_await wait_on(answers->complete, monotonic_now() + answer_timeout);
--- a/bamboostream/src/Gateway/tunnel_client.cpp
+++ b/bamboostream/src/Gateway/tunnel_client.cpp
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Forwarding/backend_connection.h"
 #include "bamboostream/src/Http/address.h"
 #include "bamboostream/src/Links/frame_codec.h"
@@ -10,7 +11,6 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
@@ -146,7 +146,7 @@
 } // namespace internal
 
 void tunnel_client::start() {
-    asio::co_spawn(context_, check_loop(), asio::detached);
+    asio::co_spawn(context_, check_loop(), log_exception);
 }
 
 std::span<const carrier_candidate> tunnel_client::candidates() {
@@ -210,7 +210,7 @@
         for (const chosen_carrier& it :
              selector_.choose(search->state, candidates(), monotonic_now())) {
             asio::co_spawn(context_, ask(search, *it.carrier, std::string(it.known)),
-                           asio::detached);
+                           log_exception);
         }
         if (carrier_selector::is_exhausted(search->state)) {
             break;
@@ -272,7 +272,7 @@
                 forwarding_.reachability.forget(due.service, due.server);
             } else {
                 asio::co_spawn(context_, check_direct_connection(forwarding_, *server),
-                               asio::detached);
+                               log_exception);
             }
         }
         forwarding_.connections.drop_tunnels_except(membership_.usable_peers());
--- a/bamboostream/src/Gateway/tunnel_server.cpp
+++ b/bamboostream/src/Gateway/tunnel_server.cpp
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Control/async_wait.h"
 #include "bamboostream/src/Control/frames.h"
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Forwarding/backend_connection.h"
 #include "bamboostream/src/Http/address.h"
 #include "bamboostream/src/Links/frame_codec.h"
@@ -10,7 +11,6 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -145,14 +145,14 @@
 } // namespace internal
 
 void tunnel_server::start() {
-    asio::co_spawn(context_, idle_loop(), asio::detached);
+    asio::co_spawn(context_, idle_loop(), log_exception);
 }
 
 void tunnel_server::accept(tcp::socket origin, std::unique_ptr<wire::FrameT> frame) {
     asio::co_spawn(
         context_,
         serve(std::make_shared<internal::open_tunnel>(std::move(origin)), std::move(frame)),
-        asio::detached);
+        log_exception);
 }
 
 bool tunnel_server::reached_since(const service_id& service, time_point began) const {
@@ -194,7 +194,7 @@
     control->open = others.size();
     controls_[failed.service] = control;
     for (const registered_backend* other : others) {
-        asio::co_spawn(context_, connect_to_control(control, *other), asio::detached);
+        asio::co_spawn(context_, connect_to_control(control, *other), log_exception);
     }
     return control;
 }
@@ -285,7 +285,7 @@
     tunnels_.insert(tunnel);
     ++forwarding_.counters.tunnels_carried;
     forwarding_.counters.open_tunnels = tunnels_.size();
-    asio::co_spawn(context_, internal::forward_to_origin(tunnel), asio::detached);
+    asio::co_spawn(context_, internal::forward_to_origin(tunnel), log_exception);
     co_await internal::forward_to_server(tunnel);
     tunnels_.erase(tunnel);
     forwarding_.counters.open_tunnels = tunnels_.size();
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -1,11 +1,11 @@
 #include "bamboostream/src/Http/http_connection.h"
 
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Http/address.h"
 #include "bamboostream/src/Http/transfer_coding.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -178,7 +178,7 @@
             [self = shared_from_this(), written]() -> asio::awaitable<void> {
                 co_await self->write_remaining(written);
             },
-            asio::detached);
+            log_exception);
     }
 }
 
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "bamboostream/src/Http/byte_allowance.h"
+#include "bamboostream/src/Http/growing_body.h"
 #include "bamboostream/src/Http/http_client.h"
 #include "bamboostream/src/Http/response_guard.h"
 #include "bamboostream/src/Http/tunnel_records.h"
@@ -9,7 +10,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -135,7 +135,7 @@
     void start_parser();
     bool response_closes() const;
 
-    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using parser = boost::beast::http::response_parser<growing_body>;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer watchdog_;
     std::optional<parser> parser_;
--- a/bamboostream/src/Http/http_server.cpp
+++ b/bamboostream/src/Http/http_server.cpp
@@ -1,13 +1,13 @@
 #include "bamboostream/src/Http/http_server.h"
 
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Http/address.h"
 #include "bamboostream/src/Http/memory_budget.h"
 #include "bamboostream/src/Http/transfer_coding.h"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -19,6 +19,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <exception>
 #include <fmt/format.h>
 
 namespace bamboostream {
@@ -97,15 +98,25 @@
     return fmt::format(R"({{"error":{{"code":"{}","message":"{}"}}}})", code, message);
 }
 
-/// The exchange over one Beast connection.
-class connection_exchange final : public http_exchange {
+/// A connection to a caller, and bytes of its next request.
+struct caller_connection {
+    explicit caller_connection(tcp::socket socket) : stream(std::move(socket)) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer{read_buffer_bytes};
+};
+
+/// The exchange over one Beast connection. The coroutine that reads ahead shares its ownership.
+class connection_exchange final : public http_exchange,
+                                  public std::enable_shared_from_this<connection_exchange> {
 public:
-    connection_exchange(beast::tcp_stream& stream, beast::flat_buffer& read_ahead,
-                        http_request request, bool keep_alive, const http_limits& limits)
-        : stream_(stream), read_ahead_(read_ahead),
+    connection_exchange(std::shared_ptr<caller_connection> connection, http_request request,
+                        bool keep_alive, const http_limits& limits)
+        : connection_(std::move(connection)), stream_(connection_->stream),
+          read_ahead_(connection_->buffer),
           request_(std::make_shared<const http_request>(std::move(request))),
-          keep_alive_(keep_alive), limits_(limits), write_drained_(stream.get_executor()),
-          watch_ended_(stream.get_executor()) {}
+          keep_alive_(keep_alive), limits_(limits), write_drained_(stream_.get_executor()),
+          watch_ended_(stream_.get_executor()) {}
 
     const http_request& request() const override { return *request_; }
     std::shared_ptr<const std::string> shared_body() const override {
@@ -125,7 +136,10 @@
     void watch_caller(std::function<void()> on_disconnect) override {
         on_disconnect_ = std::move(on_disconnect);
         watching_ = true;
-        asio::co_spawn(stream_.get_executor(), read_ahead(), asio::detached);
+        asio::co_spawn(
+            stream_.get_executor(),
+            [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->read_ahead(); },
+            log_exception);
     }
 
     /// Stops reading ahead, so that the connection can read the next request.
@@ -273,11 +287,12 @@
         gone_ = gone_ || ec.failed();
     }
 
+    std::shared_ptr<caller_connection> connection_;
     beast::tcp_stream& stream_;
     beast::flat_buffer& read_ahead_;
     std::shared_ptr<const http_request> request_;
     bool keep_alive_;
-    const http_limits& limits_;
+    http_limits limits_;
     asio::steady_timer write_drained_;
     asio::steady_timer watch_ended_;
     std::function<void()> on_disconnect_;
@@ -315,10 +330,24 @@
            ec == asio::error::connection_reset || ec == asio::error::operation_aborted;
 }
 
+/// Counts an exchange as open for as long as this object exists.
+class open_exchange {
+public:
+    explicit open_exchange(std::atomic<std::size_t>& count) : count_(count) { ++count_; }
+    ~open_exchange() { --count_; }
+    open_exchange(const open_exchange&) = delete;
+    open_exchange& operator=(const open_exchange&) = delete;
+
+private:
+    std::atomic<std::size_t>& count_;
+};
+
 class connection {
 public:
     connection(std::shared_ptr<internal::http_server_state> server, tcp::socket socket)
-        : server_(std::move(server)), stream_(std::move(socket)) {
+        : server_(std::move(server)),
+          caller_(std::make_shared<caller_connection>(std::move(socket))), stream_(caller_->stream),
+          buffer_(caller_->buffer) {
         ++server_->connections;
     }
     ~connection() { --server_->connections; }
@@ -370,14 +399,29 @@
             co_return false;
         }
         const bool keep_alive = parser->get().keep_alive();
-        connection_exchange exchange(stream_, buffer_, to_request(parser->release()), keep_alive,
-                                     limits);
+        const auto exchange = std::make_shared<connection_exchange>(
+            caller_, to_request(parser->release()), keep_alive, limits);
         parser.reset();
-        ++server_->open_exchanges;
-        co_await server_->handler(exchange);
-        co_await exchange.stop_watching();
-        --server_->open_exchanges;
-        co_return exchange.keep_alive();
+        const open_exchange counted(server_->open_exchanges);
+        const bool handled = co_await handle(*exchange);
+        co_await exchange->stop_watching();
+        if (!handled) {
+            exchange->close_after_response();
+            co_await exchange->respond_json(
+                500, error_body("internal_error", "the request could not be handled"));
+        }
+        co_return exchange->keep_alive();
+    }
+
+    /// Runs the handler; false if it has thrown.
+    asio::awaitable<bool> handle(http_exchange& exchange) {
+        try {
+            co_await server_->handler(exchange);
+            co_return true;
+        } catch (const std::exception&) {
+            log_exception(std::current_exception());
+            co_return false;
+        }
     }
 
     /// Reserves memory for the body, waiting for it a moment, and reads the body. Returns false if
@@ -418,7 +462,7 @@
         const http_field retry_after{
             "Retry-After",
             fmt::format("{:.2f}", min_retry_s + step * (max_retry_s - min_retry_s) / retry_steps)};
-        connection_exchange exchange(stream_, buffer_, {}, false, server_->limits);
+        connection_exchange exchange(caller_, {}, false, server_->limits);
         co_await exchange.respond(503, "application/json", error_body("not_run", "no memory"),
                                   {&retry_after, 1});
         beast::error_code ec;
@@ -433,14 +477,15 @@
     }
 
     asio::awaitable<void> respond_error(request_error failure) {
-        connection_exchange exchange(stream_, buffer_, {}, false, server_->limits);
+        connection_exchange exchange(caller_, {}, false, server_->limits);
         co_await exchange.respond(failure.status, "application/json",
                                   error_body(failure.code, failure.message), {});
     }
 
     std::shared_ptr<internal::http_server_state> server_;
-    beast::tcp_stream stream_;
-    beast::flat_buffer buffer_{read_buffer_bytes};
+    std::shared_ptr<caller_connection> caller_;
+    beast::tcp_stream& stream_;
+    beast::flat_buffer& buffer_;
 };
 
 asio::awaitable<void> run_connection(std::shared_ptr<internal::http_server_state> server,
@@ -464,7 +509,7 @@
             co_await pause.async_wait(token(ec));
             continue;
         }
-        asio::co_spawn(context, run_connection(server, std::move(socket)), asio::detached);
+        asio::co_spawn(context, run_connection(server, std::move(socket)), log_exception);
     }
 }
 
@@ -497,7 +542,7 @@
     beast::error_code ignored;
     acceptor->set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
     state_->acceptor = std::move(acceptor);
-    asio::co_spawn(*state_->contexts.front(), accept_loop(state_), asio::detached);
+    asio::co_spawn(*state_->contexts.front(), accept_loop(state_), log_exception);
     return bound;
 }
 
--- a/bamboostream/src/Links/peer_links.cpp
+++ b/bamboostream/src/Links/peer_links.cpp
@@ -1,13 +1,13 @@
 #include "bamboostream/src/Links/peer_links.h"
 
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Http/address.h"
 #include "bamboostream/src/Links/frame_codec.h"
 #include "bamboostream/src/Links/generated/wire_generated.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -115,7 +115,7 @@
         peer->unsent_frames.push_back(std::move(bytes));
         if (!peer->connecting && !closed) {
             peer->connecting = true;
-            asio::co_spawn(context, connect(shared_from_this(), peer), asio::detached);
+            asio::co_spawn(context, connect(shared_from_this(), peer), log_exception);
         }
     }
 
@@ -175,8 +175,8 @@
     void start(const connection_ptr& connection) {
         error_code ec;
         connection->socket.set_option(tcp::no_delay(true), ec);
-        asio::co_spawn(context, write_loop(shared_from_this(), connection), asio::detached);
-        asio::co_spawn(context, read_loop(shared_from_this(), connection), asio::detached);
+        asio::co_spawn(context, write_loop(shared_from_this(), connection), log_exception);
+        asio::co_spawn(context, read_loop(shared_from_this(), connection), log_exception);
     }
 
     static asio::awaitable<void> write_loop(std::shared_ptr<peer_links_state> links,
@@ -270,7 +270,7 @@
             return;
         }
         asio::co_spawn(context, handle_request(shared_from_this(), connection, std::move(frame)),
-                       asio::detached);
+                       log_exception);
     }
 
     static asio::awaitable<void> handle_request(std::shared_ptr<peer_links_state> links,
@@ -329,8 +329,7 @@
     }
     std::string bound = to_text(acceptor->local_endpoint());
     state_->acceptor = std::move(acceptor);
-    asio::co_spawn(state_->context, internal::peer_links_state::accept_loop(state_),
-                   asio::detached);
+    asio::co_spawn(state_->context, internal::peer_links_state::accept_loop(state_), log_exception);
     return bound;
 }
 
--- a/bamboostream/src/Streams/relay.cpp
+++ b/bamboostream/src/Streams/relay.cpp
@@ -1,12 +1,12 @@
 #include "bamboostream/src/Streams/relay.h"
 
 #include "bamboostream/src/Core/event_log.h"
+#include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Http/event_stream_limits.h"
 #include "bamboostream/src/Http/server_sent_events.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -138,7 +138,7 @@
     token_sequencer sequencer(generation.text(), from);
     auto watchdog = std::make_shared<idle_watchdog>(executor_, timing_.idle_timeout);
     watchdog_guard guard(watchdog);
-    asio::co_spawn(executor_, run_idle_watchdog(watchdog), asio::detached);
+    asio::co_spawn(executor_, run_idle_watchdog(watchdog), log_exception);
     time_point last_progress = monotonic_now();
     auto reader = std::make_unique<sse_parser>();
     response_guard& responses = response_guard::of(executor_);
