Don't take a reset during the upload for the end of a response

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The part reached the caller as a complete response.

Cause: Linux reports a reset to one operation only. The write that was in progress took the error, and the read that followed returned the end of the stream, which completes a response without a length.

Why this works: socket_writer keeps the first error of the writes. At the end of the server's bytes a write in progress is stopped, and only no error, or a broken pipe, which the kernel reports after a close in order, makes that a regular end. A whole response of a server that doesn't read the rest stays whole. Carriers of tunnels had the same cause and use the same class.

--- a/bamboostream/src/Gateway/tunnel_server.cpp
+++ b/bamboostream/src/Gateway/tunnel_server.cpp
@@ -6,6 +6,7 @@
 #include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Forwarding/backend_connection.h"
 #include "bamboostream/src/Http/address.h"
+#include "bamboostream/src/Http/socket_writer.h"
 #include "bamboostream/src/Links/frame_codec.h"
 
 #include <algorithm>
@@ -73,11 +74,13 @@
 /// One tunnel and its two connections.
 struct open_tunnel {
     explicit open_tunnel(tcp::socket socket)
-        : origin(std::move(socket)), server(origin.get_executor()), last_used(monotonic_now()) {}
+        : origin(std::move(socket)), server(origin.get_executor()), to_server(server),
+          last_used(monotonic_now()) {}
 
     /// The connection of the instance that asked for the tunnel.
     tcp::socket origin;
     tcp::socket server;
+    socket_writer to_server;
     time_point last_used;
     bool server_ended = false;
 
@@ -108,8 +111,9 @@
             co_await tunnel->origin.async_read_some(asio::buffer(buffer), token(ec));
         tunnel->last_used = monotonic_now();
         if (!ec && !tunnel->server_ended) {
-            co_await asio::async_write(tunnel->server, asio::buffer(buffer.data(), count),
-                                       token(ec));
+            // After an error, what the server has sent before is still read, up to its end.
+            const socket_writer::buffers bytes{asio::buffer(buffer.data(), count)};
+            co_await tunnel->to_server.write(bytes);
         }
         if (tunnel->server_ended && tunnel->origin.is_open() && ec != asio::error::eof) {
             ec = {};
@@ -130,11 +134,13 @@
             co_await asio::async_write(tunnel->origin, asio::buffer(record), token(ec));
         }
     }
-    if (ec != asio::error::eof) {
+    // From here on, nothing more is written to the server.
+    tunnel->server_ended = ec == asio::error::eof;
+    const bool in_order = co_await tunnel->to_server.stop();
+    if (!tunnel->server_ended || !in_order) {
         tunnel->reset_origin();
         co_return;
     }
-    tunnel->server_ended = true;
     const std::string end = encode_tunnel_end();
     co_await asio::async_write(tunnel->origin, asio::buffer(end), token(ec));
     tunnel->origin.shutdown(tcp::socket::shutdown_send, ec);
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <charconv>
 
 namespace bamboostream {
@@ -171,7 +170,7 @@
     if (written == request_size_) {
         request_body_ = nullptr;
     } else {
-        writing_ = true;
+        request_incomplete_ = true;
         any_sent_ = true;
         asio::co_spawn(
             socket_.get_executor(),
@@ -183,11 +182,9 @@
 }
 
 asio::awaitable<void> http_connection::write_remaining(std::size_t written) {
-    beast::error_code ec;
-    co_await asio::async_write(socket_, unwritten(written), token(ec));
+    writer_.emplace(socket_);
+    request_incomplete_ = !co_await writer_->write(unwritten(written));
     request_body_ = nullptr;
-    // After an error the request is incomplete: `writing_` stays set, which prevents reuse.
-    writing_ = ec.failed();
 }
 
 asio::awaitable<bool> http_connection::read_head(http_failure& why) {
@@ -268,26 +265,41 @@
     const std::size_t count = co_await read_payload(ec);
     last_read_ = monotonic_now();
     at_once_.use(count, last_read_);
-    if (ec == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
-        ec = {};
-        ended_by_close_ = true;
-        // A server that ends a response with its connection announces that. Without it, a success
-        // that ends before its body was cut off.
-        const bool is_cut = parser_->is_header_done() && status() / 100 == 2 && body_bytes_ == 0 &&
-                            parser_->get().keep_alive();
-        if (!is_cut) {
-            parser_->put_eof(ec);
-        }
-        if (!ec && !parser_->is_done()) {
-            ec = asio::error::eof;
-        }
-        co_return;
+    if (ec == asio::error::eof) {
+        const bool in_order = co_await ended_in_order();
+        ec = in_order ? ec : asio::error::connection_reset;
     }
-    if (!ec) {
+    if (ec == asio::error::eof && parser_->got_some() && !parser_->is_done()) {
+        end_response(ec);
+    } else if (!ec) {
         parse(unparsed_bytes_ + count, ec);
     }
 }
 
+/// The end of a tunnel is that of the server's connection, whatever happens to the connection to
+/// the carrier.
+asio::awaitable<bool> http_connection::ended_in_order() {
+    if (tunnel_ || !writer_) {
+        co_return true;
+    }
+    co_return co_await writer_->stop();
+}
+
+void http_connection::end_response(beast::error_code& ec) {
+    ec = {};
+    ended_by_close_ = true;
+    // A server that ends a response with its connection announces that. Without it, a success
+    // that ends before its body was cut off.
+    const bool is_cut = parser_->is_header_done() && status() / 100 == 2 && body_bytes_ == 0 &&
+                        parser_->get().keep_alive();
+    if (!is_cut) {
+        parser_->put_eof(ec);
+    }
+    if (!ec && !parser_->is_done()) {
+        ec = asio::error::eof;
+    }
+}
+
 asio::awaitable<void> http_connection::await_turn() {
     const time_point now = monotonic_now();
     if (at_once_.use(0, now)) {
@@ -463,7 +475,7 @@
         (tunnel_ && (tunnel_->ended() || !tunnel_->at_boundary()))) {
         return false;
     }
-    return socket_.is_open() && complete() && unparsed_bytes_ == 0 && !writing_ &&
+    return socket_.is_open() && complete() && unparsed_bytes_ == 0 && !request_incomplete_ &&
            request_consumed && !response_closes();
 }
 
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -4,6 +4,7 @@
 #include "bamboostream/src/Http/growing_body.h"
 #include "bamboostream/src/Http/http_client.h"
 #include "bamboostream/src/Http/response_guard.h"
+#include "bamboostream/src/Http/socket_writer.h"
 #include "bamboostream/src/Http/tunnel_records.h"
 
 #include <array>
@@ -124,6 +125,10 @@
     std::array<boost::asio::const_buffer, 2> unwritten(std::size_t skipped) const;
     boost::asio::awaitable<void> write_remaining(std::size_t written);
     boost::asio::awaitable<void> read_once(boost::beast::error_code& ec);
+    /// Whether the server, and not a failure of the connection, has ended the bytes it sent.
+    boost::asio::awaitable<bool> ended_in_order();
+    /// Completes a response that ends with its connection.
+    void end_response(boost::beast::error_code& ec);
     /// Waits for this connection's turn if it has had bytes ready all the time.
     boost::asio::awaitable<void> await_turn();
     /// The limit that the response exceeds after `used` further bytes were parsed: `body_bytes` of
@@ -147,7 +152,9 @@
     /// Null once it has been written.
     std::shared_ptr<const std::string> request_body_;
     std::size_t request_size_ = 0;
-    bool writing_ = false;
+    std::optional<socket_writer> writer_;
+    /// The request is being written, or couldn't be written completely.
+    bool request_incomplete_ = false;
     bool any_sent_ = false;
     bool timed_out_ = false;
     bool head_only_ = false;
