Reject response heads with an invalid status or a folded line

Callers saw: responses with status 600 or 999, a field whose value had the next line added to it, and a body with bytes behind it, since a Content-Length in a line that begins with a blank was ignored. A status of 000 to 099 was taken for that of an interim response: 504 after the whole timeout, and no other server was asked.

Cause: the parser accepts any three digits and unfolds lines, and "below 200" stood for "interim".

Why this works: a head is handed out only if its status is between 100 and 599 and not 101, no line of it is folded, its coding is known and it is a single one. All readers of responses use this connection. sound_head keeps unusual heads that are valid. The checks of heads have a file of their own now.

--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -28,34 +28,6 @@
     return ec.category() == http::make_error_code(http::error::bad_method).category();
 }
 
-/// Whether `text` contains the version and the code of a status line: "HTTP/1.1 200". The code ends
-/// the text or is followed by a space; more digits, or a dot, are the begin of an address, as in
-/// "Via: HTTP/1.1 192.0.2.1".
-bool contains_status_line(std::string_view text) {
-    constexpr std::string_view version = "HTTP/1.";
-    constexpr std::string_view rest = "d ddd";
-    const auto is_rest = [rest](std::string_view found) {
-        const bool ends = found.size() == rest.size() ||
-                          (found.size() > rest.size() && found[rest.size()] == ' ');
-        return ends && std::equal(rest.begin(), rest.end(), found.begin(), [](char kind, char c) {
-                   return kind == 'd' ? c >= '0' && c <= '9' : c == kind;
-               });
-    };
-    std::size_t at = text.find(version);
-    while (at != std::string_view::npos && !is_rest(text.substr(at + version.size()))) {
-        at = text.find(version, at + version.size());
-    }
-    return at != std::string_view::npos;
-}
-
-/// If a server stops within the head of one response and goes on with the next one, the line that
-/// it stopped in goes on with the status line of the next response.
-bool is_single_head(const http::response_header<>& head) {
-    return !contains_status_line(head.reason()) &&
-           std::none_of(head.begin(), head.end(),
-                        [](const auto& field) { return contains_status_line(field.value()); });
-}
-
 /// A server may respond before it has read a long request, and then read no further; the next
 /// request on the connection would wait behind the unread rest until it timed out. A completed
 /// write doesn't show that the server has read the request, because the kernel buffers up to a
@@ -127,6 +99,7 @@
     parser_->header_limit(static_cast<std::uint32_t>(limits_.head_bytes));
     head_began_.reset();
     head_ended_.reset();
+    folded_lines_ = {};
     parser_->eager(true);
     parser_->skip(head_only_);
 }
@@ -205,7 +178,7 @@
         while (!ec && !parser_->is_header_done()) {
             co_await read_once(ec);
         }
-        if (!ec && !(has_known_coding(parser_->get()) && is_single_head(parser_->get()))) {
+        if (!ec && !is_valid_head()) {
             ec = http::error::bad_value;
         }
     } while (!ec && status() < first_final_status);
@@ -222,6 +195,11 @@
     co_return true;
 }
 
+bool http_connection::is_valid_head() const {
+    return is_valid_status(status()) && !folded_lines_.found() &&
+           has_known_coding(parser_->get()) && is_single_head(parser_->get());
+}
+
 asio::awaitable<bool> http_connection::skip_response(std::size_t max_bytes) {
     std::size_t bytes = 0;
     std::string ignored;
@@ -363,6 +341,9 @@
             break;
         }
     }
+    if (!head_was_done) {
+        folded_lines_.append({buffer_->data(), used});
+    }
     unparsed_bytes_ = available - used;
     std::copy(buffer_->begin() + static_cast<std::ptrdiff_t>(used),
               buffer_->begin() + static_cast<std::ptrdiff_t>(available), buffer_->begin());
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -4,6 +4,7 @@
 #include "bamboostream/src/Http/growing_body.h"
 #include "bamboostream/src/Http/http_client.h"
 #include "bamboostream/src/Http/response_guard.h"
+#include "bamboostream/src/Http/response_head.h"
 #include "bamboostream/src/Http/socket_writer.h"
 #include "bamboostream/src/Http/tunnel_records.h"
 
@@ -138,12 +139,16 @@
     boost::asio::awaitable<std::size_t> read_payload(boost::beast::error_code& ec);
     void parse(std::size_t available, boost::beast::error_code& ec);
     void start_parser();
+    /// Whether the head that was read last can be relied on.
+    bool is_valid_head() const;
     bool response_closes() const;
 
     using parser = boost::beast::http::response_parser<growing_body>;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer watchdog_;
     std::optional<parser> parser_;
+    /// In the head that is being read.
+    folded_line_finder folded_lines_;
     std::string carrier_;
     std::optional<tunnel_record_decoder> tunnel_;
     std::unique_ptr<std::array<char, 16 * 1024>> buffer_;
