Test that servers which send bytes without end cost no other caller a response

Reported by other operators: a faulty server sent bytes that were no response until its caller closed, and the machine that had called it kept them all until it had no memory.

This doesn't happen here: nine rows with a real gateway (bytes that begin no response, heads, interim responses, trailers, bytes behind a response, bodies without a length; 200 calls or streams each, a call of another caller between any two) pass on as well. No process ends, the peak stays below half of the memory of the smallest instance, and all calls of the others are served.

--- a/test/platform/endless_script.cpp
+++ b/test/platform/endless_script.cpp
@@ -5,10 +5,10 @@
 namespace bamboostream::test {
 
 std::string_view to_string(endless_kind kind) {
-    static constexpr std::array<std::string_view, 12> names = {
-        "head_line",     "head_fields",     "interim_responses", "beyond_length",
-        "chunks",        "chunk_extension", "chunk_extensions",  "trailers",
-        "unframed_body", "event_line",      "comments",          "empty_lines"};
+    static constexpr std::array<std::string_view, 13> names = {
+        "head_line",       "head_fields",      "interim_responses", "beyond_length", "chunks",
+        "chunk_extension", "chunk_extensions", "trailers",          "unframed_body", "event_line",
+        "comments",        "empty_lines",      "no_response"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -41,6 +41,8 @@
         return {head + "\r\n", "a"};
     case endless_kind::event_line:
         return {chunked + chunk("data: "), chunk(std::string(1'000, 'a'))};
+    case endless_kind::no_response:
+        return {"", std::string("\x16\x03\x01 no response \0\xff", 18)};
     case endless_kind::comments:
         return {chunked, chunk(": nothing yet\n\n")};
     default:
--- a/test/platform/endless_script.h
+++ b/test/platform/endless_script.h
@@ -25,6 +25,8 @@
     event_line,
     comments,
     empty_lines,
+    /// Bytes that begin no response.
+    no_response,
 };
 
 std::string_view to_string(endless_kind kind);
--- a/test/platform/system/endless_response_test.cpp
+++ b/test/platform/system/endless_response_test.cpp
@@ -141,5 +141,45 @@
     EXPECT_TRUE(has_logged(it, "response_without_end", "limit="));
 }
 
+class endless_bytes_system : public endless_load {};
+
+INSTANTIATE_TEST_SUITE_P(table, endless_bytes_system,
+                         testing::Values(load_row{endless_kind::no_response, "/c/x", 200},
+                                         load_row{endless_kind::no_response, "/s/x", 200},
+                                         load_row{endless_kind::head_line, "/c/x", 200},
+                                         load_row{endless_kind::head_fields, "/s/x", 200},
+                                         load_row{endless_kind::interim_responses, "/c/x", 200},
+                                         load_row{endless_kind::beyond_length, "/c/x", 200},
+                                         load_row{endless_kind::trailers, "/c/x", 200},
+                                         load_row{endless_kind::unframed_body, "/c/x", 200},
+                                         load_row{endless_kind::unframed_body, "/s/x", 200}),
+                         [](const auto& info) {
+                             return fmt::format("{}_of_a_{}", to_string(info.param.kind),
+                                                info.param.path[1] == 'c' ? "call" : "stream");
+                         });
+
+// Guards against a process that keeps the bytes of faulty servers until it has no memory, and ends
+// with the requests of all its callers.
+TEST_P(endless_bytes_system, end_no_request_of_another_caller) {
+    constexpr std::size_t smallest_instance_kb = 88 * 1024;
+    const instance_under_test& it = add_instance(serving_store_);
+    ASSERT_TRUE(serves(it, "key"));
+    std::vector<std::shared_ptr<call_result>> endless;
+    std::vector<std::shared_ptr<call_result>> sound;
+    for (int i = 0; i < GetParam().responses; ++i) {
+        endless.push_back(send_request(it, "key", GetParam().path));
+        sound.push_back(send_request(it, "key"));
+        wait_until([&] { return sound.back()->done; });
+    }
+    wait_until([&] {
+        return std::all_of(endless.begin(), endless.end(), [](const auto& c) { return c->done; });
+    });
+    EXPECT_FALSE(it.running->ended());
+    EXPECT_LE(memory_kb(it.running->pid(), "VmHWM"), smallest_instance_kb / 2);
+    const auto served =
+        std::count_if(sound.begin(), sound.end(), [](const auto& c) { return c->status == 200; });
+    EXPECT_EQ(served, GetParam().responses);
+}
+
 } // namespace
 } // namespace bamboostream::test
