End requests without a response before the process of a planned stop ends

Reported by other operators: requests that came late in the grace period were sent on and cut at its end.

Two related rows of planned_stop failed before: requests from before the stop with a long timeout, and requests of a process that is suspended until the grace period has almost passed, ended without a response.

Cause: the process ended at a time, whatever was open.

Why this works: 0.25 s before its end it ends each request without a begun response with one, also once more when it goes on after a suspension. A request that waits when the stop begins is refused before it is sent if it may outlast the process. A stream whose server leaves doesn't wait for a move beyond its deadline.

Cost: requests whose deadline falls into these 0.25 s are refused instead of tried.

--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -65,8 +65,8 @@
     }
     const bool counts =
         end == attempt_end::not_sent || end == attempt_end::lost || end == attempt_end::silent;
-    const bool ended_here =
-        caller_left_ || withdrawn_ || state_.reachability.is_cut_off(service_->id, to.backend.id);
+    const bool ended_here = caller_left_ || withdrawn_ || ended_by_shutdown_ ||
+                            state_.reachability.is_cut_off(service_->id, to.backend.id);
     if (counts && !ended_here) {
         record_outcome(to.backend.id, false);
     }
--- a/bamboostream/src/Forwarding/forwarded_call.cpp
+++ b/bamboostream/src/Forwarding/forwarded_call.cpp
@@ -34,6 +34,7 @@
     : state_(state), exchange_(exchange), arrival_(arrival), deadline_(arrival),
       routes_(state.routes) {
     ++state_.counters.open;
+    state_.open_calls.insert(this);
 }
 
 forwarded_call::~forwarded_call() {
@@ -51,6 +52,7 @@
         connection_->close();
     }
     --state_.counters.open;
+    state_.open_calls.erase(this);
 }
 
 void forwarded_call::record_latency() const {
@@ -94,7 +96,7 @@
     // A request that may outlast this process would be cut off after a backend server has worked on
     // it. A stream accepted on a persistent connection 5.7 s after the shutdown signal was closed
     // without a response.
-    if (state_.leaving && deadline_ > state_.shutdown_deadline) {
+    if (state_.outlasts_process(deadline_)) {
         return rejection{503, "leaving", refusal_cause::leaving};
     }
     if (route_->repeats == repeat_policy::resumable) {
@@ -267,6 +269,11 @@
     state_.quarantine.add(*this);
     state_.budget.on_request(service_->id, arrival_);
     while (true) {
+        // The shutdown may have begun since the request was accepted.
+        if (state_.outlasts_process(deadline_) && history_.promise_not_run()) {
+            co_await reject(rejection{503, "leaving", refusal_cause::leaving});
+            co_return;
+        }
         const auto to = co_await choose();
         std::optional<attempt_end> end = attempt_end::not_sent;
         if (to && !caller_left_ && !withdrawn_) {
@@ -358,7 +365,7 @@
     }
     const trial_result result = co_await await_trial(
         state_.quarantine, state_.trials, subject(), deadline_,
-        [this] { return caller_left_ || withdrawn_; }, trial_of_);
+        [this] { return caller_left_ || withdrawn_ || ended_by_shutdown_; }, trial_of_);
     on_trial_ = on_trial_ || result == trial_result::on_trial;
     co_return result != trial_result::refused;
 }
@@ -388,6 +395,20 @@
     }
 }
 
+void forwarded_call::end_before_shutdown(time_point now) {
+    if (stream_started_ || body_started_ || caller_left_) {
+        return;
+    }
+    ended_by_shutdown_ = true;
+    deadline_ = std::min(deadline_, now);
+    if (connection_) {
+        connection_->expire_at(now);
+    }
+    if (stream_) {
+        stream_->move_signal.cancel();
+    }
+}
+
 void forwarded_call::record_server_survived(int status) {
     if (!survival_shown_) {
         return;
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -32,6 +32,9 @@
     boost::asio::awaitable<void> run();
     void withdraw(const request_digest& request) override;
     bool has_streamed(const held_parts& parts, duration limit) const override;
+    /// Ends the request with a final response if none has begun, because the process is about to
+    /// exit.
+    void end_before_shutdown(time_point now);
 
 private:
     /// Why a request is rejected before any attempt.
@@ -269,6 +272,7 @@
     bool caller_left_ = false;
     /// The request was quarantined while in progress.
     bool withdrawn_ = false;
+    bool ended_by_shutdown_ = false;
     /// The request is held, and this is the trial of `trial_of_`: of the request or a part of its
     /// prompt.
     bool on_trial_ = false;
--- a/bamboostream/src/Forwarding/forwarded_stream.cpp
+++ b/bamboostream/src/Forwarding/forwarded_stream.cpp
@@ -205,7 +205,7 @@
     const time_point now = monotonic_now();
     const bool stop_expected = stream_->stop_expected_until && now < *stream_->stop_expected_until;
     if (!stream_->moved && !stop_outcome_awaited_ && (stop_expected || source_leaving)) {
-        co_await wait_on(stream_->move_signal, now + move_timeout);
+        co_await wait_on(stream_->move_signal, std::min(deadline_, now + move_timeout));
     }
     co_return stream_->moved.has_value();
 }
--- a/bamboostream/src/Forwarding/forwarding_state.h
+++ b/bamboostream/src/Forwarding/forwarding_state.h
@@ -40,12 +40,15 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 
 namespace bamboostream {
 
+class forwarded_call;
+
 /// How forwarded requests ended, for metrics.
 enum class forward_result : std::uint8_t {
     answered,
@@ -203,13 +206,20 @@
     std::size_t live_instances = 1;
     /// A graceful shutdown has begun: connections close after their current response.
     bool leaving = false;
-    /// When the process exits after a graceful shutdown has begun.
+    /// When the last requests are answered after a graceful shutdown has begun. The process exits
+    /// a little later.
     time_point shutdown_deadline = time_point::max();
+    /// The requests that have no final response yet.
+    std::set<forwarded_call*> open_calls;
     /// Called when a generation is sent to an engine, produces its first output or ends.
     std::function<void()> on_generation_change;
     /// Called after forwarding itself has changed the registry because of a response.
     std::function<void()> on_registry_change;
 
+    /// Whether a request with this deadline may last longer than this process.
+    bool outlasts_process(time_point deadline) const {
+        return leaving && deadline > shutdown_deadline;
+    }
     /// Whether engine memory is kept for running generations and divided between workspaces: where
     /// the deployment says that it is short, or the servers share their machines.
     bool is_contended(const service_id& service) const {
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -37,6 +37,9 @@
 /// Time left of the grace period when the process ends by itself, so that it isn't killed during a
 /// write.
 constexpr milliseconds grace_margin{350};
+/// Time before that in which the last responses are written. Requests that may take longer are
+/// refused, and those that are open then are ended with a response.
+constexpr milliseconds answer_margin{250};
 /// Callers keep directory answers up to three times as long as the stated validity.
 constexpr int max_cache_factor = 3;
 /// A caller gets only addresses of its own failure domain when there are at least this many of
@@ -117,6 +120,8 @@
     asio::awaitable<void> watch_settings();
     void begin_drain();
     asio::awaitable<void> drain();
+    /// Ends the requests whose responses have not begun.
+    void end_open_calls() const;
     asio::awaitable<void> housekeeping();
     asio::awaitable<void> handle_caller(http_exchange& exchange) const;
     asio::awaitable<void> handle_directory(http_exchange& exchange);
@@ -425,6 +430,12 @@
     }
 }
 
+void gateway::parts::end_open_calls() const {
+    for (forwarded_call* call : forwarding.open_calls) {
+        call->end_before_shutdown(monotonic_now());
+    }
+}
+
 /// Leaves the directory and reports not ready at once, serves until old directory answers have
 /// expired and open requests have ended, and ends before the grace period does.
 asio::awaitable<void> gateway::parts::drain() {
@@ -435,11 +446,19 @@
     const time_point directory_expired_at =
         began_at + max_cache_factor * settings.directory_validity;
     const time_point end = began_at + settings.grace - grace_margin;
-    forwarding.shutdown_deadline = end;
+    forwarding.shutdown_deadline = end - answer_margin;
     while (monotonic_now() < end &&
            (forwarding.counters.open > 0 || forwarding.counters.open_tunnels > 0 ||
             monotonic_now() < directory_expired_at)) {
         co_await pause_for(drain_poll_period);
+        if (monotonic_now() >= forwarding.shutdown_deadline) {
+            end_open_calls();
+        }
+    }
+    if (forwarding.counters.open > 0) {
+        // Nothing may have run since the shutdown deadline, if the process was suspended.
+        end_open_calls();
+        co_await pause_for(drain_poll_period);
     }
     log_event(events::stopped, "open_requests={}", forwarding.counters.open);
     flush_log();
