Test streams that are taken up at an instance that stood still during a release

Reported by other operators: streams that had begun on servers of a new software version were taken up at an instance that was out of step, and went on at a server of another version.

This doesn't happen here: instance_out_of_step stops an instance by a signal while servers of a new version join, breaks twelve streams that began there, and takes them up at that instance before and after it goes on. An instance that is cut off from the others but runs was not played.

--- a/test/platform/system/stream_version_test.cpp
+++ b/test/platform/system/stream_version_test.cpp
@@ -12,6 +12,8 @@
 namespace bamboostream::test {
 namespace {
 
+using namespace std::string_literals;
+
 constexpr int events_per_stream = 60;
 constexpr int stream_count = 12;
 
@@ -224,6 +226,88 @@
     EXPECT_EQ(continued, stream_count);
 }
 
+/// When an instance that stands still gets the requests for the rest of the streams.
+enum class taken_up : std::uint8_t { while_it_stands_still, after_it };
+
+class instance_out_of_step : public stream_version_system,
+                             public testing::WithParamInterface<taken_up> {
+protected:
+    /// Opens streams at the instances in turn until `stream_count` of them have begun at `version`.
+    std::vector<std::string> open_at_version(const std::string& version, std::size_t instances) {
+        std::vector<std::string> out;
+        for (int i = 0; i < 20 * stream_count && out.size() < stream_count; ++i) {
+            const std::string id = fmt::format("a{}", i);
+            const auto stream = streams_[id] =
+                open(*instances_[static_cast<std::size_t>(i) % instances], "/label/x", id);
+            wait_until([&] { return stream->done || !stream->body.empty(); });
+            if (!stream->done && versions_in(stream->body) == std::set{version}) {
+                out.push_back(id);
+            }
+        }
+        return out;
+    }
+
+    std::map<std::string, std::shared_ptr<call_result>> streams_;
+};
+
+INSTANTIATE_TEST_SUITE_P(table, instance_out_of_step,
+                         testing::Values(taken_up::while_it_stands_still, taken_up::after_it),
+                         [](const auto& info) {
+                             return info.param == taken_up::after_it ? "after_it"
+                                                                     : "while_it_stands_still";
+                         });
+
+// Guards against streams that are taken up at an instance which stood still while servers of a new
+// software version joined, and go on at the old version.
+TEST_P(instance_out_of_step, joins_no_versions) {
+    start_instances(3);
+    for (const char* id : {"i-old-1", "i-old-2"}) {
+        add_version(id, "v1.10");
+        wait_until_all_know("backend_joined", id);
+    }
+    const instance_under_test& late = *instances_.back();
+    late.running->signal(SIGSTOP);
+    for (const char* id : {"i-new-1", "i-new-2"}) {
+        add_version(id, "blue");
+        for (std::size_t i = 0; i < 2; ++i) {
+            ASSERT_TRUE(wait_until([&] {
+                return has_logged(*instances_[i], "backend_joined", std::string("backend=") + id);
+            }));
+        }
+    }
+    const std::vector<std::string> ids = open_at_version("blue", 2);
+    ASSERT_EQ(ids.size(), static_cast<std::size_t>(stream_count));
+    broken_.insert("blue");
+    wait_until([&] {
+        return std::all_of(ids.begin(), ids.end(),
+                           [&](const auto& id) { return streams_[id]->done; });
+    });
+    broken_.clear();
+    if (GetParam() == taken_up::after_it) {
+        wait_until([] { return false; }, seconds(3));
+        late.running->signal(SIGCONT);
+    }
+    std::map<std::string, std::shared_ptr<call_result>> rests;
+    for (const std::string& id : ids) {
+        const std::string after = std::to_string(last_event(streams_[id]->body));
+        rests[id] =
+            open(late, "/label/x", "rest-" + id, {{"Resumes", id}, {"Last-Event-Id", after}});
+    }
+    if (GetParam() == taken_up::while_it_stands_still) {
+        wait_until([] { return false; }, seconds(3));
+        late.running->signal(SIGCONT);
+    }
+    int continued = 0;
+    for (const auto& [id, rest] : rests) {
+        wait_until_done(rest);
+        const bool refused = rest->status == 503;
+        EXPECT_EQ(versions_in(streams_[id]->body + (refused ? "" : rest->body)), std::set{"blue"s})
+            << id;
+        continued += rest->status == 200 ? 1 : 0;
+    }
+    fmt::print("{} of {} streams went on\n", continued, rests.size());
+}
+
 /// What the servers of the old software version do when all instances are killed.
 enum class old_version : std::uint8_t { serves, leaves, has_left };
 
