Ask another server if a leaving one has ended within an unframed response

Cause: an ended process of a leaving server counted as one that had finished its response.

Why this works: of a request that may be repeated, another server can tell what is missing. A response that must not be repeated is taken for whole as before. Cost: one more attempt for such responses.

--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -275,11 +275,12 @@
     if (survival_shown_) {
         co_return false;
     }
-    // A server that is shutting down may end right after its last response.
-    const bool leaving = is_server_leaving();
+    // A server that is shutting down may end right after its last response. Of a request that may
+    // be repeated, another server can tell.
+    const bool may_be_whole = is_server_leaving() && route_->repeats == repeat_policy::once;
     const process_state process = co_await check_server();
     survival_shown_ = process == process_state::running;
-    co_return process == process_state::ended && !leaving;
+    co_return process == process_state::ended && !may_be_whole;
 }
 
 asio::awaitable<void> forwarded_call::examine_lost_connection() {
--- a/test/platform/unframed_response_test.cpp
+++ b/test/platform/unframed_response_test.cpp
@@ -141,5 +141,54 @@
     EXPECT_TRUE(view->complete());
 }
 
+/// A request that may be repeated, and what the caller gets from both servers.
+struct repeated_row {
+    std::string route;
+    std::string body;
+    friend void PrintTo(const repeated_row& row, std::ostream* out) { *out << row.route; }
+};
+
+class response_of_a_leaving_server : public testing::TestWithParam<repeated_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, response_of_a_leaving_server,
+                         testing::Values(repeated_row{"label", events_text(1, 4)},
+                                         repeated_row{"safe", "elsewhere"}),
+                         [](const auto& info) { return info.param.route; });
+
+// Guards against a response that looks complete although its server was killed while it left.
+TEST_P(response_of_a_leaving_server, is_asked_of_another_one_if_its_own_has_ended) {
+    forwarding_fixture f;
+    const bool streams = GetParam().route == "label";
+    bool ends = false;
+    f.add(
+        "i-1",
+        [&](scripted_connection& c) -> asio::awaitable<void> {
+            const std::string bytes =
+                fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n\r\n{}",
+                            c.field("Attempt-Id"), streams ? events_text(1, 2) : "a part");
+            co_await c.send(bytes);
+            while (!ends) {
+                co_await c.pause(1);
+            }
+            c.end_process();
+        },
+        streams ? "engines" : "calls");
+    const auto view = f.ask(GetParam().route, "attempt-1");
+    f.run_for(milliseconds(20));
+    f.add(
+        "i-2",
+        [&](scripted_connection& c) -> asio::awaitable<void> {
+            const std::string bytes = streams ? stream_head(c) + stream_events(3, 4) + stream_end
+                                              : sealed_answer(c, "elsewhere");
+            co_await c.send(bytes);
+        },
+        streams ? "engines" : "calls");
+    f.state().registry.mark_leaving(backend_id("i-1"));
+    ends = true;
+    f.finish(view);
+    EXPECT_EQ(view->body(), GetParam().body) << view->bytes;
+    EXPECT_TRUE(view->complete());
+}
+
 } // namespace
 } // namespace bamboostream::test
