Drop the notice of a move that later events refute

Cause: a call without an answer counts as a stop, and the notice that follows held for good, so the end of the stream was taken for that stop.

Evidence: refuted_move failed before.

Why this works: an engine that was stopped sends nothing more. An event that arrives more than 1.6 s after the notice shows that it wasn't, and the stream's end is that of its generation again.

--- a/bamboostream/src/Forwarding/active_streams.cpp
+++ b/bamboostream/src/Forwarding/active_streams.cpp
@@ -5,6 +5,20 @@
 
 namespace bamboostream {
 
+namespace {
+
+/// Longer than events are under way to an instance that is as slow as those that are still served.
+constexpr milliseconds max_event_delay{1'600};
+
+} // namespace
+
+void active_stream::cancel_refuted_move(time_point now) {
+    if (moved && now - notified_at > max_event_delay) {
+        moved.reset();
+        stop_expected_until.reset();
+    }
+}
+
 std::int64_t estimate_output_tokens(const forward_request& request) {
     return request.max_output_tokens > 0
                ? std::min(request.expected_output_tokens, request.max_output_tokens)
--- a/bamboostream/src/Forwarding/active_streams.h
+++ b/bamboostream/src/Forwarding/active_streams.h
@@ -73,6 +73,12 @@
     /// Cancelled when `moved` is set or no stop is expected any more, to wake a coroutine that
     /// waits for the outcome of the move.
     boost::asio::steady_timer move_signal;
+
+    /// Call when an event has arrived from `backend`. Events that are on their way at a stop arrive
+    /// soon after the notice of the move; one that arrives later shows that the engine was never
+    /// stopped, which happens if the call for the last step of the move was lost. The notice is
+    /// void then, and the stream's end is that of the generation.
+    void cancel_refuted_move(time_point now);
 };
 
 /// Estimated output tokens of a request: the caller's estimate, capped by the request's own limit.
--- a/bamboostream/src/Forwarding/forwarded_stream.cpp
+++ b/bamboostream/src/Forwarding/forwarded_stream.cpp
@@ -127,6 +127,7 @@
             connection_->close();
             co_return fail(to, attempt_end::lost, "caller disconnected");
         }
+        stream_->cancel_refuted_move(monotonic_now());
         stream_->output_tokens = static_cast<std::int64_t>(splitter_.events()) * tokens_per_event;
         const std::int64_t output = stream_->output_tokens + estimate_remaining_tokens(*stream_);
         update_work({1, request_.prompt_tokens + output, 0});
--- a/test/platform/unframed_stop_test.cpp
+++ b/test/platform/unframed_stop_test.cpp
@@ -96,6 +96,45 @@
     EXPECT_EQ(target.requests().size(), GetParam().is_resumed_elsewhere ? 1U : 0U);
 }
 
+// Guards against a whole stream that is broken off because the call for the last part of its move
+// was lost, so that its engine never stopped it.
+TEST(refuted_move, leaves_the_stream_whole) {
+    forwarding_fixture f;
+    f.route("long").timeout = seconds(6);
+    bool goes_on = false;
+    f.add(
+        "i-1",
+        [&goes_on](scripted_connection& c) -> asio::awaitable<void> {
+            const std::string head =
+                fmt::format("HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Seal: s\r\n\r\n{}",
+                            c.field("Attempt-Id"), events_text(0, 3));
+            co_await c.send(head);
+            while (!goes_on) {
+                co_await c.pause(1);
+            }
+            co_await c.send(events_text(4, 6));
+            co_await c.pause(20);
+            c.close();
+        },
+        "engines");
+    const auto view = f.ask("long", "a1");
+    for (int ms = 0; view->body() != events_text(0, 3) && ms < 2'000; ++ms) {
+        f.run_for(milliseconds(1));
+    }
+    scripted_backend& target = f.add("i-2", answering("no such copy"), "engines");
+    f.state().registry.mark_leaving(backend_id("i-1"));
+    EXPECT_TRUE(f.state().streams.expect_stop("a1", backend_id("i-1"),
+                                              monotonic_now() + milliseconds(300)));
+    f.state().streams.notify(
+        "a1", {backend_id("i-2"), target.address(), {"10.0.0.1:80", "handle-7"}}, monotonic_now());
+    f.run_for(milliseconds(1'800));
+    goes_on = true;
+    f.finish(view);
+    EXPECT_EQ(view->body(), events_text(0, 6));
+    EXPECT_TRUE(view->complete()) << view->bytes;
+    EXPECT_TRUE(target.requests().empty());
+}
+
 // Guards against a stop that is asked of an engine at which the stream doesn't run any more.
 TEST(expected_stop, is_refused_for_a_stream_that_runs_elsewhere_or_has_ended) {
     asio::io_context context;
