Send no generation back to its source long after that announced that it leaves

Cause: the age of the notice was bounded, not that of the announcement.

Evidence: a_generation_does_not_go_back_long_after_the_announcement failed before.

Why this works: after 0.6 s, which leaves the longest propagation and the age of a notice within the 2 s in which a leaving engine takes requests, the first copy is used; the target computes what it lacks.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -39,6 +39,9 @@
 /// How long the last part of a copy is under way before the next copy begins on the same link: its
 /// stream is paused, and it must not queue behind the next one.
 constexpr milliseconds last_part_lead{5};
+/// After its announcement a leaving engine takes requests for 2 s. The announcement may have
+/// reached this instance 1 s late, and the stream follows the notice within 0.4 s.
+constexpr milliseconds max_return_time{600};
 /// An engine that has refused a copy for lack of memory is passed over for this time, in which it
 /// ends about one generation.
 constexpr milliseconds refusal_pause{300};
@@ -463,10 +466,8 @@
         finish_move(source, candidate,
                     {target.id, target.address, {source.address, first_handle}, target.version});
     } else if (last && last->stopped) {
-        // Never continue at an engine of a cordoned failure domain: little is missing from the
-        // first copy.
-        const bool to_target =
-            last->copied || state_.registry.cordoned().contains(source.failure_domain);
+        // Little is missing from the first copy.
+        const bool to_target = last->copied || !may_return_to(source, monotonic_now());
         const registered_backend& destination = to_target ? target : source;
         const std::string& handle = to_target && !last->copied ? first_handle : last->handle;
         moved = to_target;
@@ -481,6 +482,12 @@
     co_return last ? move_error::none : why.code;
 }
 
+bool evacuation_service::may_return_to(const registered_backend& source, time_point now) const {
+    const auto announced = state_.reserve.announced_at(source.id);
+    return announced && now - *announced <= max_return_time &&
+           !state_.registry.cordoned().contains(source.failure_domain);
+}
+
 /// Without the announcement, the end of a stream without framing would be taken for that of its
 /// generation.
 asio::awaitable<bool> evacuation_service::announce_stop(const registered_backend& source,
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -127,6 +127,8 @@
                       std::int64_t tokens_left) const;
     /// Whether the target, as it was when it was chosen, may still receive a generation.
     bool may_receive(const registered_backend& target) const;
+    /// Whether a generation that was stopped there may go on at its source.
+    bool may_return_to(const registered_backend& source, time_point now) const;
     boost::asio::awaitable<move_error> move_to(const registered_backend& source,
                                                const registered_backend& target,
                                                const move_candidate& candidate);
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -308,6 +308,19 @@
     EXPECT_EQ(peers_.notices_[0].notice.target, backend_id("i-1"));
 }
 
+// Guards against a generation that goes back to its source when that takes no more requests, and
+// ends there.
+TEST_F(evacuation_test, a_generation_does_not_go_back_long_after_the_announcement) {
+    mover_.not_copied_ = true;
+    leave("i-1");
+    run_for(milliseconds(700));
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    run_for(milliseconds(300));
+    ASSERT_EQ(peers_.notices_.size(), 1u);
+    EXPECT_NE(peers_.notices_[0].notice.target, backend_id("i-1"));
+    EXPECT_EQ(peers_.notices_[0].notice.copy.handle, "g1-first");
+}
+
 // As above, but the source is in a cordoned failure domain, to which no request may be sent. The
 // stream continues from the first copy, which lacks only the most recent tokens.
 TEST_F(evacuation_test, a_generation_does_not_go_back_into_a_cordoned_domain) {
