Take the limits of a request when it arrives

Cause: a connection took the limits of its next request when it began to wait for it.

Evidence: changed_limit, 2 of 3 rows failed before (raised and lowered).

Why this works: the server waits for the first bytes of the request and reads the limits then.

--- a/bamboostream/src/Http/http_server.cpp
+++ b/bamboostream/src/Http/http_server.cpp
@@ -369,12 +369,20 @@
     using request_parser = http::request_parser<http::string_body>;
 
     asio::awaitable<bool> serve_one(bool first) {
-        const http_limits& limits = server_->limits;
+        bool arrives = true;
+        if (!first) {
+            arrives = co_await await_request();
+        }
+        if (!arrives) {
+            co_return false;
+        }
+        // Those in force when the request arrives.
+        const http_limits limits = server_->limits;
         std::optional<request_parser> parser(std::in_place);
         parser->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
         parser->body_limit(limits.body_bytes);
         beast::error_code ec;
-        stream_.expires_after(first ? limits.head_timeout : limits.idle_timeout);
+        stream_.expires_after(limits.head_timeout);
         co_await http::async_read_header(stream_, buffer_, *parser, token(ec));
         if (!ec && !has_known_coding(parser->get())) {
             ec = http::error::bad_transfer_encoding;
@@ -413,6 +421,18 @@
         co_return exchange->keep_alive();
     }
 
+    /// Waits for the first bytes of the next request; false if the connection ends before.
+    asio::awaitable<bool> await_request() {
+        beast::error_code ec;
+        if (buffer_.size() == 0) {
+            stream_.expires_after(server_->limits.idle_timeout);
+            const std::size_t count =
+                co_await stream_.async_read_some(buffer_.prepare(read_ahead_step), token(ec));
+            buffer_.commit(count);
+        }
+        co_return !ec;
+    }
+
     /// Runs the handler; false if it has thrown.
     asio::awaitable<bool> handle(http_exchange& exchange) {
         try {
--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <stdexcept>
@@ -100,5 +103,61 @@
     EXPECT_EQ(server_.open_exchanges(), 0U);
 }
 
+struct limit_row {
+    std::string name;
+    std::size_t before;
+    std::size_t after;
+    int status;
+    friend void PrintTo(const limit_row& row, std::ostream* out) { *out << row.name; }
+};
+
+class changed_limit : public testing::TestWithParam<limit_row> {};
+
+INSTANTIATE_TEST_SUITE_P(table, changed_limit,
+                         testing::Values(limit_row{"raised", 1'000, 3'000, 200},
+                                         limit_row{"lowered", 3'000, 1'000, 413},
+                                         limit_row{"as_before", 3'000, 3'000, 200}),
+                         [](const auto& info) { return info.param.name; });
+
+// Guards against requests on persistent connections that are refused by the limits of an older
+// configuration.
+TEST_P(changed_limit, holds_for_the_next_request_of_an_idle_connection) {
+    asio::io_context context{1};
+    http_limits limits;
+    limits.body_bytes = GetParam().before;
+    http_server server({&context}, limits, [](http_exchange& exchange) -> asio::awaitable<void> {
+        co_await exchange.respond_json(200, "{}");
+    });
+    std::string why;
+    const std::string address = server.listen("127.0.0.1:0", why).value();
+    std::vector<int> statuses;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const auto connection = std::make_shared<http_connection>(context.get_executor());
+            http_failure failure;
+            std::string ignored;
+            EXPECT_TRUE(co_await connection->connect(address, milliseconds(500), failure));
+            for (const std::size_t length : {std::size_t{10}, std::size_t{2'000}}) {
+                connection->send(
+                    fmt::format("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n{}",
+                                length, std::string(length, 'b')),
+                    false);
+                EXPECT_TRUE(co_await connection->read_head(failure)) << failure.text;
+                statuses.push_back(connection->status());
+                while (co_await connection->read(ignored)) {
+                }
+                asio::steady_timer pause(context, milliseconds(20));
+                co_await pause.async_wait(asio::use_awaitable);
+                limits.body_bytes = GetParam().after;
+                server.set_limits(limits);
+                co_await asio::post(context, asio::use_awaitable);
+            }
+        },
+        asio::detached);
+    context.run_for(milliseconds(500));
+    EXPECT_EQ(statuses, (std::vector{200, GetParam().status}));
+}
+
 } // namespace
 } // namespace bamboostream::test
