Test resets during an upload through a tunnel

A carrier of a tunnel wrote and read in the same manner as http_connection, where the write took the error of a reset and the read saw a regular end. The rows of tunneled_response_end show that a reset still ends the response as incomplete at the other instance, and a close in order as complete.

--- a/test/platform/tunnel_test.cpp
+++ b/test/platform/tunnel_test.cpp
@@ -71,7 +71,7 @@
                 result->failure = why.text;
                 if (connection_) {
                     result->carrier = connection_->carrier();
-                    connection_->send(request_text, false);
+                    connection_->send(request_text_, false);
                     connection_->expire_at(monotonic_now() + seconds(2));
                     if (co_await connection_->read_head(why)) {
                         while (co_await connection_->read(result->body)) {
@@ -130,6 +130,7 @@
     peer_group group_;
     unreachable_addresses unreachable_{group_.context};
     std::shared_ptr<http_connection> connection_;
+    std::string request_text_ = request_text;
 };
 
 backend_script answering_with(std::string response) {
@@ -317,6 +318,31 @@
     server.stop();
 }
 
+// Guards against a part of a response that looks complete because the carrier's write took the
+// error of the server's reset.
+TEST_P(tunneled_response_end, is_complete_only_if_the_server_closed_in_order_during_the_upload) {
+    const bool reset = GetParam().reset;
+    request_text_ = fmt::format("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: {0}\r\n\r\n{1}",
+                                900'000, std::string(900'000, 'u'));
+    scripted_backend server(group_.context,
+                            [reset](scripted_connection& c) -> asio::awaitable<void> {
+                                co_await c.send("HTTP/1.1 200 OK\r\n\r\nhalf");
+                                co_await c.pause(30);
+                                if (reset) {
+                                    c.reset();
+                                } else {
+                                    c.close();
+                                }
+                            });
+    server.answer_before_the_body();
+    add_server("i-0", server.address(), refusing_address());
+    const auto result = finish("i-0");
+    EXPECT_EQ(result->body, "half");
+    EXPECT_EQ(result->complete, !reset);
+    EXPECT_FALSE(result->carrier.empty());
+    server.stop();
+}
+
 struct carrier_end_row {
     std::string name;
     /// What the carrier sends after the response, before it closes its connection in order.
