--- a/bamboostream/src/Http/http_server.h
+++ b/bamboostream/src/Http/http_server.h
@@ -83,6 +83,7 @@
 /// per thread. A malformed or oversized request gets a 400, 413 or 431 response, and its connection
 /// is closed; other connections are not affected. A request for whose body the `memory_budget` of
 /// its context has no room gets a 503 response with Retry-After, and its body is read but not kept.
+/// A request whose handler throws gets a 500 response, unless another one has begun.
 class http_server {
 public:
     http_server(std::vector<boost::asio::io_context*> contexts, http_limits limits,
