Soak: check for each instance by itself that no request reaches a server that has left

A kill, stop or pause of any instance excused the requests of all instances to servers that had left, for 5 s; with a fault each 0.35 s the check was off nearly all the time. Now an instance has the bound from its own start, from the end of its own pause, and from when the store serves any instance that runs. Every second server that leaves ends 4 s later.

--- a/test/platform/system/soak_faults.cpp
+++ b/test/platform/system/soak_faults.cpp
@@ -14,6 +14,8 @@
 /// The grace period of the instances (4 s) plus a margin.
 constexpr milliseconds restart_after_term{5'000};
 constexpr int harmful_callers = 2;
+/// From when a server leaves until its process ends. Every second server serves on.
+constexpr milliseconds end_after_leaving{4'000};
 
 } // namespace
 
@@ -23,7 +25,6 @@
     const bool disturbs_learning = step.fault <= soak_fault::pause;
     if (disturbs_learning) {
         disturbed_until_[i] = std::max(disturbed_until_[i], monotonic_now() + step.duration);
-        tolerate_until(monotonic_now() + std::max(step.duration, restart_after_term));
     }
     switch (step.fault) {
     case soak_fault::kill:
@@ -33,6 +34,7 @@
         stop_instance(i, SIGTERM, restart_after_term);
         break;
     case soak_fault::pause:
+        runs_since_[i] = std::max(runs_since_[i], monotonic_now() + step.duration);
         instances_[i]->running->signal(SIGSTOP);
         schedule(step.duration, [this, i] { instances_[i]->running->signal(SIGCONT); });
         break;
@@ -168,6 +170,7 @@
     start(*instances_[i]);
     stopping_[i] = false;
     disturbed_until_[i] = monotonic_now();
+    runs_since_[i] = monotonic_now();
     audit_.limits_forgotten(i);
 }
 
@@ -223,10 +226,6 @@
     }
 }
 
-void soak_test::tolerate_until(time_point end) {
-    learning_disturbed_until_ = std::max(learning_disturbed_until_, end);
-}
-
 void soak_test::reject_calls_of(std::size_t i, milliseconds duration, store_manner manner) {
     const time_point now = monotonic_now();
     store_.set_manner(stores_[i], manner);
@@ -236,11 +235,6 @@
             store_.set_manner(stores_[i], store_manner::answers);
         }
     });
-    const time_point first_served =
-        *std::min_element(rejected_until_.begin(), rejected_until_.end());
-    if (first_served > now) {
-        tolerate_until(first_served + restart_after_term);
-    }
 }
 
 void soak_test::reject_calls_of_half(std::size_t first, milliseconds duration) {
@@ -261,6 +255,9 @@
         write_entry(server, state);
     }
     server.left = monotonic_now();
+    if (++servers_left_ % 2 == 0) {
+        schedule(end_after_leaving, [this, &server] { end_server(server); });
+    }
 }
 
 } // namespace bamboostream::test
--- a/test/platform/system/soak_fixture.h
+++ b/test/platform/system/soak_fixture.h
@@ -111,11 +111,8 @@
 
     /// Sends nothing to the proxy of a crashed server: another process may use its port by now.
     void send_command(const soak_server& server, const std::string& command);
-    void tolerate_until(time_point end);
 
-    /// The store fails the calls of one instance. As long as it serves another instance, all of
-    /// them must still learn in time that servers leave, so late requests are only tolerated when
-    /// the store serves none.
+    /// The store fails the calls of one instance.
     void reject_calls_of(std::size_t i, milliseconds duration, store_manner manner);
 
     /// The store answers no calls of half of the instances. These may include both readers, which
@@ -128,7 +125,14 @@
     void write_entry(const soak_server& server, const std::string& state);
     void add_server();
     std::string announced(const std::string& file);
-    bool must_be_known_as_leaving(const soak_server& server) const;
+
+    /// Whether the instance must know that the server has left. It has the time that it takes at
+    /// most from the announcement, from its own start, from the end of its own pause, and from when
+    /// the store serves any instance that runs.
+    bool must_be_known_as_leaving(const soak_server& server, std::size_t instance) const;
+    /// Whether the instance runs and the store serves it.
+    bool learns_from_store(std::size_t i) const;
+    void note_whether_any_learns();
 
     /// Whether another copy of a response is to be sent now.
     bool draws_copy(const soak_server& server);
@@ -175,6 +179,8 @@
     /// Simulates the crash of a server: its connections break and new ones are refused. Its entry
     /// is removed later, and another server joins.
     void crash_server(soak_server& server);
+    /// Ends the processes of a server; its entry is removed later.
+    void end_server(soak_server& server);
 
     /// Whether an instance was undisturbed for long enough that it must know what the others know.
     bool is_up_to_date(std::size_t i) const;
@@ -207,6 +213,8 @@
     std::vector<time_point> rejected_until_ = per_instance<time_point>();
     std::vector<time_point> cut_off_until_ = per_instance<time_point>();
     std::vector<time_point> disturbed_until_ = per_instance<time_point>();
+    /// When an instance was started, or when its latest pause ends.
+    std::vector<time_point> runs_since_ = per_instance<time_point>();
     std::vector<domain_cut> domain_cut_ = per_instance<domain_cut>();
     std::vector<std::unique_ptr<soak_server>> servers_;
     /// The instance that received a request, by the request's id.
@@ -221,12 +229,13 @@
     int cut_number_ = 0;
     int limits_named_ = 0;
     int copies_sent_ = 0;
+    int servers_left_ = 0;
     int version_ = 1;
     int callers_ = 0;
     int harmful_senders_ = 0;
     bool stop_harmful_ = false;
     bool stop_ = false;
-    /// Until this time some instances may not have learned that servers leave.
-    time_point learning_disturbed_until_{};
+    /// Until this time no instance ran that the store served.
+    time_point nobody_learns_until_{};
 };
 } // namespace bamboostream::test
--- a/test/platform/system/soak_servers.cpp
+++ b/test/platform/system/soak_servers.cpp
@@ -16,6 +16,8 @@
 /// An instance that was killed or paused keeps the limits of servers from this time after its
 /// return on.
 constexpr milliseconds return_time{1'000};
+/// From the end of a stall of a link until it has delivered what it held.
+constexpr milliseconds link_delivery_time{100};
 constexpr milliseconds entry_removal_delay{2'000};
 constexpr milliseconds replacement_delay{600};
 /// Requests that a server runs at a time.
@@ -78,22 +80,42 @@
     if (!server.listed || server.left) {
         return;
     }
+    end_server(server);
+    schedule(replacement_delay, [this] { add_server(); });
+}
+
+void soak_test::end_server(soak_server& server) {
     server.listed = false;
     server.proxy->signal(SIGKILL);
     server.backend->end_process();
     schedule(entry_removal_delay,
              [this, id = server.id] { store_.write("keyed.servers", id, ""); });
-    schedule(replacement_delay, [this] { add_server(); });
 }
 
-bool soak_test::must_be_known_as_leaving(const soak_server& server) const {
-    if (!server.left) {
+bool soak_test::must_be_known_as_leaving(const soak_server& server, std::size_t instance) const {
+    // A link that stalls holds requests that were sent before the bound.
+    if (!server.left || monotonic_now() < server.link_disturbed_until + link_delivery_time) {
         return false;
     }
-    const time_point learning_start = std::max(*server.left, learning_disturbed_until_);
+    const time_point learning_start =
+        std::max({*server.left, runs_since_[instance], nobody_learns_until_});
     return monotonic_now() - learning_start > leaving_bound;
 }
 
+bool soak_test::learns_from_store(std::size_t i) const {
+    const time_point now = monotonic_now();
+    return !stopping_[i] && now >= runs_since_[i] && now >= rejected_until_[i];
+}
+
+void soak_test::note_whether_any_learns() {
+    for (std::size_t i = 0; i < instances_.size(); ++i) {
+        if (learns_from_store(i)) {
+            return;
+        }
+    }
+    nobody_learns_until_ = monotonic_now();
+}
+
 std::string soak_test::limit_field(const std::string& id, const soak_server& server) {
     const auto from = instance_of_request_.find(id);
     if (!server.limit || from == instance_of_request_.end()) {
@@ -145,7 +167,8 @@
 
 asio::awaitable<void> soak_test::serve(scripted_connection& c, soak_server& server) {
     const std::string id = c.field("Attempt-Id");
-    if (must_be_known_as_leaving(server)) {
+    const auto from = instance_of_request_.find(id);
+    if (from != instance_of_request_.end() && must_be_known_as_leaving(server, from->second)) {
         audit_.request_reached_left_server(id, server.id);
     }
     const std::string limit = limit_field(id, server);
--- a/test/platform/system/soak_test.cpp
+++ b/test/platform/system/soak_test.cpp
@@ -120,6 +120,7 @@
         context_.restart();
         context_.run_for(milliseconds(5));
         watch_processes();
+        note_whether_any_learns();
         const time_point now = monotonic_now();
         while (!scheduled_.empty() && scheduled_.front().at <= now) {
             const auto action = std::move(scheduled_.front().run);
