Send no copy to a server long after its announcement that it leaves

Callers saw: a generation that was moved went to a target that had announced more than 2 s before that it leaves, and was cut off when that ended. The instance that sent it had known of the announcement for 2.1 s.

Cause: requests with a copy were exempt from the check whether the server takes work. Only the age of the notice of the move was limited, to 0.4 s, and it was counted from the arrival of the notice: its sender may have stood still, the last part of a copy takes up to 1.5 s and a connection 0.4 s, and nothing held the sum against the bound. A generation that went back to its source went by the time at which the moving instance had learned of the announcement, however old that was.

Why this works: the registry keeps with each departure the time until which copies may still be sent: the bound, counted from when its entries were last known without the departure, so whoever tells it and however late. Each attempt is checked against it after its connection is there. An instance that doesn't know how old an announcement is sends nothing.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -39,9 +39,10 @@
 /// How long the last part of a copy is under way before the next copy begins on the same link: its
 /// stream is paused, and it must not queue behind the next one.
 constexpr milliseconds last_part_lead{5};
-/// After its announcement a leaving engine takes requests for 2 s. The announcement may have
-/// reached this instance 1 s late, and the stream follows the notice within 0.4 s.
+/// A generation goes back to its source only this soon after the announcement of that became known.
 constexpr milliseconds max_return_time{600};
+/// Longest time from a notice of a move until its stream follows it.
+constexpr milliseconds max_notice_delay{400};
 /// An engine that has refused a copy for lack of memory is passed over for this time, in which it
 /// ends about one generation.
 constexpr milliseconds refusal_pause{300};
@@ -484,7 +485,9 @@
 
 bool evacuation_service::may_return_to(const registered_backend& source, time_point now) const {
     const auto announced = state_.reserve.announced_at(source.id);
-    return announced && now - *announced <= max_return_time &&
+    const departure* left = state_.registry.find_departure(source.id);
+    return announced && now - *announced <= max_return_time && left != nullptr &&
+           left->accepts_copies(now + max_notice_delay) &&
            !state_.registry.cordoned().contains(source.failure_domain);
 }
 
--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -184,9 +184,9 @@
     if (caller_left_ || withdrawn_ || now >= deadline_) {
         co_return fail_unsent(to, withdrawn_ ? "withdrawn" : "no time left");
     }
-    // While the connection was established, the server's failure domain may have been taken out of
-    // service.
-    if (!to.copy && !state_.registry.takes_work(to.backend.id)) {
+    // While the connection was established, the server may have announced that it leaves, or its
+    // failure domain may have been taken out of service.
+    if (!may_send_to(to, now)) {
         give_back(to);
         co_return skip_backend(to, "accepts no work");
     }
--- a/bamboostream/src/Forwarding/forwarded_call.h
+++ b/bamboostream/src/Forwarding/forwarded_call.h
@@ -153,8 +153,10 @@
     /// announced.
     boost::asio::awaitable<void> await_stop_outcome();
     boost::asio::awaitable<bool> await_move();
-    /// Whether the target named by a move notice may still be sent the request.
-    bool may_follow_move(const move_notice& notice, time_point now) const;
+    /// Whether the server may be sent the request as far as its departure is concerned.
+    bool may_send_to(const destination& to, time_point now) const;
+    /// Whether a generation with a copy at the server may go on there.
+    bool may_continue_at(const backend_id& server, time_point now) const;
     boost::asio::awaitable<std::optional<attempt_end>> follow_moves(attempt_end end);
     /// Whether the process of the server of the latest attempt has ended.
     boost::asio::awaitable<process_state> check_server();
--- a/bamboostream/src/Forwarding/forwarded_stream.cpp
+++ b/bamboostream/src/Forwarding/forwarded_stream.cpp
@@ -19,9 +19,8 @@
 /// The last step of a move takes some 10 ms after the stream has stopped, and much longer on a
 /// shared link; after this time it is considered failed.
 constexpr milliseconds move_timeout{1'600};
-/// A move notice no older than this is followed even if its target is shutting down: the target was
-/// usable when the last step began, at most 1.5 s before the notice, so the request arrives within
-/// the 2 s in which an engine that shuts down still accepts requests already on their way.
+/// A move notice no older than this is followed even if its target takes no work, unless the target
+/// is known to leave: it took work when the last step of the move began.
 constexpr milliseconds max_notice_age{400};
 
 } // namespace
@@ -211,11 +210,20 @@
     co_return stream_->moved.has_value();
 }
 
-/// A stream whose source was unreachable may continue there for seconds after the notice. One such
-/// stream was sent to its target 6.2 s after the target had announced its shutdown.
-bool forwarded_call::may_follow_move(const move_notice& notice, time_point now) const {
-    return state_.registry.takes_work(notice.target) ||
-           now - stream_->notified_at <= max_notice_age;
+bool forwarded_call::may_send_to(const destination& to, time_point now) const {
+    return to.copy ? may_continue_at(to.backend.id, now)
+                   : state_.registry.takes_work(to.backend.id);
+}
+
+/// The notice of a move tells nothing of how long its target has been leaving: its sender may have
+/// stood still, and a stream whose source was unreachable may continue there for seconds.
+bool forwarded_call::may_continue_at(const backend_id& server, time_point now) const {
+    if (state_.registry.takes_work(server)) {
+        return true;
+    }
+    const departure* left = state_.registry.find_departure(server);
+    return left != nullptr ? left->accepts_copies(now)
+                           : now - stream_->notified_at <= max_notice_age;
 }
 
 /// Continues the generation at its target each time it is moved. If a target does not accept the
@@ -224,7 +232,7 @@
     while (!caller_left_ && co_await await_move()) {
         const move_notice notice = *stream_->moved;
         stream_->moved.reset();
-        if (!may_follow_move(notice, monotonic_now())) {
+        if (!may_continue_at(notice.target, monotonic_now())) {
             log_event(events::move_failed,
                       "request={} source={} target={} reason=target shutting down", request_.id,
                       notice.copy.holder, notice.target.text());
--- a/bamboostream/src/Gateway/deployment_state.h
+++ b/bamboostream/src/Gateway/deployment_state.h
@@ -81,6 +81,8 @@
     /// Logs the changes of the registry and passes them to the listener.
     void report_changes(update_source source, time_point now);
 
+    /// Records that all changes of the entries that the store contained at `as_of` are applied.
+    void confirm_entries(time_point as_of) { forwarding_.registry.confirm(as_of); }
     /// The position up to which the store's entries are known here.
     change_cursor& entries() { return entries_; }
     const change_cursor& entries() const { return entries_; }
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -286,6 +286,9 @@
     forwarding.cold_starts.set_rules(settings.cold_starts);
     const auto peer_address = links.listen(settings.peer_listen, why);
     if (!peer_address) {
+    const entry_timing usual;
+    forwarding.registry.set_timing({settings.entry_heartbeat.value_or(usual.heartbeat),
+                                    settings.leaving_bound.value_or(usual.leaving_bound)});
         log_event(events::listen_failed, "address={} reason={}", settings.peer_listen, why);
         return false;
     }
--- a/bamboostream/src/Gateway/gateway.h
+++ b/bamboostream/src/Gateway/gateway.h
@@ -62,6 +62,8 @@
     std::optional<milliseconds> leaving_bound;
     std::optional<milliseconds> configuration_bound;
     std::optional<milliseconds> cordon_bound;
+    /// Interval at which backend servers renew their entries; empty when the platform doesn't say.
+    std::optional<milliseconds> entry_heartbeat;
     /// How long callers may keep a directory answer.
     milliseconds directory_validity{2'000};
 };
--- a/bamboostream/src/Gateway/store_follower.cpp
+++ b/bamboostream/src/Gateway/store_follower.cpp
@@ -156,6 +156,7 @@
     }
     state_.entries().set_position(page.next);
     state_.apply_records(position.topic, fresh, all, now);
+    state_.confirm_entries(now);
     entries_reread_requested_ = false;
 }
 
--- a/bamboostream/src/Gateway/store_update_exchange.cpp
+++ b/bamboostream/src/Gateway/store_update_exchange.cpp
@@ -258,17 +258,27 @@
     }
     const bool relayed = !news.teller.empty();
     const std::string& announcer = relayed ? news.teller : sender;
-    if (news.told_at_ms <= 0) {
-        apply_update(sender, news, monotonic_now());
-        return;
-    }
-    const milliseconds transit_time =
-        delays_.excess_over_min(announcer, relayed ? news.teller_stamp : stamp,
-                                milliseconds(news.told_at_ms), time_since_boot());
     wire::StoreNewsT aged = news;
-    aged.entries_age_ms = increase_age(news.entries_age_ms, transit_time);
-    aged.documents_age_ms = increase_age(news.documents_age_ms, transit_time);
-    apply_update(sender, aged, monotonic_now());
+    if (news.told_at_ms > 0) {
+        const milliseconds transit_time =
+            delays_.excess_over_min(announcer, relayed ? news.teller_stamp : stamp,
+                                    milliseconds(news.told_at_ms), time_since_boot());
+        aged.entries_age_ms = increase_age(news.entries_age_ms, transit_time);
+        aged.documents_age_ms = increase_age(news.documents_age_ms, transit_time);
+    }
+    const time_point now = monotonic_now();
+    apply_update(sender, aged, now);
+    confirm_entries(aged.entries_age_ms, static_cast<std::int64_t>(aged.sequence), now);
+}
+
+/// Only once the changes up to `position` have been applied: those among them were not in the store
+/// when the view was last confirmed.
+void store_update_exchange::confirm_entries(std::uint32_t age_ms, std::int64_t position,
+                                            time_point now) {
+    const auto as_of = time_from_age(age_ms, now);
+    if (as_of && position <= state_.entries().position()) {
+        state_.confirm_entries(*as_of);
+    }
 }
 
 void store_update_exchange::apply_update(const std::string& sender, const wire::StoreNewsT& news,
@@ -466,6 +476,7 @@
         return make_reply(std::move(list));
     }
     const std::size_t max_entries =
+        state_.confirm_entries(*as_of);
         request.paged ? backends_per_page : std::numeric_limits<std::size_t>::max();
     const auto page = forwarding_.registry.page_after(backend_id(request.after), max_entries);
     for (const registered_backend& backend : page) {
--- a/bamboostream/src/Gateway/store_update_exchange.h
+++ b/bamboostream/src/Gateway/store_update_exchange.h
@@ -69,6 +69,8 @@
     void apply_removals(const wire::StoreNewsT& news, time_point now);
     void recover_missed_changes(const std::string& announcer, time_point now);
 
+    /// Records that the entries up to `position` were complete `age_ms` ago.
+    void confirm_entries(std::uint32_t age_ms, std::int64_t position, time_point now);
     /// Requests from peers what this instance has missed.
     boost::asio::awaitable<void> catch_up_loop();
     boost::asio::awaitable<void> fetch_backends(std::string peer);
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -10,6 +10,9 @@
 /// Entries that state the same end of a cold period yield ends that differ by how long the entries
 /// took to arrive.
 constexpr milliseconds max_arrival_difference{100};
+/// The time in which a request that goes to a leaving server arrives, and by which an instance may
+/// take its view of the store for newer than it is.
+constexpr milliseconds max_arrival_time{300};
 
 bool has_become_cold(const registered_backend& known, const registered_backend& received,
                      time_point now) {
@@ -45,14 +48,31 @@
             changes_.push_back({registry_event::became_cold, received});
         }
     }
+    const auto left = departures_.find(backend.id);
     if (received.leaving) {
         mark_leaving(backend.id, backend.started_ms);
+    } else if (left != departures_.end() && !left->second.leaving_start) {
+        departures_.erase(left);
     }
 }
 
 bool backend_registry::has_announced_leaving(const registered_backend& backend) const {
-    const auto found = leaving_starts_.find(backend.id);
-    return found != leaving_starts_.end() && backend.started_ms <= found->second;
+    const departure* left = find_departure(backend.id);
+    return left != nullptr && left->leaving_start && backend.started_ms <= *left->leaving_start;
+}
+
+/// The departure wasn't in the store when the view of its entries was last confirmed.
+departure backend_registry::make_departure() const {
+    departure out;
+    if (confirmed_until_) {
+        out.copies_until = *confirmed_until_ + timing_.leaving_bound - max_arrival_time;
+    }
+    return out;
+}
+
+const departure* backend_registry::find_departure(const backend_id& id) const {
+    const auto found = departures_.find(id);
+    return found == departures_.end() ? nullptr : &found->second;
 }
 
 void backend_registry::mark_leaving(const backend_id& id) {
@@ -65,9 +85,15 @@
     if (found != backends_.end() && started_ms < found->second.backend.started_ms) {
         return;
     }
-    const auto [left, added] = leaving_starts_.try_emplace(id, started_ms);
-    const bool first = added || left->second < started_ms;
-    left->second = std::max(left->second, started_ms);
+    departure& left = departures_.try_emplace(id, make_departure()).first->second;
+    const bool restarted = left.leaving_start && *left.leaving_start < started_ms;
+    const bool first = !left.leaving_start || restarted;
+    if (restarted) {
+        left = make_departure();
+    }
+    if (first) {
+        left.leaving_start = started_ms;
+    }
     if (found == backends_.end()) {
         return;
     }
@@ -102,6 +128,7 @@
     backends_.erase(found);
 }
 
+    departures_.try_emplace(id, make_departure());
 void backend_registry::forget(const backend_id& id) {
     if (backends_.contains(id)) {
         erase(id);
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -3,6 +3,7 @@
 #include "bamboostream/src/Core/clock.h"
 #include "bamboostream/src/Core/identities.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -56,6 +57,28 @@
     registered_backend backend;
     /// The store no longer has an entry for it, and the other instance has deferred its removal.
     bool lapsed = false;
+    /// How long until that instance removes it; zero if that isn't known.
+    milliseconds removal_in{0};
+};
+
+/// The departure of a server that has announced that it leaves, or whose entry was removed.
+struct departure {
+    /// The start time of the process that has announced that it leaves; nothing if none has.
+    std::optional<std::int64_t> leaving_start;
+    /// Until when a generation is sent to the server if that holds a copy of it. Nothing if it
+    /// isn't known how long ago the server announced its departure, as when it was already leaving
+    /// when this instance started.
+    std::optional<time_point> copies_until;
+
+    bool accepts_copies(time_point now) const { return copies_until && now <= *copies_until; }
+};
+
+/// What the platform says of the entries of backend servers.
+struct entry_timing {
+    /// Interval at which a server renews its entry.
+    milliseconds heartbeat{1'200};
+    /// How long after its announcement a leaving server takes requests.
+    milliseconds leaving_bound{2'000};
 };
 
 /// The backend servers that are registered in the platform's store.
@@ -83,6 +106,7 @@
     /// entry expires after three failed heartbeats of 1.2 s each.
     static constexpr milliseconds min_outage{1'000};
 
+    void set_timing(const entry_timing& timing) { timing_ = timing; }
     /// Adds or updates a server from its store entry. Entries of an earlier start are ignored. One
     /// without a software version leaves the version of the same process as it is known.
     void update(const registered_backend& backend, time_point now);
@@ -103,8 +127,13 @@
     void mark_leaving(const backend_id& id);
     /// As above for the process that started at `started_ms`; has no effect on a later one.
     void mark_leaving(const backend_id& id, std::int64_t started_ms);
-    /// Records that the store is unavailable, which defers removals.
-    void store_failed(time_point now);
+    /// Records that all changes of the store's entries until `as_of` have been applied.
+    void confirm(time_point as_of) {
+        confirmed_until_ = std::max(confirmed_until_.value_or(as_of), as_of);
+    }
+    /// Records that the store has been unavailable since `since`, which defers removals. Has no
+    /// effect if it already counts as unavailable.
+    void store_failed(time_point since);
     /// Records that the store is available; deferred removals are due `return_grace` after its
     /// return.
     void store_answered(time_point now);
@@ -122,6 +151,8 @@
     std::vector<const registered_backend*> usable(const service_id& service) const;
     /// The server's record, whether or not it is leaving; null if it is not listed.
     const registered_backend* find(const backend_id& id) const;
+    /// The departure of a server, whether or not it is still listed; null if none is known.
+    const departure* find_departure(const backend_id& id) const;
     /// The first listed server that satisfies `predicate`, or null.
     template <class Predicate> const registered_backend* find_if(Predicate predicate) const {
         for (const auto& [id, known] : backends_) {
@@ -152,12 +183,19 @@
     void erase(const backend_id& id);
     /// Known servers that are not in `listed`.
     std::vector<backend_id> missing_from(const std::set<backend_id>& listed) const;
+    /// A departure that has become known now.
+    departure make_departure() const;
+    /// How long an outage lasts at least if an entry expires because of it. Entries expire after
+    /// three heartbeats are missed, of which one may have been due when it began; and heartbeats
+    /// are not exactly regular.
+    duration min_expiring_outage() const { return timing_.heartbeat * 3 / 2; }
 
     std::map<backend_id, record> backends_;
-    /// Start time of the leaving process by server id; kept after the entries are gone. A process
-    /// that started later under the same id is usable: if leaving applied to the id alone, a
-    /// restarted engine would never get work again.
-    std::map<backend_id, std::int64_t> leaving_starts_;
+    /// Kept after the entries are gone. A process that started later under the same id is usable:
+    /// if leaving applied to the id alone, a restarted engine would never get work again.
+    std::map<backend_id, departure> departures_;
+    std::optional<time_point> confirmed_until_;
+    entry_timing timing_;
     std::set<failure_domain_id> cordoned_;
     std::vector<registry_change> changes_;
     bool store_away_ = false;
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -140,6 +140,11 @@
     }
 
     void leave(const std::string& id) {
+        state_.registry.confirm(monotonic_now());
+        learn_of_departure(id);
+    }
+
+    void learn_of_departure(const std::string& id) {
         state_.registry.mark_leaving(backend_id(id));
         service_.on_leaving(*state_.registry.find(backend_id(id)));
     }
@@ -321,6 +326,17 @@
     EXPECT_EQ(peers_.notices_[0].notice.copy.handle, "g1-first");
 }
 
+// Guards against an instance that takes the time at which it learns of a departure for the time of
+// the announcement, because it has just started.
+TEST_F(evacuation_test, a_generation_does_not_go_back_after_an_announcement_of_unknown_age) {
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    mover_.not_copied_ = true;
+    learn_of_departure("i-1");
+    run_for(milliseconds(60));
+    ASSERT_EQ(peers_.notices_.size(), 1u);
+    EXPECT_NE(peers_.notices_[0].notice.target, backend_id("i-1"));
+}
+
 // As above, but the source is in a cordoned failure domain, to which no request may be sent. The
 // stream continues from the first copy, which lacks only the most recent tokens.
 TEST_F(evacuation_test, a_generation_does_not_go_back_into_a_cordoned_domain) {
