Log what is known of a server when an attempt fails or a tunnel is asked for

The lines of a failed attempt and of a tunnel request didn't tell whether the instance took the server for listed, leaving, lapsed or gone, nor how old its view was. Hypotheses about late requests could not be told apart by them.

--- a/bamboostream/src/Forwarding/forwarded_attempt.cpp
+++ b/bamboostream/src/Forwarding/forwarded_attempt.cpp
@@ -78,11 +78,12 @@
         state_.connections.drop_direct(to.backend.address);
     }
     log_event(events::attempt_failed,
-              "request={} route={} backend={} address={} end={} proof={} reason={} connection={} "
-              "sends={} after_ms={:.0f}",
+              "request={} route={} backend={} address={} end={} proof={} reason={} known={} "
+              "view_age_ms={:.0f} connection={} sends={} after_ms={:.0f}",
               request_.id, route_->name, to.backend.id.text(), to.backend.address, to_string(end),
-              proof, reason, connection_reused_ ? "reused" : "new", history_.sends(),
-              to_milliseconds(monotonic_now() - arrival_));
+              proof, reason, state_.registry.describe(to.backend.id),
+              to_milliseconds(state_.entries_view.age(now)), connection_reused_ ? "reused" : "new",
+              history_.sends(), to_milliseconds(monotonic_now() - arrival_));
     return end;
 }
 
--- a/bamboostream/src/Gateway/tunnel_server.cpp
+++ b/bamboostream/src/Gateway/tunnel_server.cpp
@@ -278,9 +278,12 @@
     wire::TunnelReplyT reply;
     co_await connect(tunnel, request, reply);
     log_event(events::tunnel_requested,
-              "request={} backend={} instance={} result={} service={} load_permille={}",
-              request.request, request.backend, frame->sender, to_string(reply.result),
-              to_string(reply.service), reply.load_permille);
+              "request={} backend={} known={} view_age_ms={:.0f} instance={} result={} service={} "
+              "load_permille={}",
+              request.request, request.backend,
+              forwarding_.registry.describe(backend_id(request.backend)),
+              to_milliseconds(forwarding_.entries_view.age(monotonic_now())), frame->sender,
+              to_string(reply.result), to_string(reply.service), reply.load_permille);
     const std::string bytes = encode_frame(make_frame(reply));
     error_code ec;
     co_await asio::async_write(tunnel->origin, asio::buffer(bytes), token(ec));
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -247,6 +247,20 @@
     std::vector<registered_backend> out;
     for (const auto& [id, record] : backends_) {
         out.push_back(record.backend);
+std::string_view backend_registry::describe(const backend_id& id) const {
+    const registered_backend* known = find(id);
+    if (known == nullptr) {
+        return find_departure(id) != nullptr ? "gone" : "unknown";
+    }
+    if (known->leaving) {
+        return "leaving";
+    }
+    if (has_lapsed(id)) {
+        return "lapsed";
+    }
+    return takes_work(*known) ? "listed" : "cordoned";
+}
+
     }
     return out;
 }
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -167,6 +167,12 @@
     std::vector<registered_backend> page_after(const backend_id& after, std::size_t limit) const;
     /// True if the server's entry is missing and its removal is deferred.
     bool has_lapsed(const backend_id& id) const;
+    /// How long until the server is removed if its entry is missing, at least a millisecond. Zero
+    /// if it isn't missing, and during an outage, whose end decides.
+    milliseconds time_to_removal(const backend_id& id, time_point now) const;
+    /// What is known of the server, for log lines: `listed`, `cordoned`, `lapsed`, `leaving`,
+    /// `gone` or `unknown`.
+    std::string_view describe(const backend_id& id) const;
     bool empty() const { return backends_.empty(); }
     /// Returns the changes since the last call.
     std::vector<registry_change> take_changes();
