Defer removals only after an outage in which entries can expire

Callers saw: requests went to a server whose entry had been removed for up to 2.5 s, more than the 2 s in which such a server goes on.

Cause: after any interruption of the view of 1 s or more, also by a standstill of the instances themselves, removals were deferred for 2.5 s, since entries expire during an outage of the store. But an entry expires only after three missed heartbeats, so no interruption of 1 s explains a missing one.

An entry needs two intervals at least to expire in an outage.

--- a/bamboostream/src/Gateway/deployment_state.cpp
+++ b/bamboostream/src/Gateway/deployment_state.cpp
@@ -250,7 +250,7 @@
         return;
     }
     if (view.age(now) > backend_registry::min_outage) {
-        forwarding_.registry.store_failed(now);
+        forwarding_.registry.store_failed(now - view.age(now));
     } else {
         forwarding_.registry.store_answered(now);
     }
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -104,7 +104,10 @@
 }
 
 bool backend_registry::removals_deferred(time_point now) const {
-    return store_away_ || (store_returned_ && now < *store_returned_ + return_grace);
+    if (away_since_ && now - *away_since_ >= min_expiring_outage()) {
+        return true;
+    }
+    return store_returned_ && now < *store_returned_ + return_grace;
 }
 
 void backend_registry::remove(const backend_id& id, time_point now) {
@@ -181,12 +184,13 @@
     }
 }
 
-void backend_registry::store_failed(time_point) {
-    store_away_ = true;
+void backend_registry::store_failed(time_point since) {
+    away_since_ = away_since_.value_or(since);
 }
 
 void backend_registry::store_answered(time_point now) {
-    if (!std::exchange(store_away_, false)) {
+    const auto since = std::exchange(away_since_, std::nullopt);
+    if (!since || now - *since < min_expiring_outage()) {
         return;
     }
     store_returned_ = now;
@@ -198,7 +202,7 @@
 }
 
 void backend_registry::expire(time_point now) {
-    if (store_away_) {
+    if (store_away()) {
         return;
     }
     for (const registered_backend& known : all()) {
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -88,7 +88,7 @@
 ///
 /// Removals take effect immediately while the store is available. During a store outage entries
 /// expire even though their servers are alive, so removals are deferred until the servers have had
-/// time to register again after the outage.
+/// time to register again after the outage. Only an outage that is long enough for that defers any.
 ///
 /// Not thread-safe.
 class backend_registry {
@@ -137,7 +137,7 @@
     /// Records that the store is available; deferred removals are due `return_grace` after its
     /// return.
     void store_answered(time_point now);
-    bool store_away() const { return store_away_; }
+    bool store_away() const { return away_since_.has_value(); }
     /// Performs deferred removals that are due. Does nothing while the store is away.
     void expire(time_point now);
 
@@ -204,7 +204,9 @@
     entry_timing timing_;
     std::set<failure_domain_id> cordoned_;
     std::vector<registry_change> changes_;
-    bool store_away_ = false;
+    /// Set while the store counts as unavailable.
+    std::optional<time_point> away_since_;
+    /// The end of the latest outage in which entries may have expired.
     std::optional<time_point> store_returned_;
 };
 
--- a/test/platform/system/leaving_view_test.cpp
+++ b/test/platform/system/leaving_view_test.cpp
@@ -10,6 +10,7 @@
 #include "test/platform/system/gateway_fixture.h"
 
 #include <algorithm>
+#include <csignal>
 
 namespace bamboostream::test {
 namespace {
@@ -158,5 +159,21 @@
     expect_all_know("backend_down");
 }
 
+// Guards against requests to a server that is gone, after an interruption of the view of the store
+// that no entry can have expired in: instances took it for an outage and deferred the removal.
+TEST_F(leaving_view, a_short_standstill_of_all_instances_puts_no_removal_off) {
+    ASSERT_NO_FATAL_FAILURE(start_all());
+    for (const auto& it : instances_) {
+        it->running->signal(SIGSTOP);
+    }
+    run_for(milliseconds(1'300));
+    for (const auto& it : instances_) {
+        it->running->signal(SIGCONT);
+    }
+    run_for(milliseconds(200));
+    remove();
+    expect_all_know("backend_down");
+}
+
 } // namespace
 } // namespace bamboostream::test
