Keep a lapsed entry of a peer's list no longer than the peer does

An instance that starts takes over lapsed entries, which are missing in the store and whose removal its peers defer. It deferred the removal by 2.5 s from its own start, whatever time had passed at the peer, so that it sent requests to a server up to 5 s after its removal. Found by reading, in search of the cause of late requests.

The list says now how long the sender keeps each lapsed entry, unless its store is away. An instance of the previous release doesn't say so; then the full time holds. Test: a_lapsed_entry_of_a_peer_s_list_stays_no_longer_than_at_the_peer, which failed with the received time switched off.

--- a/bamboostream/src/Gateway/store_update_exchange.cpp
+++ b/bamboostream/src/Gateway/store_update_exchange.cpp
@@ -436,7 +436,8 @@
         }
         const time_point now = monotonic_now();
         for (const auto& fact : page->entries) {
-            entries.push_back({from_wire(*fact, now), fact->lapsed});
+            entries.push_back(
+                {from_wire(*fact, now), fact->lapsed, milliseconds(fact->removal_in_ms)});
         }
         more = page->more && !page->entries.empty();
         after = page->entries.empty() ? std::string() : page->entries.back()->id;
@@ -488,3 +489,5 @@
 }
 
 } // namespace bamboostream
+        list.entries.back()->removal_in_ms = static_cast<std::uint32_t>(
+            forwarding_.registry.time_to_removal(backend.id, now).count());
--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -128,10 +128,10 @@
 void backend_registry::erase(const backend_id& id) {
     const auto found = backends_.find(id);
     changes_.push_back({registry_event::gone, found->second.backend});
+    departures_.try_emplace(id, make_departure());
     backends_.erase(found);
 }
 
-    departures_.try_emplace(id, make_departure());
 void backend_registry::forget(const backend_id& id) {
     if (backends_.contains(id)) {
         erase(id);
@@ -153,6 +153,14 @@
     return found != backends_.end() && found->second.removal_due;
 }
 
+milliseconds backend_registry::time_to_removal(const backend_id& id, time_point now) const {
+    if (store_away() || !has_lapsed(id)) {
+        return {};
+    }
+    const duration left = *backends_.at(id).removal_due - now;
+    return std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(left));
+}
+
 void backend_registry::update_all(std::span<const registered_backend> entries,
                                   std::span<const backend_id> unreadable, time_point now) {
     std::set<backend_id> listed(unreadable.begin(), unreadable.end());
@@ -174,7 +182,9 @@
             update(entry.backend, now);
         } else if (knows_nothing) {
             update(entry.backend, now);
-            backends_.at(entry.backend.id).removal_due = now + return_grace;
+            const bool is_due_known = entry.removal_in > milliseconds(0);
+            backends_.at(entry.backend.id).removal_due =
+                now + (is_due_known ? std::min(entry.removal_in, return_grace) : return_grace);
         } else {
             remove(entry.backend.id, now);
         }
@@ -237,20 +247,6 @@
     return found == backends_.end() ? nullptr : &found->second.backend;
 }
 
-std::vector<registered_backend> backend_registry::page_after(const backend_id& after,
-                                                             std::size_t limit) const {
-    std::vector<registered_backend> out;
-    for (auto it = backends_.upper_bound(after); it != backends_.end() && out.size() < limit;
-         ++it) {
-        out.push_back(it->second.backend);
-    }
-    return out;
-}
-
-std::vector<registered_backend> backend_registry::all() const {
-    std::vector<registered_backend> out;
-    for (const auto& [id, record] : backends_) {
-        out.push_back(record.backend);
 std::string_view backend_registry::describe(const backend_id& id) const {
     const registered_backend* known = find(id);
     if (known == nullptr) {
@@ -265,6 +261,20 @@
     return takes_work(*known) ? "listed" : "cordoned";
 }
 
+std::vector<registered_backend> backend_registry::page_after(const backend_id& after,
+                                                             std::size_t limit) const {
+    std::vector<registered_backend> out;
+    for (auto it = backends_.upper_bound(after); it != backends_.end() && out.size() < limit;
+         ++it) {
+        out.push_back(it->second.backend);
+    }
+    return out;
+}
+
+std::vector<registered_backend> backend_registry::all() const {
+    std::vector<registered_backend> out;
+    for (const auto& [id, record] : backends_) {
+        out.push_back(record.backend);
     }
     return out;
 }
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -183,18 +183,18 @@
         std::optional<time_point> removal_due;
     };
     bool takes_work(const registered_backend& backend) const;
-    bool removals_deferred(time_point now) const;
-    /// True if this process of the server, or a later one, has announced that it is leaving.
-    bool has_announced_leaving(const registered_backend& backend) const;
-    void erase(const backend_id& id);
-    /// Known servers that are not in `listed`.
-    std::vector<backend_id> missing_from(const std::set<backend_id>& listed) const;
     /// A departure that has become known now.
     departure make_departure() const;
     /// How long an outage lasts at least if an entry expires because of it. Entries expire after
     /// three heartbeats are missed, of which one may have been due when it began; and heartbeats
     /// are not exactly regular.
     duration min_expiring_outage() const { return timing_.heartbeat * 3 / 2; }
+    bool removals_deferred(time_point now) const;
+    /// True if this process of the server, or a later one, has announced that it is leaving.
+    bool has_announced_leaving(const registered_backend& backend) const;
+    void erase(const backend_id& id);
+    /// Known servers that are not in `listed`.
+    std::vector<backend_id> missing_from(const std::set<backend_id>& listed) const;
 
     std::map<backend_id, record> backends_;
     /// Kept after the entries are gone. A process that started later under the same id is usable:
--- a/test/platform/store_view_test.cpp
+++ b/test/platform/store_view_test.cpp
@@ -430,6 +430,20 @@
     EXPECT_TRUE(registry.empty());
 }
 
+// Guards against a removal that is deferred anew at each instance that starts: requests were sent
+// to a server that had long been gone.
+TEST(backend_registry_test, a_lapsed_entry_of_a_peer_s_list_stays_no_longer_than_at_the_peer) {
+    backend_registry registry;
+    registry.update_from_peer(std::vector{peer_backend{backend("a"), true, milliseconds(300)}},
+                              start);
+    EXPECT_EQ(registry.time_to_removal(backend_id("a"), start + milliseconds(100)),
+              milliseconds(200));
+    registry.expire(start + milliseconds(299));
+    EXPECT_FALSE(registry.empty());
+    registry.expire(start + milliseconds(300));
+    EXPECT_TRUE(registry.empty());
+}
+
 /// How long this instance had no own view of the store, and when a peer last announced one, before
 /// it reads a removal.
 struct outage_row {
