Refuse tunnels to servers that leave, and tell the instance that asks

An instance opened tunnels to any server that it listed, also to one of which it knew that it leaves. An instance with an older view reached such a server through one that knew better, and went on to choose it. Found by reading.

The reply says now that the server leaves, with the start time of its process; the asker records that and asks no further. A copy that may still be sent gets its tunnel. Instances of the previous release take the new reply for `busy`.

--- a/bamboostream/src/Gateway/tunnel_client.cpp
+++ b/bamboostream/src/Gateway/tunnel_client.cpp
@@ -49,6 +49,8 @@
         return carrier_answer::no_answer;
     case wire::TunnelResult::cut_off:
         return carrier_answer::cut_off;
+    case wire::TunnelResult::leaving:
+        return carrier_answer::leaving;
     default:
         return carrier_answer::busy;
     }
@@ -61,6 +63,7 @@
                   : reply.service == wire::ServiceReach::not_reached ? service_reach::not_reached
                                                                      : service_reach::unknown;
     out.load = reply.load_permille / 1'000.0;
+    out.leaving_start = reply.started_ms;
     return out;
 }
 
@@ -201,6 +204,11 @@
             search->tunnel->adopt_tunnel(std::move(*socket), carrier.address);
         }
         wake_searches(search->state.service);
+    } else if (reply.answer == carrier_answer::leaving) {
+        forwarding_.registry.mark_leaving(search->server.id, reply.leaving_start);
+        if (forwarding_.on_registry_change) {
+            forwarding_.on_registry_change();
+        }
     }
     search->changed.cancel();
 }
--- a/bamboostream/src/Gateway/tunnel_server.cpp
+++ b/bamboostream/src/Gateway/tunnel_server.cpp
@@ -46,8 +46,8 @@
 }
 
 constexpr std::string_view to_string(wire::TunnelResult result) {
-    constexpr std::array<std::string_view, 5> names = {"connected", "refused", "no_answer",
-                                                       "cut_off", "busy"};
+    constexpr std::array<std::string_view, 6> names = {"connected", "refused", "no_answer",
+                                                       "cut_off",   "busy",    "leaving"};
     return names.at(static_cast<std::size_t>(result));
 }
 
@@ -214,6 +214,13 @@
         reply.result = wire::TunnelResult::busy;
         co_return;
     }
+    const departure* left = forwarding_.registry.find_departure(id);
+    if (left != nullptr && left->leaving_start && (known == nullptr || known->leaving) &&
+        !left->accepts_copies(monotonic_now())) {
+        reply.result = wire::TunnelResult::leaving;
+        reply.started_ms = *left->leaving_start;
+        co_return;
+    }
     if (known == nullptr) {
         co_return;
     }
--- a/bamboostream/src/Routing/carrier_answer.h
+++ b/bamboostream/src/Routing/carrier_answer.h
@@ -18,6 +18,8 @@
     busy,
     /// No valid reply arrived in time.
     no_reply,
+    /// The backend server has announced that it leaves, as the instance knows.
+    leaving,
     count_,
 };
 
--- a/bamboostream/src/Routing/carrier_selector.cpp
+++ b/bamboostream/src/Routing/carrier_selector.cpp
@@ -229,6 +229,9 @@
         failures_.erase(std::pair(carrier.address, search.server));
         carriers_[carrier.address] = {now, reply.load, now + load_validity};
         break;
+    case carrier_answer::leaving:
+        search.server_failures = max_server_failures;
+        break;
     case carrier_answer::busy:
     case carrier_answer::no_reply:
         carriers_[carrier.address] = {now + carrier_pause, 1.0, now + load_validity};
--- a/bamboostream/src/Routing/carrier_selector.h
+++ b/bamboostream/src/Routing/carrier_selector.h
@@ -34,6 +34,8 @@
     service_reach service = service_reach::unknown;
     /// Share of the tunnels that the instance can carry which are in use, 0 to 1.
     double load = 0.0;
+    /// With `leaving`: the start time of the server's process that leaves.
+    std::int64_t leaving_start = 0;
 };
 
 /// One search for an instance that opens a tunnel to a server.
--- a/test/platform/tunnel_test.cpp
+++ b/test/platform/tunnel_test.cpp
@@ -133,6 +133,29 @@
     std::string request_text_ = request_text;
 };
 
+/// How the origin fails to reach a server of which the other instances know that it leaves.
+class tunnel_to_leaving_server : public tunnel_test, public testing::WithParamInterface<bool> {};
+
+INSTANTIATE_TEST_SUITE_P(table, tunnel_to_leaving_server, testing::Bool(),
+                         [](const auto& info) { return info.param ? "refused" : "silent"; });
+
+// Guards against a request that reaches a leaving server through an instance that knows of the
+// departure, from one that doesn't.
+TEST_P(tunnel_to_leaving_server, is_not_opened_and_tells_the_origin) {
+    scripted_backend server(group_.context, [](scripted_connection& c) -> asio::awaitable<void> {
+        co_await c.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    });
+    add_server("b", server.address(), GetParam() ? refusing_address() : silent_address());
+    for (const auto& it : group_.all) {
+        if (it.get() != &origin()) {
+            it->forwarding.registry.mark_leaving(backend_id("b"));
+        }
+    }
+    EXPECT_FALSE(finish("b")->connected);
+    EXPECT_EQ(server.connections(), 0);
+    EXPECT_FALSE(origin().forwarding.registry.takes_work(backend_id("b")));
+}
+
 backend_script answering_with(std::string response) {
     return [response = std::move(response)](scripted_connection& c) -> asio::awaitable<void> {
         co_await c.send(response);
