Announce the departures among records of the store, also those that were known before

A reader announces a range of positions of the store with the changes of its own knowledge. A departure that it had from elsewhere, such as the server itself, was no change when it read the record: an instance that had missed the earlier announcement took the position for known and never learned of the departure.

Each departure in records that a reader has read is announced with their position now. Cost: one fact for each record of a server that is leaving already.

--- a/bamboostream/src/Gateway/deployment_state.cpp
+++ b/bamboostream/src/Gateway/deployment_state.cpp
@@ -194,9 +194,11 @@
                                      time_point now) {
     std::vector<registered_backend> entries;
     std::vector<backend_id> unreadable;
+    std::vector<backend_id> departed;
     for (const keyed_record& record : records) {
         if (record.value.empty()) {
-            forwarding_.registry.remove(backend_id(record.key), now);
+            departed.emplace_back(record.key);
+            forwarding_.registry.remove(departed.back(), now);
             continue;
         }
         std::string why;
@@ -207,6 +209,9 @@
             unreadable.emplace_back(record.key);
             continue;
         }
+        if (entry->leaving) {
+            departed.push_back(entry->id);
+        }
         if (all) {
             entries.push_back(std::move(*entry));
         } else {
@@ -217,6 +222,9 @@
         forwarding_.registry.update_all(entries, unreadable, now);
     }
     report_changes(update_source::store, now);
+    if (departure_listener_) {
+        departure_listener_(departed);
+    }
 }
 
 void deployment_state::apply_peer_backends(std::span<const peer_backend> entries,
--- a/bamboostream/src/Gateway/deployment_state.h
+++ b/bamboostream/src/Gateway/deployment_state.h
@@ -46,6 +46,11 @@
     void on_backend_change(std::function<void(const registry_change&)> listener) {
         backend_listener_ = std::move(listener);
     }
+    /// Called with the servers whose departure was among records of the store, also if it was known
+    /// before.
+    void on_departures_read(std::function<void(std::span<const backend_id>)> listener) {
+        departure_listener_ = std::move(listener);
+    }
 
     using document_listener = std::function<void(document_result)>;
     /// Parses configurations asynchronously with `reader` from now on. Without a reader they are
@@ -76,13 +81,13 @@
                              time_point now);
     /// Records that this instance knows what the store contained for the topic at `as_of`.
     void update_view(record_topic topic, time_point as_of, time_point now);
+    /// Records that all changes of the entries that the store contained at `as_of` are applied.
+    void confirm_entries(time_point as_of) { forwarding_.registry.confirm(as_of); }
     /// Decides by the age of the view whether the store counts as unreachable.
     void update_outage(time_point now);
     /// Logs the changes of the registry and passes them to the listener.
     void report_changes(update_source source, time_point now);
 
-    /// Records that all changes of the entries that the store contained at `as_of` are applied.
-    void confirm_entries(time_point as_of) { forwarding_.registry.confirm(as_of); }
     /// The position up to which the store's entries are known here.
     change_cursor& entries() { return entries_; }
     const change_cursor& entries() const { return entries_; }
@@ -133,6 +138,7 @@
     std::function<void(const routing_configuration&)> configuration_listener_;
     std::function<void()> cordon_listener_;
     std::function<void(const registry_change&)> backend_listener_;
+    std::function<void(std::span<const backend_id>)> departure_listener_;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -206,6 +206,8 @@
     state.set_reader(reader);
     state.on_new_configuration([this](const routing_configuration& c) { apply_configuration(c); });
     state.on_cordon_change([this] { store_updates->announce_cordons(); });
+    state.on_departures_read(
+        [this](std::span<const backend_id> read) { store_updates->announce_departures(read); });
     state.on_backend_change([this](const registry_change& change) {
         store_updates->announce_change(change);
         if (change.event == registry_event::leaving || change.event == registry_event::gone) {
@@ -284,11 +286,11 @@
     forwarding.outbound_address = settings.outbound_address;
     forwarding.server_checks.set_local_address(settings.outbound_address);
     forwarding.cold_starts.set_rules(settings.cold_starts);
-    const auto peer_address = links.listen(settings.peer_listen, why);
-    if (!peer_address) {
     const entry_timing usual;
     forwarding.registry.set_timing({settings.entry_heartbeat.value_or(usual.heartbeat),
                                     settings.leaving_bound.value_or(usual.leaving_bound)});
+    const auto peer_address = links.listen(settings.peer_listen, why);
+    if (!peer_address) {
         log_event(events::listen_failed, "address={} reason={}", settings.peer_listen, why);
         return false;
     }
--- a/bamboostream/src/Gateway/store_update_exchange.cpp
+++ b/bamboostream/src/Gateway/store_update_exchange.cpp
@@ -6,6 +6,7 @@
 #include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Gateway/peer_frames.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <limits>
 #include <map>
@@ -120,6 +121,22 @@
     due_.cancel();
 }
 
+void store_update_exchange::announce_departures(std::span<const backend_id> read) {
+    for (const backend_id& id : read) {
+        const bool is_pending =
+            std::any_of(pending_changes_.begin(), pending_changes_.end(),
+                        [&id](const registry_change& change) { return change.backend.id == id; });
+        const registered_backend* known = forwarding_.registry.find(id);
+        if (is_pending || (known != nullptr && !known->leaving)) {
+            continue;
+        }
+        registered_backend gone;
+        gone.id = id;
+        announce_change(known != nullptr ? registry_change{registry_event::leaving, *known}
+                                         : registry_change{registry_event::gone, gone});
+    }
+}
+
 void store_update_exchange::announce_cordons() {
     due_.cancel();
 }
@@ -459,6 +476,7 @@
     const auto as_of = time_from_age(first->age_ms, first_page_at);
     if (as_of && position <= state_.entries().position()) {
         state_.update_view(record_topic::backend_entries, *as_of, now);
+        state_.confirm_entries(*as_of);
     }
 }
 
@@ -477,17 +495,16 @@
         return make_reply(std::move(list));
     }
     const std::size_t max_entries =
-        state_.confirm_entries(*as_of);
         request.paged ? backends_per_page : std::numeric_limits<std::size_t>::max();
     const auto page = forwarding_.registry.page_after(backend_id(request.after), max_entries);
     for (const registered_backend& backend : page) {
         list.entries.push_back(to_wire(backend, now));
         list.entries.back()->lapsed = forwarding_.registry.has_lapsed(backend.id);
+        list.entries.back()->removal_in_ms = static_cast<std::uint32_t>(
+            forwarding_.registry.time_to_removal(backend.id, now).count());
     }
     list.more = page.size() == max_entries;
     return make_reply(std::move(list));
 }
 
 } // namespace bamboostream
-        list.entries.back()->removal_in_ms = static_cast<std::uint32_t>(
-            forwarding_.registry.time_to_removal(backend.id, now).count());
--- a/bamboostream/src/Gateway/store_update_exchange.h
+++ b/bamboostream/src/Gateway/store_update_exchange.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,10 @@
     /// Announces a change of the registry, the configuration or the cordons, if this instance reads
     /// for the others.
     void announce_change(const registry_change& change);
+    /// Announces the departures that were among records of the store, also those that were known
+    /// here before: the position that is announced says that others know them as well, and they may
+    /// have missed an earlier announcement.
+    void announce_departures(std::span<const backend_id> read);
     void announce_configuration();
     void announce_cordons();
 
@@ -64,13 +69,13 @@
     void broadcast(wire::StoreNewsT news);
     void relay(const std::string& sender, std::int64_t stamp, wire::StoreNewsT news);
     void apply_update(const std::string& sender, const wire::StoreNewsT& news, time_point now);
+    /// Records that the entries up to `position` were complete `age_ms` ago.
+    void confirm_entries(std::uint32_t age_ms, std::int64_t position, time_point now);
     void update_views(const wire::StoreNewsT& news, time_point now);
     /// Applies removals of lapsed or dropped entries from an announcement without new records.
     void apply_removals(const wire::StoreNewsT& news, time_point now);
     void recover_missed_changes(const std::string& announcer, time_point now);
 
-    /// Records that the entries up to `position` were complete `age_ms` ago.
-    void confirm_entries(std::uint32_t age_ms, std::int64_t position, time_point now);
     /// Requests from peers what this instance has missed.
     boost::asio::awaitable<void> catch_up_loop();
     boost::asio::awaitable<void> fetch_backends(std::string peer);
--- a/test/platform/peer_group.cpp
+++ b/test/platform/peer_group.cpp
@@ -95,6 +95,8 @@
                                                    follower, read_policy, *distributor);
     state.set_reader(reader);
     state.on_cordon_change([this] { news->announce_cordons(); });
+    state.on_departures_read(
+        [this](std::span<const backend_id> read) { news->announce_departures(read); });
     state.on_backend_change(
         [this](const registry_change& change) { news->announce_change(change); });
     owner = std::make_unique<owner_scheduler>(links, *membership, forwarding);
