Forget the departures of removed servers after a while

What callers saw: nothing; the memory of an instance would have grown with every server that is replaced.

A departure by removal is now forgotten 60 s after it stops accepting copies, when no move can name the server any more. One that was announced is kept, as before: the process must stay known as leaving when an older entry of it arrives.

Test: a_removal_is_forgotten_after_a_while.

--- a/bamboostream/src/Membership/backend_registry.cpp
+++ b/bamboostream/src/Membership/backend_registry.cpp
@@ -13,6 +13,8 @@
 /// The time in which a request that goes to a leaving server arrives, and by which an instance may
 /// take its view of the store for newer than it is.
 constexpr milliseconds max_arrival_time{300};
+/// Longer than a move of a generation takes, after which nobody names a removed server any more.
+constexpr seconds removal_memory{60};
 
 bool has_become_cold(const registered_backend& known, const registered_backend& received,
                      time_point now) {
@@ -215,6 +217,11 @@
     if (store_away()) {
         return;
     }
+    std::erase_if(departures_, [now](const auto& item) {
+        const departure& left = item.second;
+        return !left.leaving_start && left.copies_until &&
+               now > *left.copies_until + removal_memory;
+    });
     for (const registered_backend& known : all()) {
         const auto& due = backends_.at(known.id).removal_due;
         if (due && now >= *due) {
--- a/bamboostream/src/Membership/backend_registry.h
+++ b/bamboostream/src/Membership/backend_registry.h
@@ -138,7 +138,8 @@
     /// return.
     void store_answered(time_point now);
     bool store_away() const { return away_since_.has_value(); }
-    /// Performs deferred removals that are due. Does nothing while the store is away.
+    /// Performs deferred removals that are due, and forgets removals of long ago. Does nothing
+    /// while the store is away.
     void expire(time_point now);
 
     /// Sets the failure domains whose servers get no new work regardless of their entries.
--- a/test/platform/store_view_test.cpp
+++ b/test/platform/store_view_test.cpp
@@ -444,6 +444,20 @@
     EXPECT_TRUE(registry.empty());
 }
 
+// Guards against memory that grows with each server that is replaced.
+TEST(backend_registry_test, a_removal_is_forgotten_after_a_while) {
+    backend_registry registry;
+    registry.update(backend("a"), start);
+    registry.confirm(start);
+    registry.remove(backend_id("a"), start);
+    registry.expire(start + seconds(1));
+    ASSERT_NE(registry.find_departure(backend_id("a")), nullptr);
+    EXPECT_TRUE(registry.find_departure(backend_id("a"))->accepts_copies(start + seconds(1)));
+    EXPECT_FALSE(registry.find_departure(backend_id("a"))->accepts_copies(start + seconds(2)));
+    registry.expire(start + seconds(70));
+    EXPECT_EQ(registry.find_departure(backend_id("a")), nullptr);
+}
+
 /// How long this instance had no own view of the store, and when a peer last announced one, before
 /// it reads a removal.
 struct outage_row {
