Move the generations of an engine that left before the first configuration was known

What callers saw: streams that were cut off when their engine ended, although the engine had announced it in time.

Cause: an instance that has just started may learn of a leaving engine before it has a configuration. It then doesn't know whether the engine's generations can be moved, took that for "no", and never asked again, also if it coordinates the moves of that service.

Evidence: evacuation_test.an_engine_that_leaves_before_the_configuration_is_known_is_evacuated found no notice on.

--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -64,7 +64,7 @@
 asio::awaitable<void> evacuation_service::watch_loop() {
     while (true) {
         co_await pause_for(engine_poll_period);
-        take_over_delegated(monotonic_now());
+        start_waiting(monotonic_now());
         if (state_.registry.store_away() && state_.routes) {
             poll_engines();
         }
@@ -82,9 +82,9 @@
     }
 }
 
-void evacuation_service::take_over_delegated(time_point now) {
-    std::erase_if(delegated_, [&](const delegated_engine& engine) {
-        return now - engine.since > max_evacuation_time || start_evacuation(engine.backend);
+void evacuation_service::start_waiting(time_point now) {
+    std::erase_if(waiting_, [&](const leaving_engine& engine) {
+        return now - engine.since > max_evacuation_time || try_evacuation(engine);
     });
 }
 
@@ -99,22 +99,29 @@
 }
 
 void evacuation_service::on_leaving(const registered_backend& backend) {
-    const service_rule* service =
-        state_.routes ? state_.routes->find_service(backend.service) : nullptr;
-    const bool moves = service != nullptr && service->engine && service->engine->moves;
-    if (moves) {
-        state_.reserve.start(backend, monotonic_now());
+    leaving_engine engine{backend, monotonic_now()};
+    if (!try_evacuation(engine)) {
+        waiting_.push_back(std::move(engine));
     }
-    if (moves && !start_evacuation(backend)) {
-        delegated_.push_back({backend, monotonic_now()});
+}
+
+bool evacuation_service::try_evacuation(const leaving_engine& engine) {
+    if (!state_.routes) {
+        return false;
+    }
+    const service_rule* service = state_.routes->find_service(engine.backend.service);
+    if (service == nullptr || !service->engine || !service->engine->moves) {
+        return true;
     }
+    state_.reserve.start(engine.backend, engine.since);
+    return start_evacuation(engine.backend);
 }
 
 void evacuation_service::on_restart(const backend_id& id) {
     evacuated_.erase(id);
     state_.reserve.forget(id);
-    std::erase_if(delegated_,
-                  [&id](const delegated_engine& engine) { return engine.backend.id == id; });
+    std::erase_if(waiting_,
+                  [&id](const leaving_engine& engine) { return engine.backend.id == id; });
 }
 
 bool evacuation_service::start_evacuation(const registered_backend& backend) {
--- a/bamboostream/src/Evacuation/evacuation_service.h
+++ b/bamboostream/src/Evacuation/evacuation_service.h
@@ -61,7 +61,16 @@
 private:
     boost::asio::awaitable<void> watch_loop();
     void poll_engines();
-    void take_over_delegated(time_point now);
+    /// An engine that leaves, and when that became known.
+    struct leaving_engine {
+        registered_backend backend;
+        time_point since;
+    };
+    /// Starts the evacuations that have waited and can begin now.
+    void start_waiting(time_point now);
+    /// Starts the evacuation of an engine whose generations can be moved. Returns false when it has
+    /// to wait: the configuration isn't known yet, or another instance coordinates the moves.
+    bool try_evacuation(const leaving_engine& engine);
     /// Returns false when another instance coordinates the moves of this service.
     bool start_evacuation(const registered_backend& backend);
     boost::asio::awaitable<void> poll_engine(registered_backend backend);
@@ -154,16 +163,11 @@
     forwarding_state& state_;
     generation_mover& mover_;
     evacuation_peers& peers_;
-    /// An engine that another instance evacuates, and when it was found to be leaving.
-    struct delegated_engine {
-        registered_backend backend;
-        time_point since;
-    };
     std::set<backend_id> evacuated_;
-    /// Engines whose evacuation another instance coordinates. When that instance dies or freezes,
-    /// the next owner takes its evacuations over: otherwise all generations there would be cut off
+    /// Engines whose evacuation has to wait. One that another instance coordinates is taken over
+    /// when that instance dies or freezes: otherwise all generations there would be cut off
     /// although their engine is still alive.
-    std::vector<delegated_engine> delegated_;
+    std::vector<leaving_engine> waiting_;
     /// Targets that a generation is being copied to. The final part of a copy queues behind
     /// whatever else is sent to the same target while its stream is paused (250 to 950 ms instead
     /// of about 10), so a target receives one generation at a time.
--- a/test/platform/evacuation_test.cpp
+++ b/test/platform/evacuation_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace bamboostream::test {
 namespace {
@@ -412,6 +413,21 @@
     EXPECT_EQ(peers_.notices_[0].notice.copy.handle, "g1-last");
 }
 
+// Guards against generations that are cut off although their engine is known to leave: an instance
+// that had just started learned of that before it had a configuration, and moved none of them.
+TEST_F(evacuation_test, an_engine_that_leaves_before_the_configuration_is_known_is_evacuated) {
+    const auto routes = std::exchange(state_.routes, nullptr);
+    peers_.running_ = {{"g1", backend_id("i-1")}};
+    service_.start();
+    leave("i-1");
+    run_for(milliseconds(100));
+    EXPECT_TRUE(mover_.calls_.empty());
+    state_.routes = routes;
+    run_for(milliseconds(600));
+    ASSERT_EQ(peers_.notices_.size(), 1u);
+    EXPECT_EQ(peers_.notices_[0].notice.copy.handle, "g1-last");
+}
+
 /// Engines whose service reports the load of their host, so that moves are planned for the end of
 /// the notice.
 class evacuation_before_end : public evacuation_test {
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -71,7 +71,7 @@
 prove shutdown_waits $s/Gateway/gateway.cpp 'while (monotonic_now() < end &&' 'while (false &&' 'a_shutdown_answers'
 prove budget_bound $s/Routing/window_budget.cpp 'if (static_cast<double>(a.spent.size()) + 1.0 > allowed) {' 'if (allowed < 0.0) {' 'window_budget_test'
 prove early_answer $s/Http/http_connection.cpp 'const bool request_consumed = request_size_ <= max_reusable_request_bytes;' 'const bool request_consumed = true;' 'an_answer_before_the_body'
-prove driver_takeover $s/Evacuation/evacuation_service.cpp 'take_over_delegated(monotonic_now());' '' 'the_next_owner_takes_over'
+prove driver_takeover $s/Evacuation/evacuation_service.cpp 'start_waiting(monotonic_now());' '' 'the_next_owner_takes_over|before_the_configuration_is_known'
 prove return_after_outage $s/Limits/retry_delay.cpp 'if (awaits_servers && request.caller_timeout) {' 'if (false) {' 'retry_delay_case'
 prove store_pause_grows $s/Gateway/store_read_policy.cpp 'if (role == store_read_role::reader) {' 'if (true) {' 'store_pause'
 prove workspace_rank $s/Forwarding/forwarded_call.cpp 'priority_ = workspace->priority.value_or(route_->priority);' '' 'workspace_s_rank'
