End requests that the network holds when their server takes no more

What callers saw: requests that ran late at a server that was leaving, or were cut off there, after an interruption of the network between an instance and that server.

Cause: a request that was sent in time counts as sent. While packets are lost, the system keeps its bytes and sends them again with growing pauses, for as long as the connection is open; they arrive when packets pass again, seconds after the time at which the server takes no more.

When an instance learns that a server leaves or has lost its entry, it waits until the server takes no more, and then closes the connections to it on which a request waits of which the server's host has acknowledged no byte for 0.1 s. The close is a reset, which discards what the system would send again. A request of which any byte has been acknowledged goes on: slow responses, and bodies that the server reads slowly (unacknowledged_request).

What it costs otherwise: a held request that may run only once is answered 502, since the acknowledgement may have been lost; before, it got its response if the server still took it. Tunnels: the origin ends what is held on its way to the carrier, the carrier doesn't yet end what is held behind it.

--- a/bamboostream/src/Forwarding/backend_connection.cpp
+++ b/bamboostream/src/Forwarding/backend_connection.cpp
@@ -21,6 +21,9 @@
 /// wait for 0.6 s the time for both and for their response.
 constexpr milliseconds tunnel_delay{100};
 
+/// A request that the server's host hasn't acknowledged for this long is held by the network.
+constexpr milliseconds min_unacknowledged{100};
+
 /// A direct connection and a tunnel to the same server; the first to be established is used.
 struct connection_race {
     explicit connection_race(const asio::any_io_executor& executor) : changed(executor) {}
@@ -141,12 +144,8 @@
     co_return out;
 }
 
-} // namespace
-
-asio::awaitable<backend_connection> open_backend_connection(forwarding_state& state,
-                                                            registered_backend server,
-                                                            connection_request wanted,
-                                                            http_failure& why) {
+asio::awaitable<backend_connection> take_or_open(forwarding_state& state, registered_backend server,
+                                                 connection_request wanted, http_failure& why) {
     backend_connection out;
     if (state.tunnels != nullptr && state.reachability.is_cut_off(server.service, server.id)) {
         out = co_await open_tunnel(state, server, wanted, why);
@@ -162,6 +161,29 @@
     co_return out;
 }
 
+} // namespace
+
+asio::awaitable<backend_connection> open_backend_connection(forwarding_state& state,
+                                                            registered_backend server,
+                                                            connection_request wanted,
+                                                            http_failure& why) {
+    const std::string address = server.address;
+    backend_connection out =
+        co_await take_or_open(state, std::move(server), std::move(wanted), why);
+    if (out.connection && !out.reused) {
+        state.connections.add(address, out.connection);
+    }
+    co_return out;
+}
+
+asio::awaitable<void> abandon_held_requests(forwarding_state& state, registered_backend server) {
+    const departure* left = state.registry.find_departure(server.id);
+    const time_point now = monotonic_now();
+    const time_point last_send = left != nullptr ? left->copies_until.value_or(now) : now;
+    co_await pause_for(std::max(duration{}, last_send - now) + min_unacknowledged);
+    state.connections.abandon_unacknowledged(server.address, min_unacknowledged, monotonic_now());
+}
+
 void record_direct_connection(forwarding_state& state, const registered_backend& server,
                               time_point now) {
     if (state.reachability.on_connected(server.service, server.id, now)) {
--- a/bamboostream/src/Forwarding/backend_connection.h
+++ b/bamboostream/src/Forwarding/backend_connection.h
@@ -37,6 +37,12 @@
                                                                    connection_request wanted,
                                                                    http_failure& why);
 
+/// Called when a server is known to leave or has lost its entry. Ends the requests to it that the
+/// network still holds when the server takes no more: they would arrive when the network delivers
+/// them, seconds later at times.
+boost::asio::awaitable<void> abandon_held_requests(forwarding_state& state,
+                                                   registered_backend server);
+
 /// Records that a direct connection to the server was established.
 void record_direct_connection(forwarding_state& state, const registered_backend& server,
                               time_point now);
--- a/bamboostream/src/Gateway/gateway.cpp
+++ b/bamboostream/src/Gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "bamboostream/src/Core/event_log.h"
 #include "bamboostream/src/Core/log_exception.h"
 #include "bamboostream/src/Core/settings.h"
+#include "bamboostream/src/Forwarding/backend_connection.h"
 #include "bamboostream/src/Forwarding/forwarded_call.h"
 #include "bamboostream/src/Gateway/gateway_metrics.h"
 #include "bamboostream/src/Gateway/peer_exchange.h"
@@ -212,6 +213,8 @@
         store_updates->announce_change(change);
         if (change.event == registry_event::leaving || change.event == registry_event::gone) {
             evacuation->on_leaving(change.backend);
+            asio::co_spawn(context, abandon_held_requests(forwarding, change.backend),
+                           log_exception);
         }
         if (change.event == registry_event::gone || change.event == registry_event::restarted) {
             forwarding.connections.drop(change.backend.address);
--- a/bamboostream/src/Http/http_connection.cpp
+++ b/bamboostream/src/Http/http_connection.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace bamboostream {
 
@@ -136,6 +138,9 @@
         written = 0;
     }
     any_sent_ = written > 0;
+    sent_at_ = monotonic_now();
+    written_at_once_ = written;
+    writer_.reset();
     if (ec) {
         close();
         return;
@@ -154,6 +159,22 @@
     }
 }
 
+bool http_connection::is_unacknowledged(duration age, time_point now) {
+    if (!is_open() || !any_sent_ || complete() || response_bytes_ > 0 || now - sent_at_ < age) {
+        return false;
+    }
+    int unacknowledged = 0;
+    const bool is_known = ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+    return is_known && unacknowledged > 0 && static_cast<std::size_t>(unacknowledged) >= written();
+}
+
+std::size_t http_connection::written() const {
+    if (!request_incomplete_) {
+        return request_size_;
+    }
+    return written_at_once_ + (writer_ ? writer_->written() : 0);
+}
+
 asio::awaitable<void> http_connection::write_remaining(std::size_t written) {
     writer_.emplace(socket_);
     request_incomplete_ = !co_await writer_->write(unwritten(written));
@@ -186,8 +207,9 @@
         why.set(is_parse_error(ec) ? http_error::malformed : http_error::broken,
                 exceeded_ != response_limit::none
                     ? "limit exceeded: " + std::string(to_string(exceeded_))
-                : timed_out_ ? "timed out"
-                             : ec.message());
+                : timed_out_      ? "timed out"
+                : unacknowledged_ ? "server acknowledged nothing of the request"
+                                  : ec.message());
         close();
         co_return false;
     }
@@ -446,6 +468,11 @@
     socket_.close(ec);
 }
 
+void http_connection::abandon_unacknowledged() {
+    unacknowledged_ = true;
+    close();
+}
+
 bool http_connection::response_closes() const {
     return !parser_->get().keep_alive() || ended_by_close_;
 }
--- a/bamboostream/src/Http/http_connection.h
+++ b/bamboostream/src/Http/http_connection.h
@@ -97,9 +97,15 @@
     bool complete() const override;
     /// Closes the connection; with a reset if its response is incomplete.
     void close() override;
+    /// As `close`, for a request of which `is_unacknowledged` holds.
+    void abandon_unacknowledged();
 
     /// True when any byte of the request may have been sent.
     bool any_sent() const { return any_sent_; }
+    /// Whether the current request was sent `age` before `now` or earlier, and the peer's host has
+    /// acknowledged none of it: its bytes are still here or on their way, and the network may
+    /// deliver them at any later time. False where the system doesn't tell.
+    bool is_unacknowledged(duration age, time_point now);
     /// True when the connection was closed by `expire_at`.
     bool timed_out() const { return timed_out_; }
     /// True when the response had no length and ended with the connection.
@@ -122,6 +128,8 @@
     bool has_input();
 
 private:
+    /// How many bytes of the request the kernel has taken.
+    std::size_t written() const;
     /// The request without its first `skipped` bytes.
     std::array<boost::asio::const_buffer, 2> unwritten(std::size_t skipped) const;
     boost::asio::awaitable<void> write_remaining(std::size_t written);
@@ -157,11 +165,15 @@
     /// Null once it has been written.
     std::shared_ptr<const std::string> request_body_;
     std::size_t request_size_ = 0;
+    time_point sent_at_;
+    /// How many bytes of the request were written at once; the writer writes the others.
+    std::size_t written_at_once_ = 0;
     std::optional<socket_writer> writer_;
     /// The request is being written, or couldn't be written completely.
     bool request_incomplete_ = false;
     bool any_sent_ = false;
     bool timed_out_ = false;
+    bool unacknowledged_ = false;
     bool head_only_ = false;
     bool ended_by_close_ = false;
     bool reuse_forbidden_ = false;
--- a/bamboostream/src/Http/http_connection_pool.cpp
+++ b/bamboostream/src/Http/http_connection_pool.cpp
@@ -69,6 +69,28 @@
     connections.push_back({std::move(connection), now, now + limit - idle_margin});
 }
 
+void http_connection_pool::add(const std::string& address,
+                               const std::shared_ptr<http_connection>& connection) {
+    open_[address].push_back(connection);
+}
+
+std::size_t http_connection_pool::abandon_unacknowledged(const std::string& address, duration age,
+                                                         time_point now) {
+    const auto found = open_.find(address);
+    if (found == open_.end()) {
+        return 0;
+    }
+    std::size_t count = 0;
+    for (const auto& entry : found->second) {
+        const auto connection = entry.lock();
+        if (connection && connection->is_unacknowledged(age, now)) {
+            connection->abandon_unacknowledged();
+            ++count;
+        }
+    }
+    return count;
+}
+
 template <typename predicate>
 void http_connection_pool::drop_if(std::deque<idle_connection>& connections, predicate is_dropped) {
     std::erase_if(connections, [&](idle_connection& entry) {
@@ -116,6 +138,13 @@
             });
         }
     }
+    for (auto& [address, connections] : open_) {
+        std::erase_if(connections, [](const auto& entry) {
+            const auto connection = entry.lock();
+            return !connection || !connection->is_open();
+        });
+    }
+    std::erase_if(open_, [](const auto& entry) { return entry.second.empty(); });
     std::erase_if(idle_, [](const auto& entry) {
         return std::all_of(entry.second.begin(), entry.second.end(),
                            [](const auto& connections) { return connections.empty(); });
--- a/bamboostream/src/Http/http_connection_pool.h
+++ b/bamboostream/src/Http/http_connection_pool.h
@@ -9,15 +9,16 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace bamboostream {
 
 /// How a connection reaches its server.
 enum class connection_path : std::uint8_t { direct, tunneled };
 
-/// Idle client connections by address, so that few requests have to open a new one. Direct
-/// connections and tunnels to the same server are kept apart. Not thread-safe: all calls must be
-/// made on one thread.
+/// The client connections by address: the idle ones, so that few requests have to open a new one,
+/// and those in use. Direct connections and tunnels to the same server are kept apart. Not
+/// thread-safe: all calls must be made on one thread.
 class http_connection_pool {
 public:
     /// The most recently used idle connection to `address` that has been idle for less than
@@ -29,6 +30,11 @@
     /// Keeps a connection for reuse when it can carry another exchange, and closes it otherwise.
     void give_back(const std::string& address, std::shared_ptr<http_connection> connection,
                    time_point now);
+    /// Registers a new connection, which `abandon_unacknowledged` then finds while it is in use.
+    void add(const std::string& address, const std::shared_ptr<http_connection>& connection);
+    /// Closes the connections to `address` whose request was sent `age` before `now` or earlier and
+    /// hasn't been acknowledged by the server's host. Returns their number.
+    std::size_t abandon_unacknowledged(const std::string& address, duration age, time_point now);
     /// Closes the idle connections to `address`.
     void drop(const std::string& address);
     /// Closes the idle direct connections to `address`.
@@ -52,6 +58,8 @@
 
     /// Per address and path, the most recently used connection last.
     std::unordered_map<std::string, std::array<std::deque<idle_connection>, 2>> idle_;
+    /// All connections, in use or not. Closed ones are removed in `expire`.
+    std::unordered_map<std::string, std::vector<std::weak_ptr<http_connection>>> open_;
 };
 
 } // namespace bamboostream
--- a/bamboostream/src/Http/socket_writer.cpp
+++ b/bamboostream/src/Http/socket_writer.cpp
@@ -17,6 +17,7 @@
     while (!error_ && !stopped_ && asio::buffer_size(bytes) > 0) {
         std::size_t count = co_await socket_.async_write_some(
             bytes, asio::redirect_error(asio::use_awaitable, error_));
+        written_ += count;
         for (asio::const_buffer& part : bytes) {
             const std::size_t of_part = std::min(count, part.size());
             part += of_part;
--- a/bamboostream/src/Http/socket_writer.h
+++ b/bamboostream/src/Http/socket_writer.h
@@ -23,6 +23,8 @@
     /// must stay where they are until this returns. Returns whether all were written.
     boost::asio::awaitable<bool> write(buffers bytes);
     bool writing() const { return writing_; }
+    /// How many bytes were written in all.
+    std::size_t written() const { return written_; }
     /// After the end of the peer's bytes: ends a write in progress. Returns whether the peer closed
     /// the connection in order, and not by a reset of which a write took the error.
     boost::asio::awaitable<bool> stop();
@@ -32,6 +34,7 @@
     boost::asio::steady_timer ended_;
     /// The first error. Only that one tells a reset; later writes report a broken pipe.
     boost::system::error_code error_;
+    std::size_t written_ = 0;
     bool writing_ = false;
     bool stopped_ = false;
 };
--- a/tools/prove.sh
+++ b/tools/prove.sh
@@ -128,6 +128,8 @@
 prove old_notice $s/Forwarding/forwarded_stream.cpp 'return left != nullptr ? left->accepts_copies(now)' 'return left != nullptr ? true' 'old_move|gets_no_copy_long_after'
 prove return_of_unknown_age $s/Evacuation/evacuation_service.cpp 'left->accepts_copies(now + max_notice_delay) &&' '' 'announcement_of_unknown_age'
 prove short_interruption $s/Membership/backend_registry.h '{ return timing_.heartbeat * 3 / 2; }' '{ return {}; }' 'no_entry_expires|short_standstill'
+prove held_requests $s/Forwarding/backend_connection.cpp 'state.connections.abandon_unacknowledged(server.address, min_unacknowledged, monotonic_now());' '' 'held_request'
+prove arrived_requests_go_on $s/Http/http_connection.cpp 'static_cast<std::size_t>(unacknowledged) >= written()' 'true' 'unacknowledged_request'
 prove lapsed_at_peer $s/Membership/backend_registry.cpp 'is_due_known = entry.removal_in > milliseconds(0);' 'is_due_known = false;' 'a_lapsed_entry_of_a_peer'
 prove tunnel_to_leaving $s/Gateway/tunnel_server.cpp '!left->accepts_copies(monotonic_now())) {' 'false) {' 'tunnel_to_leaving_server'
 prove departures_read $s/Gateway/store_update_exchange.cpp 'if (is_pending || (known != nullptr && !known->leaving)) {' 'if (true) {' 'departure_news'
