Soak: a server's script ends after its connection is lost

Cause: scripted_connection::send ignored errors, and the script of a stream went on. After a failed write, asio waits until the socket becomes writable before it tries the next one, which is never reported again. The script hung, and kept one of the server's six slots.

A script sends nothing more once sending has failed, and its connection ends with it. The checks of the soak are unchanged. The product's own writes end with the first error.

--- a/test/platform/scripted_backend.cpp
+++ b/test/platform/scripted_backend.cpp
@@ -39,8 +39,12 @@
 }
 
 asio::awaitable<void> scripted_connection::send(std::string bytes) {
+    if (send_failed_) {
+        co_return;
+    }
     error_code ec;
     co_await asio::async_write(socket_, asio::buffer(bytes), token(ec));
+    send_failed_ = ec.failed();
 }
 
 asio::awaitable<void> scripted_connection::pause(int ms) {
@@ -149,6 +153,10 @@
         buffer.erase(0, request_size);
         scripted_connection connection(socket, number, requests_.back(), [this] { end_process(); });
         co_await script_(connection);
+        if (connection.send_failed()) {
+            closed_ += socket.is_open() ? 1 : 0;
+            co_return;
+        }
         if (!reads_bodies_) {
             co_await connection.wait_for_close();
             ++closed_;
--- a/test/platform/scripted_backend.h
+++ b/test/platform/scripted_backend.h
@@ -27,7 +27,9 @@
     const std::string& request() const { return request_; }
     /// The value of a header field of the request; empty when absent.
     std::string field(const std::string& name) const;
+    /// Sends nothing more once sending has failed: a further write on the socket may never end.
     boost::asio::awaitable<void> send(std::string bytes);
+    bool send_failed() const { return send_failed_; }
     boost::asio::awaitable<void> pause(int ms);
     /// Reads and discards data until the peer closes the connection.
     boost::asio::awaitable<void> wait_for_close();
@@ -44,6 +46,7 @@
     int number_;
     std::string request_;
     std::function<void()> end_process_;
+    bool send_failed_ = false;
 };
 
 using backend_script = std::function<boost::asio::awaitable<void>(scripted_connection&)>;
