--- a/test/platform/system/soak_faults.cpp
+++ b/test/platform/system/soak_faults.cpp
@@ -78,6 +78,8 @@
         add_server();
         break;
     case soak_fault::link_stalls:
+        server.link_stalled_until =
+            std::max(server.link_stalled_until, monotonic_now() + step.duration);
         inject_link_fault(server, R"({"stalled":1})", R"({"stalled":0})", step.duration);
         break;
     case soak_fault::link_cut:
--- a/test/platform/system/soak_fixture.h
+++ b/test/platform/system/soak_fixture.h
@@ -30,6 +30,8 @@
     std::optional<time_point> left;
     /// Its link stalls, breaks, loses answers or refuses connections until then.
     time_point link_disturbed_until{};
+    /// Until when its link holds all bytes.
+    time_point link_stalled_until{};
     /// The requests a second that it names in its answers; nothing if it names no limit.
     std::optional<double> limit;
     /// It named a limit until then.
--- a/test/platform/system/soak_servers.cpp
+++ b/test/platform/system/soak_servers.cpp
@@ -94,7 +94,7 @@
 
 bool soak_test::must_be_known_as_leaving(const soak_server& server, std::size_t instance) const {
     // A link that stalls holds requests that were sent before the bound.
-    if (!server.left || monotonic_now() < server.link_disturbed_until + link_delivery_time) {
+    if (!server.left || monotonic_now() < server.link_stalled_until + link_delivery_time) {
         return false;
     }
     const time_point learning_start =
