--- a/bamboostream/src/Evacuation/evacuation_service.cpp
+++ b/bamboostream/src/Evacuation/evacuation_service.cpp
@@ -39,7 +39,7 @@
 /// How long the last part of a copy is under way before the next copy begins on the same link: its
 /// stream is paused, and it must not queue behind the next one.
 constexpr milliseconds last_part_lead{5};
-/// A generation goes back to its source only this soon after the announcement of that became known.
+/// Longest time from when the announcement of a source became known until a generation goes back.
 constexpr milliseconds max_return_time{600};
 /// Longest time from a notice of a move until its stream follows it.
 constexpr milliseconds max_notice_delay{400};
